Add contracts, shared node parts, tool chain and design

Cause: empty repository. Ruled out: one daemon for both sides (a dispatcher restart would then cut streams); see docs/design.md section 3.1.

--- /dev/null
+++ b/src/config/settings.ts
@@ -0,0 +1,58 @@
+/** Settings file of a daemon. */
+import fs from 'node:fs';
+import {err, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {ValidationError} from '../protocol/errors.js';
+import {validateDocument} from './validateDocument.js';
+
+/** Shortest peer or operator key, in characters. */
+const minKeyLength = 24;
+
+const portSchema = z.number().int().min(1).max(65_535);
+
+export const settingsSchema = z.strictObject({
+  /** Name of the VM, as on the platform's list. */
+  vm: z.string().min(1),
+  zone: z.string().min(1),
+  /** IP address that peers and callers reach the VM at. */
+  address: z.ipv4().or(z.ipv6()),
+  /** Address of the operators' interface, apart from the callers'. */
+  operatorAddress: z.ipv4().or(z.ipv6()),
+  /** Ports, the same on every VM. */
+  ports: z.strictObject({
+    callers: portSchema,
+    gatewayPeers: portSchema,
+    dispatcherPeers: portSchema,
+    gatewayOperators: portSchema,
+    dispatcherOperators: portSchema,
+  }),
+  platform: z.strictObject({
+    /** Base URL of the configuration service. */
+    configUrl: z.url(),
+    /** Base URL of the VM list. */
+    vmListUrl: z.url(),
+  }),
+  keys: z.strictObject({
+    peer: z.string().min(minKeyLength),
+    operator: z.string().min(minKeyLength),
+  }),
+  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
+});
+export type Settings = z.infer<typeof settingsSchema>;
+
+/**
+ * Reads and checks a settings file; the error lists every fault.
+ *
+ * @example
+ * readSettings('/etc/anvilstall/settings.json')
+ */
+export function readSettings(file: string): Result<Settings, ValidationError> {
+  let document: unknown;
+  try {
+    document = JSON.parse(fs.readFileSync(file, 'utf8'));
+  } catch (cause) {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    return err(new ValidationError(file, [{path: '', reason}]));
+  }
+  return validateDocument(file, settingsSchema, document);
+}
--- /dev/null
+++ b/src/protocol/peerRouter.ts
@@ -0,0 +1,134 @@
+/** tRPC routers of the two kinds of members; handlers are given by each. */
+import {initTRPC, TRPCError} from '@trpc/server';
+import {
+  acquireSchema,
+  drawLimitSchema,
+  releaseSchema,
+  renewSchema,
+  type Acquire,
+  type DrawLimit,
+  type DrawLimitAnswer,
+  type LeaseEvent,
+  type Release,
+  type Renew,
+  type RenewAnswer,
+} from './leaseMessages.js';
+import {
+  fetchChangesSchema,
+  pingForSchema,
+  pingSchema,
+  type Member,
+  type Ping,
+  type PingAnswer,
+} from './memberMessages.js';
+import {
+  executeOperationSchema,
+  takeOverSchema,
+  type ExecuteOperation,
+  type OperationResult,
+  type TakeOver,
+} from './operationMessages.js';
+import type {ConfigChange, ConfigDocument} from './platformApi.js';
+
+/** What the server knows of the peer on a connection. */
+export interface PeerContext {
+  /** True when the peer showed the peer key. */
+  authenticated: boolean;
+}
+
+const t = initTRPC.context<PeerContext>().create();
+
+const peerProcedure = t.procedure.use(({ctx, next}) => {
+  if (!ctx.authenticated) throw new TRPCError({code: 'UNAUTHORIZED'});
+  return next();
+});
+
+/** Calls that every member answers. */
+export interface MemberHandlers {
+  handlePing(ping: Ping): Promise<PingAnswer>;
+  /** Resolves to the answer of the pinged member, or throws. */
+  handlePingFor(peerAddress: string): Promise<PingAnswer>;
+  listMembers(): Promise<Member[]>;
+  /** Patches after a number; empty when they are no longer held. */
+  fetchChanges(after: number): Promise<ConfigChange[]>;
+  fetchDocument(): Promise<ConfigDocument>;
+}
+
+/** Calls that a dispatcher answers. */
+export interface DispatcherHandlers {
+  acquire(request: Acquire, signal: AbortSignal): AsyncIterable<LeaseEvent>;
+  release(release: Release): Promise<void>;
+  renew(renew: Renew): Promise<RenewAnswer>;
+  drawLimit(draw: DrawLimit): Promise<DrawLimitAnswer>;
+}
+
+/** Calls that a gateway answers. */
+export interface GatewayHandlers {
+  executeOperation(request: ExecuteOperation): Promise<OperationResult>;
+  takeOver(takeOver: TakeOver): Promise<void>;
+}
+
+function createMemberRouter(handlers: MemberHandlers) {
+  return t.router({
+    ping: peerProcedure
+      .input(pingSchema)
+      .mutation(({input}) => handlers.handlePing(input)),
+    pingFor: peerProcedure
+      .input(pingForSchema)
+      .mutation(({input}) => handlers.handlePingFor(input.peerAddress)),
+    listMembers: peerProcedure.query(() => handlers.listMembers()),
+    fetchChanges: peerProcedure
+      .input(fetchChangesSchema)
+      .query(({input}) => handlers.fetchChanges(input.after)),
+    fetchDocument: peerProcedure.query(() => handlers.fetchDocument()),
+  });
+}
+
+/** Builds the router of a dispatcher. */
+export function createDispatcherRouter(
+  member: MemberHandlers,
+  handlers: DispatcherHandlers,
+) {
+  return t.router({
+    members: createMemberRouter(member),
+    leases: t.router({
+      acquire: peerProcedure
+        .input(acquireSchema)
+        .subscription(({input, signal}) =>
+          handlers.acquire(input, signal ?? new AbortController().signal),
+        ),
+      release: peerProcedure
+        .input(releaseSchema)
+        .mutation(({input}) => handlers.release(input)),
+      renew: peerProcedure
+        .input(renewSchema)
+        .mutation(({input}) => handlers.renew(input)),
+    }),
+    limits: t.router({
+      draw: peerProcedure
+        .input(drawLimitSchema)
+        .mutation(({input}) => handlers.drawLimit(input)),
+    }),
+  });
+}
+
+/** Builds the router of a gateway. */
+export function createGatewayRouter(
+  member: MemberHandlers,
+  handlers: GatewayHandlers,
+) {
+  return t.router({
+    members: createMemberRouter(member),
+    operations: t.router({
+      execute: peerProcedure
+        .input(executeOperationSchema)
+        .mutation(({input}) => handlers.executeOperation(input)),
+      takeOver: peerProcedure
+        .input(takeOverSchema)
+        .mutation(({input}) => handlers.takeOver(input)),
+    }),
+  });
+}
+
+export type DispatcherRouter = ReturnType<typeof createDispatcherRouter>;
+export type GatewayRouter = ReturnType<typeof createGatewayRouter>;
