--- /dev/null
+++ b/tests/support/members.ts
@@ -0,0 +1,27 @@
+/** Member records for tests. */
+import {
+  MemberRole,
+  MemberState,
+  type Member,
+} from '../../src/protocol/memberMessages.js';
+
+/**
+ * Builds a live gateway whose VM and address follow from its name; `change`
+ * replaces members of the record.
+ */
+export function createMember(
+  incarnation: string,
+  change: Partial<Member> = {},
+): Member {
+  return {
+    incarnation,
+    role: MemberRole.Gateway,
+    vm: `vm-${incarnation}`,
+    zone: 'za',
+    peerAddress: `${incarnation}:1`,
+    state: MemberState.Alive,
+    sequence: 0,
+    load: 0,
+    ...change,
+  };
+}
