Replace broken peer links instead of reconnecting them

Cause: tRPC's client reconnects by itself and then sends waiting subscriptions again, so a gateway could hold a second lease acquisition without knowing, and a refused connection used up the whole deadline of a call.

Ruled out: an own reconnect loop for each link. Callers have their own intervals, and the next call opens a new link.

Change: one PeerLink is one connection; when it breaks, its calls fail at once with a PeerError. After a timeout the link is replaced only if the peer sent nothing since the call began, and then its other calls may end first. PeerLinks.subscribe is an async iterable that ends on abort and throws a PeerError when the link breaks, goes silent or isn't confirmed in time. TCP bytes of both sides are counted, handshakes and frames included.

--- a/src/node/peerLinks.ts
+++ b/src/node/peerLinks.ts
@@ -1,115 +1,135 @@
 /** Connections to peers: tRPC over WebSocket, opened when first used. */
-import {
-  createTRPCClient,
-  createWSClient,
-  wsLink,
-  type TRPCClient,
-  type TRPCWebSocketClient,
-} from '@trpc/client';
+import type {TRPCClient} from '@trpc/client';
 import {errAsync, ResultAsync} from 'neverthrow';
-import {WebSocket} from 'ws';
 import {PeerError} from '../protocol/errors.js';
 import type {DispatcherRouter, GatewayRouter} from '../protocol/peerRouter.js';
+import {PeerLink} from './peerLink.js';
+import {
+  readSubscription,
+  type SubscriptionObserver,
+  type SubscriptionHandle,
+} from './peerSubscription.js';
+import {TrafficCounter, type Traffic} from './trafficCounter.js';
 
 export type DispatcherClient = TRPCClient<DispatcherRouter>;
 export type GatewayClient = TRPCClient<GatewayRouter>;
 
-/** An unused connection is closed after this time, in milliseconds. */
-const idleCloseMs = 60_000;
-const keepAliveIntervalMs = 5_000;
-const pongTimeoutMs = 2_000;
-const firstReconnectDelayMs = 50;
-const maxReconnectDelayMs = 1_000;
-
-interface Link {
-  webSocket: TRPCWebSocketClient;
-  client: unknown;
+export interface SubscribeOptions<T> {
+  /** Milliseconds in which the peer must confirm the subscription. */
+  startDeadlineMs: number;
+  signal: AbortSignal;
+  start: (
+    client: DispatcherClient,
+    observer: SubscriptionObserver<T>,
+  ) => SubscriptionHandle;
 }
 
 /**
- * Holds at most one connection per peer address.
+ * Holds at most one connection per peer address for new calls. A connection
+ * that broke is replaced at the next call.
  *
  * @example
- * const answer = await links.call(address, 500, (client, signal) =>
+ * const answer = await links.callGateway(address, 500, (client, signal) =>
  *     client.members.ping.mutate(ping, {signal}));
  */
 export class PeerLinks {
-  private readonly links = new Map<string, Link>();
+  private readonly links = new Map<string, PeerLink>();
+  /** Replaced links that still have running calls. */
+  private readonly retired = new Set<PeerLink>();
+  private readonly traffic = new TrafficCounter();
 
   constructor(private readonly peerKey: string) {}
 
-  /** Returns the client of a dispatcher. */
+  /** Returns the client of a dispatcher; valid until the link breaks. */
   getDispatcher(address: string): DispatcherClient {
-    return this.getLink(address).client as DispatcherClient;
+    return this.getLink(address).client;
   }
 
-  /** Returns the client of a gateway. */
+  /** Returns the client of a gateway; valid until the link breaks. */
   getGateway(address: string): GatewayClient {
-    return this.getLink(address).client as GatewayClient;
+    return this.getLink(address).client as unknown as GatewayClient;
   }
 
   /**
-   * Calls a dispatcher with a deadline. After a timeout the connection is
-   * replaced, because it may have gone silent while new ones work.
+   * Calls a dispatcher with a deadline. The call fails as soon as the
+   * connection breaks or can't be opened. After a timeout without any message
+   * from the peer the connection is replaced, because it may have gone silent
+   * while new ones work; other calls that run on it are not cut off.
    */
   callDispatcher<T>(
     address: string,
     deadlineMs: number,
     call: (client: DispatcherClient, signal: AbortSignal) => Promise<T>,
   ): ResultAsync<T, PeerError> {
-    return this.callPeer(address, deadlineMs, signal =>
-      call(this.getDispatcher(address), signal),
+    return this.callPeer(address, deadlineMs, (link, signal) =>
+      call(link.client, signal),
     );
   }
 
-  /** Calls a gateway with a deadline. */
+  /** Calls a gateway with a deadline, like `callDispatcher`. */
   callGateway<T>(
     address: string,
     deadlineMs: number,
     call: (client: GatewayClient, signal: AbortSignal) => Promise<T>,
   ): ResultAsync<T, PeerError> {
-    return this.callPeer(address, deadlineMs, signal =>
-      call(this.getGateway(address), signal),
+    return this.callPeer(address, deadlineMs, (link, signal) =>
+      call(link.client as unknown as GatewayClient, signal),
     );
   }
 
+  /**
+   * Subscribes at a dispatcher. The iteration ends when the peer completes it
+   * or the signal aborts, and throws a `PeerError` when the link breaks or the
+   * peer answers with an error.
+   *
+   * @example
+   * for await (const event of links.subscribe<LeaseEvent>(address, {
+   *   startDeadlineMs: 1_000,
+   *   signal,
+   *   start: (client, observer) =>
+   *     client.leases.acquire.subscribe(request, observer),
+   * })) handleEvent(event);
+   */
+  subscribe<T>(
+    address: string,
+    {startDeadlineMs, signal, start}: SubscribeOptions<T>,
+  ): AsyncIterable<T> {
+    return readSubscription<T>({
+      openLink: () => this.getLink(address),
+      replaceLink: link => this.replace(link),
+      startDeadlineMs,
+      signal,
+      start: (link, observer) => start(link.client, observer),
+    });
+  }
+
   /** Closes the connection to a peer; the next call opens a new one. */
   drop(address: string): void {
-    const link = this.links.get(address);
-    if (!link) return;
-    this.links.delete(address);
-    void link.webSocket.close();
+    this.links.get(address)?.close('the connection was dropped');
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const address of [...this.links.keys()]) this.drop(address);
+    for (const link of [...this.links.values(), ...this.retired]) {
+      link.close('this process is stopping');
+    }
+  }
+
+  /** Bytes of the connections that this process opened. */
+  describeTraffic(): Traffic {
+    return this.traffic.describe();
   }
 
   private callPeer<T>(
     address: string,
     deadlineMs: number,
-    call: (signal: AbortSignal) => Promise<T>,
+    call: (link: PeerLink, signal: AbortSignal) => Promise<T>,
   ): ResultAsync<T, PeerError> {
     if (deadlineMs <= 0) {
       return errAsync(new PeerError(address, 'the deadline has passed'));
     }
-    const abortController = new AbortController();
-    const timedOut = Symbol('timedOut');
-    const timeout = new Promise<typeof timedOut>(resolve => {
-      const timer = setTimeout(() => resolve(timedOut), deadlineMs);
-      abortController.signal.addEventListener('abort', () =>
-        clearTimeout(timer),
-      );
-    });
-    const attempt = async (): Promise<T> => {
-      const first = await Promise.race([call(abortController.signal), timeout]);
-      if (first !== timedOut) return first as T;
-      this.drop(address);
-      throw new PeerError(address, `no answer within ${deadlineMs} ms`);
-    };
     return ResultAsync.fromPromise(
-      attempt().finally(() => abortController.abort()),
+      this.runCall(address, deadlineMs, call),
       cause =>
         cause instanceof PeerError
           ? cause
@@ -117,27 +137,57 @@
     );
   }
 
-  private getLink(address: string): Link {
+  private async runCall<T>(
+    address: string,
+    deadlineMs: number,
+    call: (link: PeerLink, signal: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    const link = this.getLink(address);
+    const startedAtMs = performance.now();
+    const abortController = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    const failed = new Promise<PeerError>(resolve => {
+      void link.broken.then(resolve);
+      timer = setTimeout(() => {
+        if (!link.hasReceivedSince(startedAtMs)) this.replace(link);
+        resolve(new PeerError(address, `no answer within ${deadlineMs} ms`));
+      }, deadlineMs);
+    });
+    try {
+      const answer = call(link, abortController.signal);
+      // The loser of the race may still reject, e.g. when it is aborted.
+      answer.catch(() => {});
+      const first = await Promise.race([answer, failed]);
+      if (first instanceof PeerError) throw first;
+      return first;
+    } finally {
+      clearTimeout(timer);
+      abortController.abort();
+    }
+  }
+
+  private replace(link: PeerLink): void {
+    if (this.links.get(link.address) !== link) return;
+    this.links.delete(link.address);
+    this.retired.add(link);
+    link.closeWhenIdle();
+  }
+
+  private getLink(address: string): PeerLink {
     const existing = this.links.get(address);
     if (existing) return existing;
-    const webSocket = createWSClient({
-      url: `ws://${address}`,
-      WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
-      connectionParams: () => ({peerKey: this.peerKey}),
-      lazy: {enabled: true, closeMs: idleCloseMs},
-      keepAlive: {
-        enabled: true,
-        intervalMs: keepAliveIntervalMs,
-        pongTimeoutMs,
-      },
-      retryDelayMs: attempt =>
-        Math.min(firstReconnectDelayMs * 2 ** attempt, maxReconnectDelayMs),
+    const link = new PeerLink({
+      address,
+      peerKey: this.peerKey,
+      traffic: this.traffic,
+      onClosed: closed => this.forget(closed),
     });
-    const client = createTRPCClient<DispatcherRouter>({
-      links: [wsLink({client: webSocket})],
-    });
-    const link = {webSocket, client};
     this.links.set(address, link);
     return link;
   }
+
+  private forget(link: PeerLink): void {
+    this.retired.delete(link);
+    if (this.links.get(link.address) === link) this.links.delete(link.address);
+  }
 }
