--- a/src/node/broadcaster.ts
+++ b/src/node/broadcaster.ts
@@ -1,12 +1,11 @@
 /** Spreads small facts between members, carried on pings. */
 import type {BroadcastItem} from '../protocol/memberMessages.js';
+import {computeCopies, computeItemOrder} from './broadcastItems.js';
 
 /** Most bytes of broadcast items on one ping. */
-const maxItemBytesPerPing = 1_200;
-/** Each item is sent this many times log2(members + 1). */
-const retransmitFactor = 3;
-/** Item keys remembered, so that a known item isn't spread again. */
-const maxRememberedKeys = 20_000;
+export const maxItemBytesPerPing = 1_200;
+/** Items remembered, so that a known item isn't spread again. */
+const maxRememberedItems = 20_000;
 
 export type ItemHandler = (item: BroadcastItem) => void;
 
@@ -25,6 +24,7 @@
 export class Broadcaster {
   private readonly queue = new Map<string, QueuedItem>();
   private readonly seen = new Set<string>();
+  private readonly orders = new Map<string, number>();
   private readonly handlers = new Set<ItemHandler>();
 
   constructor(private readonly countMembers: () => number) {}
@@ -35,15 +35,13 @@
   }
 
   /**
-   * Spreads an item under a key. An item under the same key that is still
-   * queued is replaced; an identical one that was seen before is ignored.
-   * Returns whether the item was new.
+   * Spreads an item under a key; a queued item under the same key is replaced.
+   * Ignores an item that was seen before, and one that is older than another
+   * under its key. Returns whether the item was new.
    */
   publish(key: string, item: BroadcastItem): boolean {
     const text = JSON.stringify(item);
-    const identity = `${key}\0${text}`;
-    if (this.seen.has(identity)) return false;
-    this.remember(identity);
+    if (!this.remember(key, text, item)) return false;
     this.queue.set(key, {item, bytes: Buffer.byteLength(text), sent: 0});
     for (const handler of this.handlers) handler(item);
     return true;
@@ -51,9 +49,7 @@
 
   /** Takes the items for one ping, least sent first. */
   takeItems(): BroadcastItem[] {
-    const limit = Math.ceil(
-      retransmitFactor * Math.log2(this.countMembers() + 1),
-    );
+    const members = this.countMembers();
     const entries = [...this.queue.entries()].sort(
       ([, a], [, b]) => a.sent - b.sent,
     );
@@ -66,7 +62,10 @@
       items.push(entry.item);
       bytes += entry.bytes;
       entry.sent += 1;
-      if (entry.sent >= limit) this.queue.delete(key);
+      if (entry.sent >= computeCopies(entry.item, members)) {
+        this.queue.delete(key);
+      }
+      if (bytes >= maxItemBytesPerPing) break;
     }
     return items;
   }
@@ -76,10 +75,27 @@
     return this.queue.size;
   }
 
-  private remember(identity: string): void {
+  /** Returns whether the item is new. */
+  private remember(key: string, text: string, item: BroadcastItem): boolean {
+    const order = computeItemOrder(item);
+    if (order !== undefined) {
+      if (order <= (this.orders.get(key) ?? -Infinity)) return false;
+      // The newest key is the last one to be forgotten.
+      this.orders.delete(key);
+      this.orders.set(key, order);
+      forgetOldest(this.orders);
+      return true;
+    }
+    const identity = `${key}\0${text}`;
+    if (this.seen.has(identity)) return false;
     this.seen.add(identity);
-    if (this.seen.size <= maxRememberedKeys) return;
-    const [oldest] = this.seen;
-    this.seen.delete(oldest);
+    forgetOldest(this.seen);
+    return true;
   }
 }
+
+function forgetOldest(memory: Set<string> | Map<string, number>): void {
+  if (memory.size <= maxRememberedItems) return;
+  const oldest = memory.keys().next();
+  if (!oldest.done) memory.delete(oldest.value);
+}
--- a/src/node/configFollower.ts
+++ b/src/node/configFollower.ts
@@ -1,33 +1,47 @@
 /** Keeps the configuration at the newest number that can be reached. */
-import {
-  BroadcastKind,
-  type BroadcastItem,
-  type Member,
-} from '../protocol/memberMessages.js';
-import type {ConfigChange} from '../protocol/platformApi.js';
+import {PlatformBusyError, type PlatformError} from '../protocol/errors.js';
+import {BroadcastKind, type BroadcastItem} from '../protocol/memberMessages.js';
 import type {Broadcaster} from './broadcaster.js';
+import type {ConfigCatchUp} from './configCatchUp.js';
 import {ApplyResult, type ConfigStore} from './configStore.js';
 import {waitFor} from './delay.js';
 import type {Log} from './log.js';
 import type {MemberService} from './memberService.js';
 import type {Membership} from './membership.js';
-import type {PeerLinks} from './peerLinks.js';
 import type {PlatformClient} from './platformClient.js';
 import {sortByWeight} from './rendezvous.js';
 
 /** Members in each zone that hold a watch on the configuration service. */
 const watchersPerZone = 2;
-/** Longest wait of one watch call in milliseconds. */
-const watchWaitMs = 20_000;
+/**
+ * Longest wait of one watch call in milliseconds. A watch on a connection that
+ * went silent is noticed after this time, so it must be well below the 5 s in
+ * which a change has to be in force everywhere. It costs 1 call/s a zone.
+ */
+const watchWaitMs = 2_000;
 /** Interval of the reads that back the watches up. */
 const backstopIntervalMs = 30_000;
-/** Interval of attempts before the first document is held. */
-const startRetryMs = 250;
-const peerFetchDeadlineMs = 1_000;
+/** Least time from one call of the loop to the next. */
+const minCallIntervalMs = 250;
+/**
+ * While members can't reach the service, all of them together try it this
+ * often, however many they are.
+ */
+const fleetProbeIntervalMs = 1_500;
+/** Failures in a row after which other members watch instead. */
+const maxFailures = 2;
+/** A start or a resumption waits this long for sources to answer. */
+const readyTimeoutMs = 3_000;
 
 /** Follows the configuration service, and peers that are ahead of it. */
 export class ConfigFollower {
-  private catchingUp: Promise<void> | undefined;
+  private readyAfterMs = performance.now() + readyTimeoutMs;
+  private sourcesAsked = false;
+  private answered = false;
+  private ready = false;
+  private failures = 0;
+  private wake: (() => void) | undefined;
+  private wasWatcher = false;
 
   constructor(
     private readonly store: ConfigStore,
@@ -35,108 +49,182 @@
     private readonly membership: Membership,
     broadcaster: Broadcaster,
     private readonly members: MemberService,
-    private readonly links: PeerLinks,
+    private readonly catchUp: ConfigCatchUp,
     private readonly log: Log,
   ) {
     broadcaster.subscribe(item => this.handleItem(item));
-    members.setNumberListener((_number, peer) => void this.fetchFrom(peer));
+    members.setHeadListener((head, peer) => {
+      this.answered = true;
+      this.catchUp.noteHead(head, peer);
+    });
+    membership.subscribe(() => this.noteMembership());
   }
 
   /** Watches when chosen as one of the zone's watchers, else reads rarely. */
   async run(signal: AbortSignal): Promise<void> {
+    this.catchUp.setServiceReader(() => this.readMissing(signal));
     while (!signal.aborted) {
       const startedAtMs = performance.now();
-      if (this.isWatcher()) {
-        const after = this.store.getHead().number;
-        const head = await this.platform.watchHead(after, watchWaitMs, signal);
-        if (head.isOk() && head.value.number > after) {
-          await this.readMissingOnce(signal);
-          continue;
-        }
-        if (head.isOk()) continue;
-        await waitFor(startRetryMs * 4, signal);
-        continue;
-      }
-      await this.readMissingOnce(signal);
-      const intervalMs =
-        this.store.getHead().number === 0 ? startRetryMs : backstopIntervalMs;
-      // Spread over the interval, so that restarts together don't read together.
-      const jitteredMs = intervalMs * (0.5 + Math.random());
+      const waitMs = this.isWatcher()
+        ? await this.watchOnce(signal)
+        : await this.readOnce(signal);
       const elapsedMs = performance.now() - startedAtMs;
-      await waitFor(Math.max(0, jitteredMs - elapsedMs), signal);
+      // A service that answers at once, with old data, isn't asked in a loop.
+      const leastMs = minCallIntervalMs - elapsedMs;
+      await this.waitForChange(Math.max(waitMs, leastMs), signal);
     }
   }
 
-  /** Reads what is missing from the configuration service. */
-  async readMissingOnce(signal: AbortSignal): Promise<void> {
-    this.catchingUp ??= this.readMissing(signal).finally(() => {
-      this.catchingUp = undefined;
-    });
-    await this.catchingUp;
+  /** Asks the service and, through `contactPeers`, other members once. */
+  async querySources(
+    contactPeers: () => Promise<void>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await Promise.all([this.readMissing(signal), contactPeers()]);
+    this.sourcesAsked = true;
   }
 
-  /** Fetches what is missing from a peer that is ahead. */
-  async fetchFrom(peer: Member): Promise<void> {
-    const after = this.store.getHead().number;
-    const changes = await this.links.callGateway(
-      peer.peerAddress,
-      peerFetchDeadlineMs,
-      (client, signal) => client.members.fetchChanges.query({after}, {signal}),
-    );
-    if (changes.isOk() && this.applyChanges(changes.value)) return;
-    const document = await this.links.callGateway(
-      peer.peerAddress,
-      peerFetchDeadlineMs,
-      (client, signal) =>
-        client.members.fetchDocument.query(undefined, {signal}),
-    );
-    if (document.isOk()) this.store.applyDocument(document.value);
+  /**
+   * True once this process holds the highest number that any source it could
+   * reach has shown, or after 3 s when at least one source has answered.
+   */
+  isReady(): boolean {
+    if (this.ready) return true;
+    if (!this.answered || !this.store.getConfiguration()) return false;
+    const current = this.sourcesAsked && !this.catchUp.isBehind();
+    const late = performance.now() >= this.readyAfterMs;
+    this.ready = current || late;
+    return this.ready;
+  }
+
+  /** After a pause: not ready until peers have been asked, or for 3 s. */
+  async verifyNumber(): Promise<void> {
+    this.ready = false;
+    this.sourcesAsked = false;
+    this.readyAfterMs = performance.now() + readyTimeoutMs;
+    await this.members.pingSome();
+    this.sourcesAsked = true;
   }
 
-  /** True when this member is one of those that watch for its zone. */
+  /**
+   * True when this member is one of those that watch for its zone. For each
+   * member that can't reach the service two more watch, so that the one that
+   * still can is found in few steps.
+   */
   isWatcher(): boolean {
     const self = this.membership.getSelf();
     const inZone = this.membership
       .listPresent()
       .filter(member => member.zone === self.zone);
-    return sortByWeight('config-watch', inZone, member => member.incarnation)
-      .slice(0, watchersPerZone)
+    const able = inZone.filter(member => !member.configUnreachable);
+    const watchers = watchersPerZone * (1 + inZone.length - able.length);
+    return sortByWeight('config-watch', able, member => member.incarnation)
+      .slice(0, watchers)
       .some(member => member.incarnation === self.incarnation);
   }
 
-  private async readMissing(signal: AbortSignal): Promise<void> {
+  /** One watch; returns how long to wait before the next call. */
+  private async watchOnce(signal: AbortSignal): Promise<number> {
     const after = this.store.getHead().number;
-    const read = await this.platform.readChanges(after, signal);
-    if (read.isErr()) {
-      this.log.warn('configuration service could not be read', {
-        error: read.error.message,
-      });
-      return;
+    const head = await this.platform.watchHead(after, watchWaitMs, signal);
+    if (signal.aborted) return 0;
+    if (head.isErr()) return this.noteFailure(head.error);
+    this.noteSuccess();
+    // A broadcast may have been faster than the watch.
+    if (head.value.number <= this.store.getHead().number) {
+      this.store.noteHead(head.value);
+      return 0;
     }
-    if (read.value.head.number <= after) return;
-    if (this.applyChanges(read.value.changes)) return;
+    return this.readMissing(signal);
+  }
+
+  /** One read; returns how long to wait before the next one. */
+  private async readOnce(signal: AbortSignal): Promise<number> {
+    const waitMs = await this.readMissing(signal);
+    if (waitMs > 0 || signal.aborted) return waitMs;
+    if (this.store.getHead().number === 0) return minCallIntervalMs;
+    // Spread, so that members that start together don't read together.
+    return backstopIntervalMs * (0.5 + Math.random());
+  }
+
+  /** Reads what is missing; returns how long to wait after a failure, or 0. */
+  private async readMissing(signal: AbortSignal): Promise<number> {
+    const after = this.store.getHead().number;
+    if (after === 0) return this.readDocument(signal);
+    const read = await this.platform.readChanges(after, signal);
+    if (signal.aborted) return 0;
+    if (read.isErr()) return this.noteFailure(read.error);
+    this.noteSuccess();
+    const {head, changes} = read.value;
+    this.catchUp.applyChanges(changes);
+    this.store.noteHead(head);
+    if (head.number <= this.store.getHead().number) return 0;
+    const waitMs = await this.readDocument(signal);
+    this.catchUp.noteNumber(head.number);
+    return waitMs;
+  }
+
+  private async readDocument(signal: AbortSignal): Promise<number> {
     const document = await this.platform.readDocument(signal);
-    if (document.isOk()) this.store.applyDocument(document.value);
-  }
-
-  /** Applies changes in order; false when there was none, or a gap. */
-  private applyChanges(changes: readonly ConfigChange[]): boolean {
-    let applied = false;
-    for (const change of changes) {
-      const result = this.store.applyChange(change);
-      if (result === ApplyResult.Gap) return false;
-      if (result !== ApplyResult.Applied) continue;
-      applied = true;
-      this.members.publish(`config/${change.number}`, {
-        kind: BroadcastKind.ConfigChange,
-        change,
+    if (signal.aborted) return 0;
+    if (document.isErr()) return this.noteFailure(document.error);
+    this.noteSuccess();
+    this.catchUp.applyDocument(document.value);
+    return 0;
+  }
+
+  private noteSuccess(): void {
+    this.failures = 0;
+    this.answered = true;
+    this.markUnreachable(false);
+  }
+
+  /** Counts a failed call; returns how long to wait before the next one. */
+  private noteFailure(error: PlatformError): number {
+    if (error instanceof PlatformBusyError) {
+      // The service works, so nobody needs to watch in this member's place.
+      return error.retryAfterMs * (1 + Math.random());
+    }
+    this.failures += 1;
+    if (this.failures < maxFailures) return minCallIntervalMs;
+    if (this.failures === maxFailures) {
+      this.log.warn('configuration service could not be read', {
+        error: error.message,
       });
     }
-    return applied;
+    this.markUnreachable(true);
+    const present = this.membership.listPresent().length;
+    const intervalMs = Math.min(
+      fleetProbeIntervalMs * present,
+      backstopIntervalMs,
+    );
+    return intervalMs * (0.5 + Math.random());
+  }
+
+  private markUnreachable(configUnreachable: boolean): void {
+    const before = this.membership.getSelf().configUnreachable ?? false;
+    if (before === configUnreachable) return;
+    this.membership.updateSelf({configUnreachable});
+    this.members.announceSelf();
+  }
+
+  /** Waits; ends early when this member becomes a watcher. */
+  private async waitForChange(ms: number, signal: AbortSignal): Promise<void> {
+    const abortController = new AbortController();
+    this.wake = () => abortController.abort();
+    await waitFor(ms, AbortSignal.any([signal, abortController.signal]));
+    this.wake = undefined;
+  }
+
+  private noteMembership(): void {
+    const watcher = this.isWatcher();
+    if (watcher && !this.wasWatcher) this.wake?.();
+    this.wasWatcher = watcher;
   }
 
   private handleItem(item: BroadcastItem): void {
     if (item.kind !== BroadcastKind.ConfigChange) return;
-    this.store.applyChange(item.change);
+    const result = this.store.applyChange(item.change);
+    if (result === ApplyResult.Gap) this.catchUp.noteNumber(item.change.number);
   }
 }
--- a/src/node/configStore.ts
+++ b/src/node/configStore.ts
@@ -17,6 +17,8 @@
 
 /** Changes kept for peers that are behind. */
 const keptChanges = 512;
+/** Changes held that arrived before an earlier one. */
+const maxHeldChanges = 256;
 
 /** What a read or a broadcast change did to the store. */
 export enum ApplyResult {
@@ -27,6 +29,8 @@
   Conflict = 'conflict',
   /** Changes in between are missing, or the base differs. */
   Gap = 'gap',
+  /** The document doesn't have the digest that its head names. */
+  Mismatch = 'mismatch',
 }
 
 export type ConfigListener = (configuration: Configuration) => void;
@@ -38,6 +42,7 @@
   numberInForce: number;
   lastProblem?: string;
   conflicts: number;
+  changesHeld: number;
 }
 
 /**
@@ -49,9 +54,10 @@
   private head: ConfigHead = {number: 0, digest: ''};
   private inForce: Configuration | undefined;
   private numberInForce = 0;
-  private conflicts = 0;
   private lastProblem: ValidationError | undefined;
   private changes: ConfigChange[] = [];
+  private readonly held = new Map<number, ConfigChange>();
+  private readonly conflictsSeen = new Set<string>();
   private readonly listeners = new Set<ConfigListener>();
 
   constructor(private readonly log: Log) {}
@@ -81,32 +87,38 @@
   applyDocument({head, document}: ConfigDocument): ApplyResult {
     const known = this.compareNumber(head.number, head.digest);
     if (known !== ApplyResult.Applied) return known;
+    if (computeConfigDigest(document) !== head.digest) {
+      this.log.raise('configuration document does not match its digest', {
+        number: head.number,
+        digest: head.digest,
+      });
+      return ApplyResult.Mismatch;
+    }
     this.changes = [];
     this.replaceRaw(head, document);
+    this.applyHeld();
     return ApplyResult.Applied;
   }
 
-  /** Takes the change that follows the document held. */
+  /**
+   * Takes the change that follows the document held. A later one is kept until
+   * the changes before it have arrived.
+   */
   applyChange(change: ConfigChange): ApplyResult {
     const known = this.compareNumber(change.number, change.digest);
     if (known !== ApplyResult.Applied) return known;
-    const follows =
-      change.number === this.head.number + 1 &&
-      change.baseDigest === this.head.digest;
-    if (!follows) return ApplyResult.Gap;
-    const patched = applyPatch(this.raw, change);
-    if (patched.isErr()) {
-      this.log.raise('configuration change does not apply', {
-        number: change.number,
-        error: patched.error.message,
-      });
+    if (change.number > this.head.number + 1) {
+      this.holdChange(change);
       return ApplyResult.Gap;
     }
-    this.changes.push(change);
-    if (this.changes.length > keptChanges) this.changes.shift();
-    const {number, digest} = change;
-    this.replaceRaw({number, digest}, patched.value);
-    return ApplyResult.Applied;
+    const result = this.applyNext(change);
+    if (result === ApplyResult.Applied) this.applyHeld();
+    return result;
+  }
+
+  /** Compares a head that another process has shown; counts a conflict. */
+  noteHead(head: ConfigHead): ApplyResult {
+    return this.compareNumber(head.number, head.digest);
   }
 
   /** Changes after a number; empty when they are not held without a gap. */
@@ -127,16 +139,53 @@
       ...this.head,
       numberInForce: this.numberInForce,
       lastProblem: this.lastProblem?.message,
-      conflicts: this.conflicts,
+      conflicts: this.conflictsSeen.size,
+      changesHeld: this.held.size,
     };
   }
 
+  private holdChange(change: ConfigChange): void {
+    this.held.set(change.number, change);
+    if (this.held.size <= maxHeldChanges) return;
+    // The highest numbers are the easiest ones to get again.
+    this.held.delete(Math.max(...this.held.keys()));
+  }
+
+  private applyHeld(): void {
+    for (;;) {
+      const next = this.held.get(this.head.number + 1);
+      if (!next || this.applyNext(next) !== ApplyResult.Applied) break;
+    }
+    for (const number of [...this.held.keys()]) {
+      if (number <= this.head.number) this.held.delete(number);
+    }
+  }
+
+  private applyNext(change: ConfigChange): ApplyResult {
+    if (change.baseDigest !== this.head.digest) return ApplyResult.Gap;
+    const patched = applyPatch(this.raw, change);
+    if (patched.isErr()) {
+      this.log.raise('configuration change does not apply', {
+        number: change.number,
+        error: patched.error.message,
+      });
+      return ApplyResult.Gap;
+    }
+    this.changes.push(change);
+    if (this.changes.length > keptChanges) this.changes.shift();
+    const {number, digest} = change;
+    this.replaceRaw({number, digest}, patched.value);
+    return ApplyResult.Applied;
+  }
+
   private compareNumber(number: number, digest: string): ApplyResult {
     if (number > this.head.number) return ApplyResult.Applied;
     if (number < this.head.number || digest === this.head.digest) {
       return ApplyResult.Stale;
     }
-    this.conflicts += 1;
+    // Each digest is an alarm once; pings repeat it every second.
+    if (this.conflictsSeen.has(digest)) return ApplyResult.Conflict;
+    this.conflictsSeen.add(digest);
     this.log.raise('two documents have the same configuration number', {
       number,
       digestHeld: this.head.digest,
--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -5,16 +5,28 @@
   MemberState,
   type Member,
 } from '../protocol/memberMessages.js';
+import type {AnyTRPCRouter} from '@trpc/server';
 import {Broadcaster} from './broadcaster.js';
+import {ConfigCatchUp} from './configCatchUp.js';
 import {ConfigFollower} from './configFollower.js';
 import {ConfigStore} from './configStore.js';
+import {buildPeerAddress, ContactFinder} from './contactFinder.js';
+import {waitFor} from './delay.js';
 import {Log} from './log.js';
 import {MemberService} from './memberService.js';
 import {createIncarnation, Membership} from './membership.js';
+import {PauseDetector} from './pauseDetector.js';
 import {PeerLinks} from './peerLinks.js';
+import {PeerServer} from './peerServer.js';
 import {PlatformClient} from './platformClient.js';
 import {RestartPolicy, Supervisor} from './supervisor.js';
-import {buildPeerAddress, VmListFollower} from './vmListFollower.js';
+import {VmListFollower} from './vmListFollower.js';
+
+/** Parts that a test replaces. */
+export interface DaemonNodeParts {
+  links?: PeerLinks;
+  platform?: PlatformClient;
+}
 
 /** A member of the fleet, before its gateway or dispatcher side is added. */
 export class DaemonNode {
@@ -28,10 +40,15 @@
   readonly platform: PlatformClient;
   readonly configFollower: ConfigFollower;
   readonly vmListFollower: VmListFollower;
+  readonly contacts: ContactFinder;
+  readonly pauseDetector: PauseDetector;
+  private readonly catchUp: ConfigCatchUp;
+  private peerServer: PeerServer | undefined;
 
   constructor(
     readonly settings: Settings,
     readonly role: MemberRole,
+    parts: DaemonNodeParts = {},
   ) {
     const self = buildSelf(settings, role);
     this.log = new Log({vm: settings.vm, process: role});
@@ -41,16 +58,24 @@
       () => this.membership.listPresent().length,
     );
     this.config = new ConfigStore(this.log);
-    this.links = new PeerLinks(settings.keys.peer);
+    this.links = parts.links ?? new PeerLinks(settings.keys.peer);
     this.members = new MemberService(
       this.membership,
       this.broadcaster,
       this.config,
       this.links,
     );
-    this.platform = new PlatformClient(
-      settings.platform.configUrl,
-      settings.platform.vmListUrl,
+    this.platform =
+      parts.platform ??
+      new PlatformClient(
+        settings.platform.configUrl,
+        settings.platform.vmListUrl,
+      );
+    this.catchUp = new ConfigCatchUp(
+      this.config,
+      this.membership,
+      this.members,
+      this.links,
     );
     this.configFollower = new ConfigFollower(
       this.config,
@@ -58,35 +83,58 @@
       this.membership,
       this.broadcaster,
       this.members,
-      this.links,
+      this.catchUp,
       this.log,
     );
-    this.vmListFollower = new VmListFollower(
-      this.platform,
+    this.vmListFollower = new VmListFollower(this.platform, this.membership);
+    this.contacts = new ContactFinder(
       this.membership,
       this.members,
       settings.ports,
     );
+    this.pauseDetector = new PauseDetector(this.log);
+    this.pauseDetector.subscribe(() => this.resumeAfterPause());
+  }
+
+  /** Listens for peers; the dump shows the server's traffic. */
+  async startPeerServer(router: AnyTRPCRouter): Promise<PeerServer> {
+    const {address, ports, keys} = this.settings;
+    this.peerServer = await PeerServer.start({
+      host: address,
+      port:
+        this.role === MemberRole.Gateway
+          ? ports.gatewayPeers
+          : ports.dispatcherPeers,
+      peerKey: keys.peer,
+      router,
+    });
+    return this.peerServer;
   }
 
   /** Starts membership, configuration and the VM list. */
   start(): void {
-    const {root} = this;
-    root.spawn({
-      name: 'vmList',
-      restart: RestartPolicy.Always,
-      run: signal => this.vmListFollower.run(signal),
-    });
-    root.spawn({
-      name: 'configuration',
-      restart: RestartPolicy.Always,
-      run: signal => this.configFollower.run(signal),
-    });
-    root.spawn({
-      name: 'membership',
-      restart: RestartPolicy.Always,
-      run: signal => this.members.run(signal),
-    });
+    const tasks: Record<string, (signal: AbortSignal) => Promise<void>> = {
+      configuration: signal => this.runConfiguration(signal),
+      vmList: signal => this.vmListFollower.run(signal),
+      contacts: signal => this.contacts.run(signal),
+      membership: signal => this.members.run(signal),
+      pauseDetector: signal => this.pauseDetector.run(signal),
+    };
+    for (const [name, run] of Object.entries(tasks)) {
+      this.root.spawn({name, restart: RestartPolicy.Always, run});
+    }
+  }
+
+  /** True once the configuration is known to be the newest reachable one. */
+  isReady(): boolean {
+    return this.configFollower.isReady();
+  }
+
+  /** Resolves when this process is ready, or when the signal aborts. */
+  async waitReady(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.isReady()) {
+      await waitFor(readyPollMs, signal);
+    }
   }
 
   /** Tells the others that this process is leaving. */
@@ -100,8 +148,15 @@
     this.membership.updateSelf({state: MemberState.Dead});
     this.members.announceSelf();
     await new Promise(resolve => setTimeout(resolve, farewellMs));
+    await this.kill();
+  }
+
+  /** Stops at once and tells nobody, as a crash would. */
+  async kill(): Promise<void> {
+    this.catchUp.stop();
     await this.root.stop();
     this.links.close();
+    await this.peerServer?.stop();
   }
 
   /** State that all daemons dump. */
@@ -109,16 +164,41 @@
     return {
       self: this.membership.getSelf(),
       members: this.membership.listAll(),
+      membershipDigest: this.membership.computeDigest(),
+      ready: this.isReady(),
       configuration: this.config.describe(),
       broadcastQueue: this.broadcaster.countQueued(),
+      peerTraffic: {
+        opened: this.links.describeTraffic(),
+        accepted: this.peerServer?.describeTraffic(),
+      },
+      platformCalls: this.platform.describeCalls(),
+      pauses: this.pauseDetector.countPauses(),
       tasks: this.root.describe(),
       memoryBytes: process.memoryUsage().rss,
       cpuMicroseconds: process.cpuUsage(),
       uptimeSeconds: process.uptime(),
     };
   }
+
+  private async runConfiguration(signal: AbortSignal): Promise<void> {
+    const contactPeers = async (): Promise<void> => {
+      await this.vmListFollower.readOnce(signal);
+      await this.contacts.tryOnce();
+    };
+    await this.configFollower.querySources(contactPeers, signal);
+    await this.configFollower.run(signal);
+  }
+
+  /** Others may have declared this process dead while it didn't run. */
+  private resumeAfterPause(): void {
+    this.membership.updateSelf({});
+    this.members.announceSelf();
+    void this.configFollower.verifyNumber();
+  }
 }
 
+const readyPollMs = 20;
 /** Time for the last broadcast to leave, in milliseconds. */
 const farewellMs = 50;
 
--- a/src/node/memberService.ts
+++ b/src/node/memberService.ts
@@ -1,22 +1,28 @@
-/** Pings between members: failure detection, broadcast, number exchange. */
+/** Failure detection and dissemination between members. */
 import type {Result} from 'neverthrow';
 import type {PeerError} from '../protocol/errors.js';
 import {
   BroadcastKind,
-  MemberRole,
   MemberState,
   type BroadcastItem,
   type Member,
   type Ping,
   type PingAnswer,
+  type Push,
 } from '../protocol/memberMessages.js';
 import type {MemberHandlers} from '../protocol/peerRouter.js';
-import type {ConfigChange, ConfigDocument} from '../protocol/platformApi.js';
+import type {
+  ConfigChange,
+  ConfigDocument,
+  ConfigHead,
+} from '../protocol/platformApi.js';
+import {getItemKey} from './broadcastItems.js';
 import type {Broadcaster} from './broadcaster.js';
 import type {ConfigStore} from './configStore.js';
 import {waitFor} from './delay.js';
 import type {Membership} from './membership.js';
 import type {PeerLinks} from './peerLinks.js';
+import {shuffle} from './shuffle.js';
 
 export const pingIntervalMs = 1_000;
 const pingDeadlineMs = 500;
@@ -24,15 +30,17 @@
 const indirectPingers = 2;
 /** Members that a new item is pushed to at once. */
 const pushFanout = 3;
+/** Items that arrive within this time travel in one push. */
+const pushDelayMs = 5;
 
-/** Tells the configuration follower of a peer with a higher number. */
-export type NumberListener = (number: number, peer: Member) => void;
+/** Gets the configuration head that a peer has shown. */
+export type HeadListener = (head: ConfigHead, peer: Member) => void;
 
 /** Runs the protocol period of SWIM and answers the calls of other members. */
 export class MemberService implements MemberHandlers {
   private probeOrder: Member[] = [];
   private pushTimer: NodeJS.Timeout | undefined;
-  private numberListener: NumberListener | undefined;
+  private headListener: HeadListener = () => {};
 
   constructor(
     private readonly membership: Membership,
@@ -40,24 +48,30 @@
     private readonly config: ConfigStore,
     private readonly links: PeerLinks,
   ) {
-    broadcaster.subscribe(item => this.handleItem(item));
+    membership.setStatementListener(member => this.publishMember(member));
   }
 
-  /** Sets the listener for higher configuration numbers. */
-  setNumberListener(listener: NumberListener): void {
-    this.numberListener = listener;
+  /** Sets the listener for the configuration heads that peers show. */
+  setHeadListener(listener: HeadListener): void {
+    this.headListener = listener;
   }
 
   /** Pings one member a period until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
+    // Spread over the period, so that members started together don't ping
+    // together.
+    await waitFor(Math.random() * pingIntervalMs, signal);
     while (!signal.aborted) {
-      await waitFor(pingIntervalMs, signal);
-      if (signal.aborted) return;
       this.probeNext();
+      for (const suspect of this.membership.listSuspectedHere()) {
+        void this.pingAddress(suspect.peerAddress);
+      }
       for (const dead of this.membership.expireSuspects()) {
         this.publishMember(dead);
       }
+      await waitFor(pingIntervalMs, signal);
     }
+    clearTimeout(this.pushTimer);
   }
 
   /** Publishes an item and pushes it to a few members at once. */
@@ -76,17 +90,25 @@
     peerAddress: string,
     deadlineMs = pingDeadlineMs,
   ): Promise<Result<PingAnswer, PeerError>> {
+    const ping = this.buildPing(this.membership.findLastAt(peerAddress));
     const result = await this.links.callGateway(
       peerAddress,
       deadlineMs,
-      (client, signal) =>
-        client.members.ping.mutate(this.buildPing(), {signal}),
+      (client, signal) => client.members.ping.mutate(ping, {signal}),
     );
     if (result.isOk()) this.mergePing(result.value);
     return result;
   }
 
-  /** Asks a peer for all members that it knows. */
+  /** Pings a few members, so that both sides learn the other's head at once. */
+  async pingSome(): Promise<void> {
+    const targets = this.pickOthers(pushFanout);
+    await Promise.all(
+      targets.map(({peerAddress}) => this.pingAddress(peerAddress)),
+    );
+  }
+
+  /** Asks a peer for all members that it knows and that may be alive. */
   async fetchMembers(peerAddress: string): Promise<void> {
     const result = await this.links.callGateway(
       peerAddress,
@@ -99,7 +121,11 @@
 
   async handlePing(ping: Ping): Promise<PingAnswer> {
     this.mergePing(ping);
-    return this.buildPing();
+    return this.buildPing(this.membership.find(ping.from.incarnation));
+  }
+
+  async handlePush(push: Push): Promise<void> {
+    for (const item of push.items) this.receiveItem(item);
   }
 
   async handlePingFor(peerAddress: string): Promise<PingAnswer> {
@@ -110,7 +136,8 @@
   }
 
   async listMembers(): Promise<Member[]> {
-    return this.membership.listAll();
+    // Without the dead, or members would remind each other of them for ever.
+    return this.membership.listPresent();
   }
 
   async fetchChanges(after: number): Promise<ConfigChange[]> {
@@ -121,48 +148,52 @@
     return this.config.getDocument();
   }
 
-  private buildPing(): Ping {
+  /** A ping tells its receiver when it is thought to be suspect or dead. */
+  private buildPing(receiver: Member | undefined): Ping {
     const {number, digest} = this.config.getHead();
+    const items = this.broadcaster.takeItems();
+    const doubted =
+      receiver?.state === MemberState.Suspect ||
+      receiver?.state === MemberState.Dead;
+    if (doubted) {
+      items.unshift({kind: BroadcastKind.Member, member: receiver});
+    }
     return {
       from: this.membership.getSelf(),
       configNumber: number,
       configDigest: digest,
-      items: this.broadcaster.takeItems(),
+      items,
     };
   }
 
   private mergePing(ping: Ping): void {
     const {from} = ping;
-    if (this.membership.merge(from)) this.publishMember(from);
-    for (const item of ping.items) {
-      if (this.broadcaster.publish(getItemKey(item), item)) this.schedulePush();
-    }
-    if (ping.configNumber > this.config.getHead().number) {
-      this.numberListener?.(ping.configNumber, from);
-    }
+    const news = this.membership.merge(from, {direct: true});
+    if (news) this.publishMember(from);
+    for (const item of ping.items) this.receiveItem(item);
+    const head = {number: ping.configNumber, digest: ping.configDigest};
+    this.headListener(head, from);
   }
 
-  private handleItem(item: BroadcastItem): void {
-    if (item.kind !== BroadcastKind.Member) return;
-    const before = this.membership.getSelf().sequence;
-    this.membership.merge(item.member);
-    if (this.membership.getSelf().sequence !== before) this.announceSelf();
+  private receiveItem(item: BroadcastItem): void {
+    if (item.kind !== BroadcastKind.Member) {
+      this.publish(getItemKey(item), item);
+      return;
+    }
+    // Only news is spread; the membership knows which statement is newer.
+    if (this.membership.merge(item.member)) this.publishMember(item.member);
   }
 
   private publishMember(member: Member): void {
     this.publish(`member/${member.incarnation}`, {
       kind: BroadcastKind.Member,
-      member: {...member, load: 0},
+      member,
     });
   }
 
   private probeNext(): void {
-    const self = this.membership.getSelf().incarnation;
     if (this.probeOrder.length === 0) {
-      const others = this.membership
-        .listPresent()
-        .filter(member => member.incarnation !== self);
-      this.probeOrder = shuffle(others);
+      this.probeOrder = this.pickOthers(Infinity);
     }
     const next = this.probeOrder.pop();
     if (!next) return;
@@ -173,71 +204,58 @@
 
   private async probe(member: Member): Promise<void> {
     const direct = await this.pingAddress(member.peerAddress);
+    // An answer of another process at the address has replaced the member.
     if (direct.isOk()) return;
-    const helpers = shuffle(this.membership.listServing(MemberRole.Gateway))
-      .filter(
-        helper =>
-          helper.incarnation !== member.incarnation &&
-          helper.incarnation !== this.membership.getSelf().incarnation,
-      )
-      .slice(0, indirectPingers);
+    if (await this.pingIndirectly(member)) return;
+    const suspected = this.membership.suspect(member.incarnation);
+    if (suspected) this.publishMember(suspected);
+  }
+
+  /** Has other members ping a member; true when one of them got an answer. */
+  private async pingIndirectly(member: Member): Promise<boolean> {
+    const {incarnation, peerAddress} = member;
+    const helpers = this.pickOthers(indirectPingers, incarnation);
     const answers = await Promise.all(
       helpers.map(helper =>
         this.links.callGateway(
           helper.peerAddress,
           indirectPingDeadlineMs,
           (client, signal) =>
-            client.members.pingFor.mutate(
-              {peerAddress: member.peerAddress},
-              {signal},
-            ),
+            client.members.pingFor.mutate({peerAddress}, {signal}),
         ),
       ),
     );
-    const reached = answers.some(
-      answer =>
-        answer.isOk() && answer.value.from.incarnation === member.incarnation,
+    return answers.some(
+      answer => answer.isOk() && answer.value.from.incarnation === incarnation,
     );
-    if (reached) return;
-    const suspected = this.membership.suspect(member.incarnation);
-    if (suspected) this.publishMember(suspected);
   }
 
-  private schedulePush(): void {
-    if (this.pushTimer) return;
-    // Items published in the same turn of the event loop travel together.
-    this.pushTimer = setTimeout(() => {
-      this.pushTimer = undefined;
-      const self = this.membership.getSelf().incarnation;
-      const targets = shuffle(this.membership.listPresent())
-        .filter(member => member.incarnation !== self)
-        .slice(0, pushFanout);
-      for (const target of targets) void this.pingAddress(target.peerAddress);
-    }, 1);
+  /** Picks present members at random, without this process and one more. */
+  private pickOthers(count: number, without = ''): Member[] {
+    const self = this.membership.getSelf().incarnation;
+    const others = this.membership
+      .listPresent()
+      .filter(
+        ({incarnation}) => incarnation !== self && incarnation !== without,
+      );
+    return shuffle(others).slice(0, count);
   }
-}
 
-/** Key under which a newer item replaces an older one. */
-export function getItemKey(item: BroadcastItem): string {
-  switch (item.kind) {
-    case BroadcastKind.Member:
-      return `member/${item.member.incarnation}`;
-    case BroadcastKind.ConfigChange:
-      return `config/${item.change.number}`;
-    case BroadcastKind.SuspectMarks:
-      return `suspects/${item.marks[0]?.crashId ?? ''}`;
-    case BroadcastKind.BackendServerHealth:
-      return `health/${item.backendServer}`;
-    case BroadcastKind.PrefixAuthority:
-      return `authority/${item.issuer}`;
+  private schedulePush(): void {
+    this.pushTimer ??= setTimeout(() => this.push(), pushDelayMs);
   }
-}
 
-function shuffle<T>(items: readonly T[]): T[] {
-  const result = [...items];
-  for (let i = result.length - 1; i > 0; i--) {
-    const j = Math.floor(Math.random() * (i + 1));
-    [result[i], result[j]] = [result[j], result[i]];
+  private push(): void {
+    this.pushTimer = undefined;
+    const from = this.membership.getSelf().incarnation;
+    for (const {peerAddress} of this.pickOthers(pushFanout)) {
+      const push = {from, items: this.broadcaster.takeItems()};
+      if (push.items.length === 0) return;
+      void this.links.callGateway(
+        peerAddress,
+        pingDeadlineMs,
+        (client, signal) => client.members.push.mutate(push, {signal}),
+      );
+    }
   }
-  return result;
 }
--- a/src/node/membership.ts
+++ b/src/node/membership.ts
@@ -7,47 +7,68 @@
 } from '../protocol/memberMessages.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
 import type {Log} from './log.js';
+import {
+  createStatement,
+  mergeStatements,
+  resolveStatement,
+  type Statement,
+} from './memberMerge.js';
 
 /** A suspect that doesn't refute within this time is dead. */
 export const suspectTimeoutMs = 3_000;
 /** Dead members are forgotten after this time. */
 const deadRetentionMs = 10 * 60_000;
+/** Digits of the start time in an incarnation id; enough until the year 5188. */
+const startTimeDigits = 9;
 
 export type MembershipListener = () => void;
+/** Gets what this process itself has to say, for the broadcast. */
+export type StatementListener = (member: Member) => void;
 
 interface Entry {
-  member: Member;
+  statement: Statement;
+  /** The member as others see it. */
+  view: Member;
   changedAtMs: number;
+  /** When the running suspicion began. */
+  suspectedAtMs?: number;
+  /** True when this process itself got no answer. */
+  suspectedHere: boolean;
 }
 
-/** Rank of states that carry the same sequence number: the higher one wins. */
-const stateRank: Record<MemberState, number> = {
-  [MemberState.Alive]: 0,
-  [MemberState.Suspect]: 1,
-  [MemberState.Leaving]: 2,
-  [MemberState.Dead]: 3,
-};
+/** Parts of its own record that a process changes. */
+export type SelfChange = Partial<Pick<Member, 'state' | 'configUnreachable'>>;
 
-/** Creates the id of one start of a process. */
+/**
+ * Creates the id of one start of a process. Ids sort by start time, so that
+ * members agree on which of two processes at one address is the later one.
+ */
 export function createIncarnation(): string {
-  return crypto.randomBytes(9).toString('base64url');
+  const startTime = Date.now().toString(36).padStart(startTimeDigits, '0');
+  return `${startTime}-${crypto.randomBytes(9).toString('base64url')}`;
 }
 
 /**
- * View of the fleet. A member's own statements and other members' suspicions
- * are ordered by the member's sequence number, then by the state's rank.
+ * View of the fleet. Statements about a member are merged without regard to
+ * the order in which they arrive. Of several processes at one address only the
+ * one that started last counts as present.
  */
 export class Membership {
   private readonly entries = new Map<string, Entry>();
+  private readonly byAddress = new Map<string, Set<string>>();
   private readonly listeners = new Set<MembershipListener>();
+  private statementListener: StatementListener = () => {};
   private leavingVms = new Set<string>();
+  /** Incarnations that the VM list has marked; a mark is never taken back. */
+  private readonly markedLeaving = new Set<string>();
   private listedVms = new Map<string, string>();
+  private lastExpiryAtMs = performance.now();
 
   constructor(
     private self: Member,
     private readonly log: Log,
   ) {
-    this.entries.set(self.incarnation, {member: self, changedAtMs: Date.now()});
+    this.put(self.incarnation, createStatement(self));
   }
 
   /** What this process says of itself. */
@@ -55,72 +76,111 @@
     return this.self;
   }
 
-  /** Calls the listener after each change of the set or of a state. */
-  subscribe(listener: MembershipListener): void {
+  /**
+   * Calls the listener after each change of the set, of a state or of the VM
+   * list. Returns a function that ends the calls.
+   */
+  subscribe(listener: MembershipListener): () => void {
     this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Sets the one listener for statements that this process has to spread. */
+  setStatementListener(listener: StatementListener): void {
+    this.statementListener = listener;
   }
 
-  /** Changes what this process says of itself, under a new sequence number. */
-  updateSelf(change: Partial<Pick<Member, 'state'>>): Member {
+  /**
+   * Changes what this process says of itself, under a new sequence number. A
+   * process that leaves can only become dead, and a dead one stays dead.
+   */
+  updateSelf(change: SelfChange): Member {
+    const {state} = this.self;
+    const final =
+      state === MemberState.Dead ||
+      (state === MemberState.Leaving && change.state !== MemberState.Dead);
     const sequence = this.self.sequence + 1;
-    this.self = {...this.self, ...change, sequence};
-    this.store(this.self);
+    this.setSelf({
+      ...this.self,
+      ...change,
+      ...(final ? {state} : {}),
+      sequence,
+    });
     return this.self;
   }
 
   /** Sets the load that pings carry; not a change of state. */
   setLoad(load: number): void {
     this.self = {...this.self, load};
-    this.entries.set(this.self.incarnation, {
-      member: this.self,
-      changedAtMs: Date.now(),
-    });
+    this.setEntryLoad(this.self.incarnation, load);
   }
 
   /**
-   * Takes what another process says of a member. Returns whether it was news.
-   * A suspicion of this process itself is refuted.
+   * Takes a statement about a member; `direct` says that the member made it in
+   * this very message. Returns whether it was news. A false statement about
+   * this process is refuted.
    */
-  merge(member: Member): boolean {
+  merge(member: Member, {direct = false} = {}): boolean {
     if (member.incarnation === this.self.incarnation) {
-      return this.handleSuspicion(member);
-    }
-    const known = this.entries.get(member.incarnation);
-    if (known && !isNewer(member, known.member)) {
-      if (member.sequence === known.member.sequence) {
-        known.member = {...known.member, load: member.load};
-      }
+      this.rejectClaim(member);
       return false;
     }
-    if (!known && member.state === MemberState.Dead) return false;
-    this.replaceOlderIncarnations(member);
-    this.store(member);
-    return true;
+    if (member.peerAddress === this.self.peerAddress) {
+      return this.endPredecessor(member);
+    }
+    const known = this.entries.get(member.incarnation);
+    const next = createStatement(member);
+    const merged = known ? mergeStatements(known.statement, next) : next;
+    const news =
+      !known ||
+      merged.member !== known.statement.member ||
+      merged.leaving !== known.statement.leaving;
+    if (news) this.put(member.incarnation, merged);
+    if (direct) this.noteContact(member);
+    return news;
   }
 
-  /** Marks a member that didn't answer. */
+  /** Marks a member that didn't answer; returns a statement to spread. */
   suspect(incarnation: string): Member | undefined {
     const known = this.entries.get(incarnation);
-    if (!known || known.member.state !== MemberState.Alive) return undefined;
-    const member = {...known.member, state: MemberState.Suspect};
-    this.store(member);
-    return member;
+    if (!known || known.view.state === MemberState.Dead) return undefined;
+    known.suspectedHere = true;
+    known.suspectedAtMs ??= performance.now();
+    // Suspicion must not hide that a member leaves, so it stays local then.
+    if (known.view.state !== MemberState.Alive) return undefined;
+    return this.putState(incarnation, MemberState.Suspect);
+  }
+
+  /** Members that this process got no answer from and that may be alive. */
+  listSuspectedHere(): Member[] {
+    return [...this.entries.values()]
+      .filter(entry => entry.suspectedHere)
+      .map(entry => entry.view);
   }
 
-  /** Declares suspects dead whose time to refute is over; returns them. */
+  /**
+   * Declares suspects dead whose time to refute is over; returns them. To be
+   * called every second: after a longer gap this process was paused and could
+   * not hear the suspects, so they get the whole time again.
+   */
   expireSuspects(): Member[] {
-    const nowMs = Date.now();
+    const nowMs = performance.now();
+    if (nowMs - this.lastExpiryAtMs > suspectTimeoutMs)
+      this.restartSuspicions();
+    this.lastExpiryAtMs = nowMs;
     const expired: Member[] = [];
-    for (const {member, changedAtMs} of [...this.entries.values()]) {
-      const ageMs = nowMs - changedAtMs;
-      if (member.state === MemberState.Dead && ageMs > deadRetentionMs) {
-        this.entries.delete(member.incarnation);
+    for (const [incarnation, entry] of [...this.entries]) {
+      const {suspectedAtMs, view} = entry;
+      const expires =
+        suspectedAtMs !== undefined &&
+        nowMs - suspectedAtMs >= suspectTimeoutMs;
+      if (expires) {
+        expired.push(this.putState(incarnation, MemberState.Dead));
       }
-      if (member.state !== MemberState.Suspect) continue;
-      if (ageMs < suspectTimeoutMs) continue;
-      const dead = {...member, state: MemberState.Dead};
-      this.store(dead);
-      expired.push(dead);
+      const forgets =
+        view.state === MemberState.Dead &&
+        nowMs - entry.changedAtMs > deadRetentionMs;
+      if (forgets) this.forget(incarnation);
     }
     return expired;
   }
@@ -129,8 +189,11 @@
   applyVmList(list: VmList): void {
     const leaving = list.entryVms.filter(vm => vm.state === VmState.Leaving);
     this.leavingVms = new Set(leaving.map(vm => vm.vm));
+    const countBefore = this.markedLeaving.size + this.listedVms.size;
     this.listedVms = new Map(list.entryVms.map(vm => [vm.vm, vm.address]));
-    this.announceChange();
+    for (const {view} of this.entries.values()) this.markIfListedLeaving(view);
+    const countAfter = this.markedLeaving.size + this.listedVms.size;
+    if (countAfter !== countBefore) this.announceChange();
   }
 
   /** Number of VMs on the platform's list; 0 before the first read. */
@@ -156,18 +219,26 @@
   listServing(role: MemberRole): Member[] {
     return this.listPresent(role).filter(
       member =>
-        member.state !== MemberState.Leaving && !this.leavingVms.has(member.vm),
+        member.state !== MemberState.Leaving &&
+        !this.markedLeaving.has(member.incarnation),
     );
   }
 
   /** All members that are remembered, the dead included. */
   listAll(): Member[] {
-    return [...this.entries.values()].map(({member}) => member);
+    return [...this.entries.values()].map(({view}) => view);
   }
 
   /** Looks up a member by incarnation. */
   find(incarnation: string): Member | undefined {
-    return this.entries.get(incarnation)?.member;
+    return this.entries.get(incarnation)?.view;
+  }
+
+  /** Looks up the last process that is known at an address, dead or not. */
+  findLastAt(peerAddress: string): Member | undefined {
+    const incarnations = [...(this.byAddress.get(peerAddress) ?? [])];
+    const last = incarnations.sort().at(-1);
+    return last === undefined ? undefined : this.find(last);
   }
 
   /** Short digest of the view; equal views have equal digests. */
@@ -182,48 +253,141 @@
       .slice(0, 8);
   }
 
-  private handleSuspicion(member: Member): boolean {
+  private rejectClaim(member: Member): void {
+    const {state, sequence} = this.self;
     const claimed =
       member.state === MemberState.Suspect || member.state === MemberState.Dead;
-    if (!claimed || member.sequence < this.self.sequence) return false;
-    this.self = {...this.self, sequence: member.sequence + 1};
-    this.store(this.self);
-    return true;
+    // A process that has said farewell doesn't refute its own farewell.
+    if (state === MemberState.Dead) return;
+    if (!claimed || member.sequence < sequence) return;
+    this.setSelf({...this.self, sequence: member.sequence + 1});
+    this.statementListener(this.self);
+  }
+
+  /** Another process at this process's own address has ended. */
+  private endPredecessor(member: Member): boolean {
+    const known = this.entries.get(member.incarnation)?.statement.member;
+    const {sequence} = member;
+    const alive = member.state !== MemberState.Dead;
+    if (known && (!alive || sequence < known.sequence)) return false;
+    const dead = {
+      ...member,
+      state: MemberState.Dead,
+      sequence: alive ? sequence + 1 : sequence,
+    };
+    this.put(member.incarnation, createStatement(dead));
+    if (alive) this.statementListener(dead);
+    return !alive;
   }
 
-  private replaceOlderIncarnations(member: Member): void {
+  /** A member spoke: its load is known, and others at its address are gone. */
+  private noteContact(member: Member): void {
+    const entry = this.entries.get(member.incarnation);
+    if (entry?.view.state === MemberState.Leaving) this.endSuspicion(entry);
+    this.setEntryLoad(member.incarnation, member.load);
     if (member.state === MemberState.Dead) return;
-    for (const {member: other} of [...this.entries.values()]) {
-      const replaced =
-        other.peerAddress === member.peerAddress &&
-        other.incarnation !== member.incarnation &&
-        other.incarnation !== this.self.incarnation &&
-        other.state !== MemberState.Dead;
-      if (replaced) this.store({...other, state: MemberState.Dead});
+    for (const other of this.byAddress.get(member.peerAddress) ?? []) {
+      if (other === member.incarnation) continue;
+      const {statement} = this.entries.get(other)!;
+      if (statement.member.state === MemberState.Dead) continue;
+      this.statementListener(this.putState(other, MemberState.Dead));
     }
   }
 
-  private store(member: Member): void {
-    const before = this.entries.get(member.incarnation)?.member;
-    this.entries.set(member.incarnation, {member, changedAtMs: Date.now()});
-    if (before?.state === member.state) return;
-    this.log.note('member changed state', {
-      member: member.incarnation,
-      role: member.role,
-      vm: member.vm,
-      state: member.state,
+  private setSelf(self: Member): void {
+    this.self = self;
+    this.put(self.incarnation, createStatement(self));
+  }
+
+  private setEntryLoad(incarnation: string, load: number): void {
+    const entry = this.entries.get(incarnation);
+    if (!entry || entry.view.load === load) return;
+    const {statement} = entry;
+    entry.statement = {...statement, member: {...statement.member, load}};
+    entry.view = {...entry.view, load};
+  }
+
+  private putState(incarnation: string, state: MemberState): Member {
+    const {statement} = this.entries.get(incarnation)!;
+    const member = {...statement.member, state};
+    this.put(incarnation, {...statement, member});
+    return member;
+  }
+
+  private put(incarnation: string, statement: Statement): void {
+    const before = this.entries.get(incarnation);
+    const nowMs = performance.now();
+    const {member} = statement;
+    const suspected = member.state === MemberState.Suspect;
+    this.entries.set(incarnation, {
+      statement,
+      view: before?.view ?? member,
+      changedAtMs: nowMs,
+      suspectedHere: suspected && (before?.suspectedHere ?? false),
+      ...(suspected ? {suspectedAtMs: before?.suspectedAtMs ?? nowMs} : {}),
     });
-    this.announceChange();
+    const group = this.byAddress.get(member.peerAddress) ?? new Set();
+    this.byAddress.set(member.peerAddress, group.add(incarnation));
+    this.refreshViews(group, before ? undefined : incarnation);
+  }
+
+  /** Recomputes the views of the processes at one address. */
+  private refreshViews(group: Set<string>, added?: string): void {
+    let changed = false;
+    let replaced = false;
+    for (const incarnation of [...group].sort().reverse()) {
+      const entry = this.entries.get(incarnation)!;
+      const resolved = resolveStatement(entry.statement);
+      const isSelf = incarnation === this.self.incarnation;
+      const view =
+        replaced && !isSelf ? {...resolved, state: MemberState.Dead} : resolved;
+      replaced ||= resolved.state !== MemberState.Dead;
+      const same =
+        incarnation !== added &&
+        view.state === entry.view.state &&
+        view.configUnreachable === entry.view.configUnreachable;
+      entry.view = view;
+      if (view.state === MemberState.Dead) this.endSuspicion(entry);
+      if (same) continue;
+      changed = true;
+      this.markIfListedLeaving(view);
+      this.noteState(view);
+    }
+    if (changed) this.announceChange();
+  }
+
+  private restartSuspicions(): void {
+    for (const entry of this.entries.values()) {
+      if (entry.suspectedAtMs === undefined) continue;
+      entry.suspectedAtMs = performance.now();
+    }
+  }
+
+  private endSuspicion(entry: Entry): void {
+    entry.suspectedHere = false;
+    delete entry.suspectedAtMs;
+  }
+
+  private markIfListedLeaving(member: Member): void {
+    if (!this.leavingVms.has(member.vm)) return;
+    this.markedLeaving.add(member.incarnation);
+  }
+
+  private forget(incarnation: string): void {
+    const address = this.entries.get(incarnation)?.view.peerAddress ?? '';
+    const group = this.byAddress.get(address);
+    group?.delete(incarnation);
+    if (group?.size === 0) this.byAddress.delete(address);
+    this.entries.delete(incarnation);
+    this.markedLeaving.delete(incarnation);
+  }
+
+  private noteState({incarnation, role, vm, state}: Member): void {
+    const fields = {member: incarnation, role, vm, state};
+    this.log.note('member changed state', fields);
   }
 
   private announceChange(): void {
     for (const listener of this.listeners) listener();
   }
 }
-
-function isNewer(next: Member, known: Member): boolean {
-  // Death is final for an incarnation, unless the member itself refutes it
-  // under a higher sequence number, e.g. after a partition heals.
-  if (next.sequence !== known.sequence) return next.sequence > known.sequence;
-  return stateRank[next.state] > stateRank[known.state];
-}
--- a/src/node/platformClient.ts
+++ b/src/node/platformClient.ts
@@ -1,8 +1,8 @@
 /** Reads of the platform's configuration service and VM list. */
 import {ResultAsync} from 'neverthrow';
-import {request} from 'undici';
+import {request, type Dispatcher} from 'undici';
 import type {z} from 'zod';
-import {PlatformError} from '../protocol/errors.js';
+import {PlatformBusyError, PlatformError} from '../protocol/errors.js';
 import {
   configChangesSchema,
   configDocumentSchema,
@@ -16,9 +16,43 @@
 
 /** Deadline of a plain read in milliseconds. */
 const readDeadlineMs = 2_000;
+/** Time by which the answer of a watch may come after its wait. */
+const watchSlackMs = 1_000;
+/** Wait after status 429 without a `retry-after` header. */
+const defaultRetryAfterMs = 1_000;
+
+/** Calls since the start of the process, for the dump. */
+export interface PlatformCalls {
+  heads: number;
+  watches: number;
+  changes: number;
+  documents: number;
+  vmLists: number;
+  failed: number;
+  /** Calls that were refused because of the rate limit; also in `failed`. */
+  refused: number;
+}
+
+interface ReadOptions {
+  kind: keyof PlatformCalls;
+  signal: AbortSignal;
+  deadlineMs: number;
+}
 
 /** Reads what the platform publishes; each call has a deadline. */
 export class PlatformClient {
+  private readonly calls: PlatformCalls = {
+    heads: 0,
+    watches: 0,
+    changes: 0,
+    documents: 0,
+    vmLists: 0,
+    failed: 0,
+    refused: 0,
+  };
+  /** The last VM list with its entity tag, for conditional reads. */
+  private lastVmList: {etag: string; list: VmList} | undefined;
+
   constructor(
     private readonly configUrl: string,
     private readonly vmListUrl: string,
@@ -27,6 +61,7 @@
   /** Reads number and digest of the newest document. */
   readHead(signal: AbortSignal): ResultAsync<ConfigHead, PlatformError> {
     return this.read(`${this.configUrl}/v1/config/head`, configHeadSchema, {
+      kind: 'heads',
       signal,
       deadlineMs: readDeadlineMs,
     });
@@ -39,8 +74,9 @@
     signal: AbortSignal,
   ): ResultAsync<ConfigHead, PlatformError> {
     const url = `${this.configUrl}/v1/config/watch?after=${after}&waitMs=${waitMs}`;
-    const deadlineMs = waitMs + readDeadlineMs;
-    return this.read(url, configHeadSchema, {signal, deadlineMs});
+    const deadlineMs = waitMs + watchSlackMs;
+    const kind = 'watches';
+    return this.read(url, configHeadSchema, {kind, signal, deadlineMs});
   }
 
   /** Reads the changes after a number. */
@@ -50,7 +86,8 @@
   ): ResultAsync<ConfigChanges, PlatformError> {
     const url = `${this.configUrl}/v1/config/changes?after=${after}`;
     const deadlineMs = readDeadlineMs;
-    return this.read(url, configChangesSchema, {signal, deadlineMs});
+    const kind = 'changes';
+    return this.read(url, configChangesSchema, {kind, signal, deadlineMs});
   }
 
   /** Reads the newest document. */
@@ -59,38 +96,87 @@
   ): ResultAsync<ConfigDocument, PlatformError> {
     const url = `${this.configUrl}/v1/config/document`;
     const deadlineMs = readDeadlineMs;
-    return this.read(url, configDocumentSchema, {signal, deadlineMs});
+    const kind = 'documents';
+    return this.read(url, configDocumentSchema, {kind, signal, deadlineMs});
   }
 
-  /** Reads the lagging VM list. */
+  /** Reads the lagging VM list; an unchanged one isn't sent again. */
   readVmList(signal: AbortSignal): ResultAsync<VmList, PlatformError> {
-    const deadlineMs = readDeadlineMs;
-    return this.read(`${this.vmListUrl}/v1/vms`, vmListSchema, {
+    const url = `${this.vmListUrl}/v1/vms`;
+    const options: ReadOptions = {
+      kind: 'vmLists',
       signal,
-      deadlineMs,
+      deadlineMs: readDeadlineMs,
+    };
+    return this.tryRead(url, options, async () => {
+      const last = this.lastVmList;
+      const headers: Record<string, string> = {};
+      if (last) headers['if-none-match'] = last.etag;
+      const response = await this.fetch(url, options, headers);
+      if (last && response.statusCode === 304) {
+        await response.body.dump();
+        return last.list;
+      }
+      const list = vmListSchema.parse(await readBody(url, response));
+      const {etag} = response.headers;
+      this.lastVmList = typeof etag === 'string' ? {etag, list} : undefined;
+      return list;
     });
   }
 
+  /** Calls so far. */
+  describeCalls(): PlatformCalls {
+    return {...this.calls};
+  }
+
   private read<S extends z.ZodType>(
     url: string,
     schema: S,
-    {signal, deadlineMs}: {signal: AbortSignal; deadlineMs: number},
+    options: ReadOptions,
   ): ResultAsync<z.output<S>, PlatformError> {
-    const attempt = async (): Promise<z.output<S>> => {
-      const deadline = AbortSignal.timeout(deadlineMs);
-      const response = await request(url, {
-        signal: AbortSignal.any([signal, deadline]),
-      });
-      const body = await response.body.json();
-      if (response.statusCode !== 200) {
-        throw new PlatformError(`${url}: status ${response.statusCode}`);
-      }
-      return schema.parse(body);
-    };
-    return ResultAsync.fromPromise(attempt(), cause =>
-      cause instanceof PlatformError
+    return this.tryRead(url, options, async () => {
+      const response = await this.fetch(url, options, {});
+      return schema.parse(await readBody(url, response));
+    });
+  }
+
+  private tryRead<T>(
+    url: string,
+    {kind}: ReadOptions,
+    run: () => Promise<T>,
+  ): ResultAsync<T, PlatformError> {
+    this.calls[kind] += 1;
+    return ResultAsync.fromPromise(run(), cause => {
+      this.calls.failed += 1;
+      if (cause instanceof PlatformBusyError) this.calls.refused += 1;
+      return cause instanceof PlatformError
         ? cause
-        : new PlatformError(`${url}: ${String(cause)}`, {cause}),
-    );
+        : new PlatformError(`${url}: ${String(cause)}`, {cause});
+    });
   }
+
+  private fetch(
+    url: string,
+    {signal, deadlineMs}: ReadOptions,
+    headers: Record<string, string>,
+  ): Promise<Dispatcher.ResponseData> {
+    const deadline = AbortSignal.timeout(deadlineMs);
+    return request(url, {
+      headers,
+      signal: AbortSignal.any([signal, deadline]),
+    });
+  }
+}
+
+async function readBody(
+  url: string,
+  response: Dispatcher.ResponseData,
+): Promise<unknown> {
+  if (response.statusCode === 200) return response.body.json();
+  await response.body.dump();
+  const message = `${url}: status ${response.statusCode}`;
+  if (response.statusCode !== 429) throw new PlatformError(message);
+  const seconds = Number(response.headers['retry-after']);
+  const retryAfterMs = seconds > 0 ? seconds * 1_000 : defaultRetryAfterMs;
+  throw new PlatformBusyError(message, retryAfterMs);
 }
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -43,6 +43,17 @@
 /** A call to the platform failed. */
 export class PlatformError extends AnvilstallError {}
 
+/** The platform refused a call because its rate limit is reached. */
+export class PlatformBusyError extends PlatformError {
+  constructor(
+    message: string,
+    /** Milliseconds after which the platform takes calls again. */
+    readonly retryAfterMs: number,
+  ) {
+    super(message);
+  }
+}
+
 /** A patch doesn't apply to the document that it names. */
 export class PatchError extends AnvilstallError {}
 
--- a/src/protocol/memberMessages.ts
+++ b/src/protocol/memberMessages.ts
@@ -30,6 +30,8 @@
   sequence: z.number().int().nonnegative(),
   /** Share of the process's capacity in use, 0 to 1. */
   load: z.number().min(0),
+  /** True: its calls to the configuration service fail; others watch instead. */
+  configUnreachable: z.boolean().optional(),
 });
 export type Member = z.infer<typeof memberSchema>;
 
@@ -87,6 +89,14 @@
 export type PingAnswer = Ping;
 export const pingAnswerSchema = pingSchema;
 
+/** Hands over new items at once, without the rest of a ping. */
+export const pushSchema = z.object({
+  /** Incarnation of the sender. */
+  from: z.string(),
+  items: z.array(broadcastItemSchema),
+});
+export type Push = z.infer<typeof pushSchema>;
+
 /** Asks a member to ping another on the caller's behalf. */
 export const pingForSchema = z.object({peerAddress: z.string()});
 
--- a/src/protocol/peerRouter.ts
+++ b/src/protocol/peerRouter.ts
@@ -17,9 +17,11 @@
   fetchChangesSchema,
   pingForSchema,
   pingSchema,
+  pushSchema,
   type Member,
   type Ping,
   type PingAnswer,
+  type Push,
 } from './memberMessages.js';
 import {
   executeOperationSchema,
@@ -46,6 +48,7 @@
 /** Calls that every member answers. */
 export interface MemberHandlers {
   handlePing(ping: Ping): Promise<PingAnswer>;
+  handlePush(push: Push): Promise<void>;
   /** Resolves to the answer of the pinged member, or throws. */
   handlePingFor(peerAddress: string): Promise<PingAnswer>;
   listMembers(): Promise<Member[]>;
@@ -73,6 +76,9 @@
     ping: peerProcedure
       .input(pingSchema)
       .mutation(({input}) => handlers.handlePing(input)),
+    push: peerProcedure
+      .input(pushSchema)
+      .mutation(({input}) => handlers.handlePush(input)),
     pingFor: peerProcedure
       .input(pingForSchema)
       .mutation(({input}) => handlers.handlePingFor(input.peerAddress)),
--- /dev/null
+++ b/tests/support/configurations.ts
@@ -0,0 +1,58 @@
+/** Configuration documents and changes for tests. */
+import jsonPatch from 'fast-json-patch';
+import {computeConfigDigest} from '../../src/config/configDigest.js';
+import type {
+  ConfigChange,
+  ConfigDocument,
+} from '../../src/protocol/platformApi.js';
+
+/** A valid document; `maxQueueLength` tells versions apart. */
+export function createDocument(maxQueueLength: number) {
+  return {
+    region: 'kaap',
+    zones: {za: {za: 0}},
+    classes: {},
+    customers: {},
+    models: {},
+    backendServers: {},
+    weightStoreLoadsPerSecond: 1,
+    maxQueueLength,
+  };
+}
+
+/** The numbered documents of one configuration service. */
+export class ConfigHistory {
+  private documents: unknown[] = [createDocument(1)];
+  private readonly changes: ConfigChange[] = [];
+
+  /** Number of the newest document; the first one has number 1. */
+  get number(): number {
+    return this.documents.length;
+  }
+
+  /** Makes a document the newest one. */
+  append(document: unknown = createDocument(this.number + 1)): ConfigChange {
+    const before = this.documents.at(-1);
+    const operations = jsonPatch.compare(before as object, document as object);
+    const change = {
+      number: this.number + 1,
+      baseDigest: computeConfigDigest(before),
+      digest: computeConfigDigest(document),
+      operations: operations as ConfigChange['operations'],
+    };
+    this.documents.push(document);
+    this.changes.push(change);
+    return change;
+  }
+
+  /** The document with a number. */
+  getDocument(number = this.number): ConfigDocument {
+    const document = this.documents[number - 1];
+    return {head: {number, digest: computeConfigDigest(document)}, document};
+  }
+
+  /** Changes with a higher number. */
+  listChangesAfter(after: number): ConfigChange[] {
+    return this.changes.filter(change => change.number > after);
+  }
+}
