--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -20,6 +20,7 @@
 import {PeerServer} from './peerServer.js';
 import {PlatformClient} from './platformClient.js';
 import {RestartPolicy, Supervisor} from './supervisor.js';
+import type {Traffic} from './trafficCounter.js';
 import {VmListFollower} from './vmListFollower.js';
 
 /** Parts that a test replaces. */
@@ -159,6 +160,14 @@
     await this.peerServer?.stop();
   }
 
+  /** Bytes of the connections that this process and its peers opened. */
+  describeTraffic(): {opened: Traffic; accepted?: Traffic} {
+    return {
+      opened: this.links.describeTraffic(),
+      accepted: this.peerServer?.describeTraffic(),
+    };
+  }
+
   /** State that all daemons dump. */
   dump(): object {
     return {
@@ -168,10 +177,7 @@
       ready: this.isReady(),
       configuration: this.config.describe(),
       broadcastQueue: this.broadcaster.countQueued(),
-      peerTraffic: {
-        opened: this.links.describeTraffic(),
-        accepted: this.peerServer?.describeTraffic(),
-      },
+      peerTraffic: this.describeTraffic(),
       platformCalls: this.platform.describeCalls(),
       pauses: this.pauseDetector.countPauses(),
       tasks: this.root.describe(),
