Add a first request path through gateway and dispatcher

Cause: no request could be served. Change: caller interface, lease client and lease service with a FIFO queue, engine streams, plain service calls, operation records of the issuer, daemon binaries. Ruled out for now: tier scheduling, retries and hand-over, which follow one by one. Conclusion: builds and lints; not yet run end to end.

--- /dev/null
+++ b/src/bin/runDaemon.ts
@@ -0,0 +1,62 @@
+/** Command line that the daemons share. */
+import sade from 'sade';
+import {readSettings, type Settings} from '../config/settings.js';
+import {LogLevel, setLogLevel} from '../node/log.js';
+
+/** Exit codes, after sysexits.h. */
+enum ExitCode {
+  Ok = 0,
+  Software = 70,
+  Config = 78,
+}
+
+/** A running daemon. */
+interface Daemon {
+  stop(): Promise<void>;
+}
+
+/**
+ * Reads the settings, starts a daemon and stops it on SIGTERM or SIGINT.
+ *
+ * @example
+ * runDaemon('anvilstall-gateway', settings => GatewayDaemon.start(settings));
+ */
+export function runDaemon(
+  name: string,
+  start: (settings: Settings) => Promise<Daemon>,
+): void {
+  sade(name, true)
+    .version('0.1.0')
+    .option('--settings', 'JSON settings file', '/etc/anvilstall/settings.json')
+    .option('--check', 'Check the settings and exit')
+    .example('--settings settings.json')
+    .example('--settings settings.json --check')
+    .action(async (options: {settings: string; check?: boolean}) => {
+      const settings = readSettings(options.settings);
+      if (settings.isErr()) {
+        console.error(settings.error.message);
+        process.exitCode = ExitCode.Config;
+        return;
+      }
+      if (options.check) return;
+      setLogLevel(
+        Object.values(LogLevel).find(
+          level => level === settings.value.logLevel,
+        ) ?? LogLevel.Info,
+      );
+      await runUntilSignal(() => start(settings.value));
+    })
+    .parse(process.argv);
+}
+
+async function runUntilSignal(start: () => Promise<Daemon>): Promise<void> {
+  try {
+    const daemon = await start();
+    const stop = () => void daemon.stop().then(() => process.exit(ExitCode.Ok));
+    process.once('SIGTERM', stop);
+    process.once('SIGINT', stop);
+  } catch (error) {
+    console.error(String(error));
+    process.exit(ExitCode.Software);
+  }
+}
--- /dev/null
+++ b/src/dispatcher/dispatcherDaemon.ts
@@ -0,0 +1,78 @@
+/** The dispatcher process: backend side of an entry VM. */
+import type {Settings} from '../config/settings.js';
+import {DaemonNode} from '../node/daemonNode.js';
+import {OperatorServer} from '../node/operatorServer.js';
+import {PeerServer} from '../node/peerServer.js';
+import {RestartPolicy} from '../node/supervisor.js';
+import {MemberRole} from '../protocol/memberMessages.js';
+import {createDispatcherRouter} from '../protocol/peerRouter.js';
+import {LeaseService} from './leaseService.js';
+
+/** Runs the dispatcher side on top of a member of the fleet. */
+export class DispatcherDaemon {
+  private peerServer: PeerServer | undefined;
+  private operatorServer: OperatorServer | undefined;
+  private stopping: Promise<void> | undefined;
+
+  private constructor(
+    readonly node: DaemonNode,
+    private readonly leases: LeaseService,
+  ) {}
+
+  /** Starts listening and joins the fleet. */
+  static async start(settings: Settings): Promise<DispatcherDaemon> {
+    const node = new DaemonNode(settings, MemberRole.Dispatcher);
+    const leases = new LeaseService(node);
+    const daemon = new DispatcherDaemon(node, leases);
+    await daemon.listen();
+    node.start();
+    node.root.spawn({
+      name: 'leases',
+      restart: RestartPolicy.Always,
+      run: signal => leases.run(signal),
+    });
+    return daemon;
+  }
+
+  /** Leaves gracefully: waiting work moves to the new owners. */
+  stop(): Promise<void> {
+    this.stopping ??= this.leave();
+    return this.stopping;
+  }
+
+  /** State of the process. */
+  dump(): object {
+    return {...this.node.dump(), ...this.leases.describe()};
+  }
+
+  private async leave(): Promise<void> {
+    this.node.announceLeaving();
+    await new Promise(resolve => setTimeout(resolve, leaveNoticeMs));
+    await this.node.stop();
+    await this.peerServer?.stop();
+    await this.operatorServer?.stop();
+  }
+
+  private async listen(): Promise<void> {
+    const {settings} = this.node;
+    this.peerServer = await PeerServer.start({
+      host: settings.address,
+      port: settings.ports.dispatcherPeers,
+      peerKey: settings.keys.peer,
+      router: createDispatcherRouter(this.node.members, this.leases),
+    });
+    this.operatorServer = await OperatorServer.start({
+      host: settings.operatorAddress,
+      port: settings.ports.dispatcherOperators,
+      operatorKey: settings.keys.operator,
+      actions: {
+        dump: () => this.dump(),
+        isReady: () => this.node.config.getConfiguration() !== undefined,
+        drain: () => void this.stop(),
+      },
+    });
+  }
+}
+
+/** Time for gateways to hear of the leave and queue elsewhere. */
+const leaveNoticeMs = 1_000;
--- /dev/null
+++ b/src/gateway/requestContext.ts
@@ -0,0 +1,24 @@
+/** What a gateway knows of one caller's request while it serves it. */
+import type {Customer, RequestClass} from '../config/configuration.js';
+import type {Log} from '../node/log.js';
+
+/** Passed along with a request: identity, class, deadline, abort, log. */
+export interface RequestContext {
+  readonly requestId: string;
+  readonly customerId: string;
+  readonly customer: Customer;
+  readonly className: string;
+  readonly requestClass: RequestClass;
+  /** `performance.now()` at which the request arrived. */
+  readonly arrivedAtMs: number;
+  /** `performance.now()` at which the caller's deadline passes. */
+  readonly deadlineAtMs: number;
+  /** Aborts when the caller is gone. */
+  readonly signal: AbortSignal;
+  readonly log: Log;
+}
+
+/** Milliseconds until the request's deadline; 0 when it has passed. */
+export function computeRemainingMs(context: RequestContext): number {
+  return Math.max(0, context.deadlineAtMs - performance.now());
+}
--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -11,6 +11,7 @@
 import {Log} from './log.js';
 import {MemberService} from './memberService.js';
 import {createIncarnation, Membership} from './membership.js';
+import {BackendServerOwnership} from './ownership.js';
 import {PeerLinks} from './peerLinks.js';
 import {PlatformClient} from './platformClient.js';
 import {RestartPolicy, Supervisor} from './supervisor.js';
@@ -21,6 +22,7 @@
   readonly log: Log;
   readonly root: Supervisor;
   readonly membership: Membership;
+  readonly ownership: BackendServerOwnership;
   readonly broadcaster: Broadcaster;
   readonly config: ConfigStore;
   readonly links: PeerLinks;
@@ -37,6 +39,7 @@
     this.log = new Log({vm: settings.vm, process: role});
     this.root = new Supervisor(role, this.log);
     this.membership = new Membership(self, this.log);
+    this.ownership = new BackendServerOwnership(this.membership);
     this.broadcaster = new Broadcaster(
       () => this.membership.listPresent().length,
     );
