Add thin stand-ins of engine, service and platform

Cause: gateway and dispatcher work needs something to talk to. Ruled out: importing src/config for the digest, which DEPS.list forbids; configDigest.ts moves to src/protocol and its imports follow.

--- a/src/node/configStore.ts
+++ b/src/node/configStore.ts
@@ -1,7 +1,7 @@
 /** The numbered configuration that a process holds. */
 import jsonPatch from 'fast-json-patch';
 import {err, ok, type Result} from 'neverthrow';
-import {computeConfigDigest} from '../config/configDigest.js';
+import {computeConfigDigest} from '../protocol/configDigest.js';
 import {
   configurationSchema,
   type Configuration,
--- /dev/null
+++ b/src/standins/answerText.ts
@@ -0,0 +1,100 @@
+/**
+ * Deterministic answers of the model engine stand-in. A token depends only on
+ * the model, the messages and its index, so that an answer can be compared
+ * byte for byte however many engines took part in it.
+ */
+import crypto from 'node:crypto';
+import xxhash from 'xxhash-wasm';
+import type {ChatRequest} from '../protocol/callerApi.js';
+
+const {h32} = await xxhash();
+
+/** How many times more tokens a long job has. */
+export const longJobFactor = 20;
+const hashRange = 2 ** 32;
+
+/** Options of the engine that set the number of tokens. */
+export interface AnswerLengthOptions {
+  /** Mean number of tokens of a job that is not long. */
+  meanTokens: number;
+  /** Share of long jobs, 0 to 1. */
+  longJobShare: number;
+}
+
+/** Members of a chat request that decide its answer. */
+export interface AnswerRequest extends Pick<
+  ChatRequest,
+  'model' | 'messages' | 'max_tokens'
+> {
+  /** Sets the number of tokens before `max_tokens` cuts it. */
+  standin_tokens?: unknown;
+}
+
+/** What an engine generates for a request. */
+export interface AnswerPlan {
+  /** Digest of model and messages, hexadecimal. */
+  fingerprint: string;
+  tokenCount: number;
+  finishReason: 'stop' | 'length';
+}
+
+/** Computes the digest of model and messages that an answer depends on. */
+export function computeAnswerFingerprint(
+  request: Pick<AnswerRequest, 'model' | 'messages'>,
+): string {
+  const hash = crypto.createHash('sha256');
+  hash.update(`${request.model}\0`);
+  for (const message of request.messages) {
+    hash.update(`${message.role}\0${message.content}\0`);
+  }
+  return hash.digest('hex');
+}
+
+/** Plans the answer to a request. */
+export function planAnswer(
+  request: AnswerRequest,
+  options: AnswerLengthOptions,
+): AnswerPlan {
+  const fingerprint = computeAnswerFingerprint(request);
+  const wanted = chooseTokenCount(fingerprint, request, options);
+  const limit = request.max_tokens ?? Infinity;
+  return {
+    fingerprint,
+    tokenCount: Math.min(wanted, limit),
+    finishReason: wanted > limit ? 'length' : 'stop',
+  };
+}
+
+/** Builds the token of an answer at an index. */
+export function buildToken(fingerprint: string, index: number): string {
+  return `${h32(`${fingerprint} ${index}`).toString(36)} `;
+}
+
+/**
+ * Computes the whole text of the answer to a request.
+ *
+ * @example
+ * computeExpectedText({model: 'm', messages, standin_tokens: 5}, engine.options)
+ */
+export function computeExpectedText(
+  request: AnswerRequest,
+  options: AnswerLengthOptions,
+): string {
+  const {fingerprint, tokenCount} = planAnswer(request, options);
+  return Array.from({length: tokenCount}, (_, index) =>
+    buildToken(fingerprint, index),
+  ).join('');
+}
+
+/** Uniform from 1 to twice the mean less 1; long jobs have 20 times more. */
+function chooseTokenCount(
+  fingerprint: string,
+  {standin_tokens: fixed}: AnswerRequest,
+  {meanTokens, longJobShare}: AnswerLengthOptions,
+): number {
+  if (typeof fixed === 'number' && fixed >= 1) return Math.floor(fixed);
+  const share = h32(`${fingerprint} length`) / hashRange;
+  const count = 1 + Math.floor(share * (2 * meanTokens - 1));
+  const isLong = h32(`${fingerprint} long`) / hashRange < longJobShare;
+  return isLong ? count * longJobFactor : count;
+}
--- /dev/null
+++ b/src/standins/configHistory.ts
@@ -0,0 +1,109 @@
+/** Numbered configuration documents of the platform stand-in. */
+import jsonPatch from 'fast-json-patch';
+import {err, ok, type Result} from 'neverthrow';
+import {computeConfigDigest} from '../protocol/configDigest.js';
+import {PatchError, StalePatchError} from '../protocol/errors.js';
+import type {
+  ConfigChange,
+  ConfigChanges,
+  ConfigDocument,
+  ConfigHead,
+} from '../protocol/platformApi.js';
+
+/** Documents kept for stale reads. */
+const keptDocuments = 64;
+/** Largest value that the configuration service holds, in bytes. */
+export const maxDocumentBytes = 1024 * 1024;
+
+/** Holds the newest documents and the changes between them. */
+export class ConfigHistory {
+  private readonly documents: Required<ConfigDocument>[] = [];
+  private readonly changes: ConfigChange[] = [];
+
+  constructor(
+    document: unknown,
+    number: number,
+    private readonly keptChanges: number,
+  ) {
+    const digest = computeConfigDigest(document);
+    this.documents.push({head: {number, digest}, document});
+  }
+
+  /** Number and digest of the newest document. */
+  getHead(): ConfigHead {
+    return this.getNewest().head;
+  }
+
+  /** Returns a document; the newest one without a number. */
+  getDocument(number?: number): Required<ConfigDocument> | undefined {
+    if (number === undefined) return this.getNewest();
+    return this.documents.find(({head}) => head.number === number);
+  }
+
+  /** Changes after a number up to a head; empty when N is too old. */
+  listChangesAfter(after: number, head: ConfigHead): ConfigChanges {
+    const oldest = this.changes.at(0)?.number ?? Infinity;
+    const changes =
+      oldest > after + 1
+        ? []
+        : this.changes.filter(
+            ({number}) => number > after && number <= head.number,
+          );
+    return {head, changes};
+  }
+
+  /** Applies a patch against the newest number. */
+  applyPatch(
+    baseNumber: number,
+    operations: ConfigChange['operations'],
+  ): Result<ConfigChange, StalePatchError | PatchError> {
+    const {head, document} = this.getNewest();
+    if (baseNumber !== head.number) {
+      return err(new StalePatchError(baseNumber, head.number));
+    }
+    const patched = buildPatched(document, operations);
+    if (patched.isErr()) return err(patched.error);
+    const change: ConfigChange = {
+      number: head.number + 1,
+      baseDigest: head.digest,
+      digest: computeConfigDigest(patched.value),
+      operations,
+    };
+    const {number, digest} = change;
+    this.documents.push({head: {number, digest}, document: patched.value});
+    if (this.documents.length > keptDocuments) this.documents.shift();
+    this.changes.push(change);
+    if (this.changes.length > this.keptChanges) this.changes.shift();
+    return ok(change);
+  }
+
+  private getNewest(): Required<ConfigDocument> {
+    return this.documents[this.documents.length - 1];
+  }
+}
+
+/** Applies operations to a copy of a document. */
+function buildPatched(
+  document: unknown,
+  operations: ConfigChange['operations'],
+): Result<unknown, PatchError> {
+  let patched: unknown;
+  try {
+    patched = jsonPatch.applyPatch(
+      document,
+      operations as jsonPatch.Operation[],
+      true,
+      false,
+    ).newDocument;
+  } catch (cause) {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    return err(new PatchError(`patch does not apply: ${reason}`, {cause}));
+  }
+  const bytes = Buffer.byteLength(JSON.stringify(patched));
+  if (bytes <= maxDocumentBytes) return ok(patched);
+  return err(
+    new PatchError(
+      `document has ${bytes} bytes; at most ${maxDocumentBytes} are held`,
+    ),
+  );
+}
--- /dev/null
+++ b/src/standins/engineCounters.ts
@@ -0,0 +1,29 @@
+/** What the model engine stand-in counts, for tests and the bench. */
+
+/** Answer to `GET /control`. */
+export interface EngineCounters {
+  /** Chat requests received, by `x-request-id`. */
+  requestsSeen: Record<string, number>;
+  /** Chat requests whose generation started, by fingerprint. */
+  runsByFingerprint: Record<string, number>;
+  tokensGenerated: number;
+  /** Tokens generated for requests that were then cancelled. */
+  tokensWasted: number;
+  crashes: number;
+}
+
+/** Builds counters at zero. */
+export function buildEngineCounters(): EngineCounters {
+  return {
+    requestsSeen: {},
+    runsByFingerprint: {},
+    tokensGenerated: 0,
+    tokensWasted: 0,
+    crashes: 0,
+  };
+}
+
+/** Adds one to a count by key. */
+export function addOne(counts: Record<string, number>, key: string): void {
+  counts[key] = (counts[key] ?? 0) + 1;
+}
--- /dev/null
+++ b/src/standins/engineOptions.ts
@@ -0,0 +1,39 @@
+/** Options of the model engine stand-in. */
+import {z} from 'zod';
+import {loadedModelSchema} from '../protocol/engineApi.js';
+import {listenOptions, millisecondsSchema, shareSchema} from './options.js';
+
+const modelOptionSchema = z
+  .string()
+  .transform(model => ({model, version: '1', adapters: []}))
+  .or(loadedModelSchema);
+
+export const engineOptionsSchema = z.strictObject({
+  ...listenOptions,
+  /** Requests that get a token in the same step. */
+  slots: z.number().int().positive().default(16),
+  /** Time between two tokens of a request in milliseconds. */
+  stepMs: millisecondsSchema.positive().default(10),
+  /** Fixed cost of a prefill in milliseconds. */
+  prefillMs: millisecondsSchema.default(20),
+  /** Cost of a prefill for each character that is not cached. */
+  prefillCharacterMs: millisecondsSchema.default(0.01),
+  /** Mean number of tokens of an answer that is not long. */
+  meanTokens: z.number().positive().default(32),
+  /** Share of requests with 20 times more tokens. */
+  longJobShare: shareSchema.default(0),
+  /** Age of the load reports in milliseconds. */
+  loadLagMs: millisecondsSchema.default(1_000),
+  prefixCacheEntries: z.number().int().positive().default(64),
+  /** Delay of cache events in milliseconds. */
+  cacheEventDelayMs: millisecondsSchema.default(500),
+  /** Share of cache events that are never reported. */
+  cacheEventLossShare: shareSchema.default(0),
+  /**
+   * Models loaded at the start, a name or a whole entry each. Without this
+   * option the engine serves any model, whatever is loaded.
+   */
+  models: z.array(modelOptionSchema).optional(),
+});
+export type EngineOptions = z.output<typeof engineOptionsSchema>;
+export type EngineOptionsInput = z.input<typeof engineOptionsSchema>;
--- /dev/null
+++ b/src/standins/loadHistory.ts
@@ -0,0 +1,46 @@
+/** Load reports that lag behind the truth. */
+import type {LoadReport} from '../protocol/engineApi.js';
+
+interface LoadChange {
+  running: number;
+  waiting: number;
+  atMs: number;
+}
+
+/** Remembers how many requests were running and waiting at a past time. */
+export class LoadHistory {
+  private readonly changes: LoadChange[] = [];
+
+  constructor(
+    private readonly slots: number,
+    private readonly lagMs: number,
+  ) {
+    this.record(0);
+  }
+
+  /** Notes the number of requests in the server, running and waiting. */
+  record(requests: number): void {
+    const running = Math.min(requests, this.slots);
+    const waiting = requests - running;
+    const atMs = Date.now();
+    const last = this.changes.at(-1);
+    if (last?.running === running && last.waiting === waiting) return;
+    this.changes.push({running, waiting, atMs});
+    this.forgetBefore(atMs - this.lagMs);
+  }
+
+  /** Returns the load as it was `lagMs` ago. */
+  report(): LoadReport {
+    const takenAtMs = Date.now() - this.lagMs;
+    this.forgetBefore(takenAtMs);
+    const {running, waiting} = this.changes[0];
+    return {running, waiting, slots: this.slots, takenAtMs};
+  }
+
+  /** Keeps the newest change that is not after the time, and later ones. */
+  private forgetBefore(timeMs: number): void {
+    while (this.changes.length > 1 && this.changes[1].atMs <= timeMs) {
+      this.changes.shift();
+    }
+  }
+}
--- /dev/null
+++ b/src/standins/plainService.ts
@@ -0,0 +1,159 @@
+/** Stand-in of a plain service, such as a catalogue or a parts portal. */
+import {Hono, type Context} from 'hono';
+import {z} from 'zod';
+import {CallerHeader} from '../protocol/callerApi.js';
+import {addOne} from './engineCounters.js';
+import {LoadHistory} from './loadHistory.js';
+import {listenOptions, millisecondsSchema, shareSchema} from './options.js';
+import {SeededRandom} from './seededRandom.js';
+import {StandinServer, type StandinEnv} from './standinServer.js';
+
+export const serviceOptionsSchema = z.strictObject({
+  ...listenOptions,
+  /** Requests that are worked on at the same time. */
+  slots: z.number().int().positive().default(16),
+  /** Mean time of a request in milliseconds. */
+  serviceMs: millisecondsSchema.default(10),
+  /** Service times are uniform within this share of the mean. */
+  serviceSpread: shareSchema.default(0.5),
+  /** Age of the load reports in milliseconds. */
+  loadLagMs: millisecondsSchema.default(1_000),
+});
+export type ServiceOptions = z.output<typeof serviceOptionsSchema>;
+export type ServiceOptionsInput = z.input<typeof serviceOptionsSchema>;
+
+/** Answer to `GET /control`. */
+export interface ServiceCounters {
+  /** Requests received, by `x-request-id`. */
+  requestsSeen: Record<string, number>;
+  /** Runs by `x-anvilstall-operation-key`. */
+  runsByOperationKey: Record<string, number>;
+  /** Runs by `x-request-id`. */
+  runsByRequest: Record<string, number>;
+  runs: number;
+}
+
+/** Body of an answer. */
+export interface ServiceAnswer {
+  path: string;
+  requestId: string | null;
+  operationKey: string | null;
+  /** Number of the run; increases by one with each run. */
+  number: number;
+  /** Whether the operation key in the query has run. */
+  operationRan?: boolean;
+}
+
+/** Answers any method and path, and counts what it ran. */
+export class PlainService {
+  private server!: StandinServer;
+  private readonly random: SeededRandom;
+  private readonly load: LoadHistory;
+  private readonly queue: (() => void)[] = [];
+  private working = 0;
+  private readonly counters: ServiceCounters = {
+    requestsSeen: {},
+    runsByOperationKey: {},
+    runsByRequest: {},
+    runs: 0,
+  };
+
+  private constructor(readonly options: ServiceOptions) {
+    this.random = new SeededRandom(options.seed);
+    this.load = new LoadHistory(options.slots, options.loadLagMs);
+  }
+
+  /**
+   * Starts a service.
+   *
+   * @example
+   * const service = await PlainService.start({serviceMs: 5});
+   */
+  static async start(input: ServiceOptionsInput = {}): Promise<PlainService> {
+    const service = new PlainService(serviceOptionsSchema.parse(input));
+    const {host, port} = service.options;
+    const app = service.buildApp();
+    service.server = await StandinServer.start({host, port, app});
+    return service;
+  }
+
+  /** Base URL without a trailing slash. */
+  get url(): string {
+    return this.server.url;
+  }
+
+  get port(): number {
+    return this.server.port;
+  }
+
+  /** Destroys all connections and refuses new ones. */
+  async stop(): Promise<void> {
+    await this.server.stop();
+  }
+
+  /** Returns a copy of the counters. */
+  getCounters(): ServiceCounters {
+    return structuredClone(this.counters);
+  }
+
+  private buildApp(): Hono<StandinEnv> {
+    const app = new Hono<StandinEnv>();
+    app.get('/control', context => context.json(this.counters));
+    app.get('/load', context => context.json(this.load.report()));
+    app.all('*', context => this.acceptCall(context));
+    return app;
+  }
+
+  private async acceptCall(context: Context<StandinEnv>): Promise<Response> {
+    await context.req.text();
+    const requestId = context.req.header(CallerHeader.RequestId);
+    if (requestId) addOne(this.counters.requestsSeen, requestId);
+    await this.acquireSlot();
+    try {
+      const answer = this.run(context);
+      await this.waitForWork();
+      return context.json(answer);
+    } finally {
+      this.releaseSlot();
+    }
+  }
+
+  private run(context: Context<StandinEnv>): ServiceAnswer {
+    const requestId = context.req.header(CallerHeader.RequestId) ?? null;
+    const operationKey = context.req.header(CallerHeader.OperationKey) ?? null;
+    const {runsByRequest, runsByOperationKey} = this.counters;
+    this.counters.runs += 1;
+    if (requestId) addOne(runsByRequest, requestId);
+    if (operationKey) addOne(runsByOperationKey, operationKey);
+    const asked = context.req.query('operationKey');
+    return {
+      path: context.req.path,
+      requestId,
+      operationKey,
+      number: this.counters.runs,
+      ...(asked === undefined
+        ? {}
+        : {operationRan: runsByOperationKey[asked] > 0}),
+    };
+  }
+
+  private async waitForWork(): Promise<void> {
+    const {serviceMs, serviceSpread} = this.options;
+    const deviation = (2 * this.random.draw() - 1) * serviceSpread;
+    const timeMs = serviceMs * (1 + deviation);
+    await new Promise(resolve => setTimeout(resolve, timeMs));
+  }
+
+  private async acquireSlot(): Promise<void> {
+    this.working += 1;
+    this.load.record(this.working);
+    if (this.working <= this.options.slots) return;
+    await new Promise<void>(resolve => this.queue.push(resolve));
+  }
+
+  private releaseSlot(): void {
+    this.working -= 1;
+    this.load.record(this.working);
+    this.queue.shift()?.();
+  }
+}
--- a/tests/node/configStore.test.ts
+++ b/tests/node/configStore.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {computeConfigDigest} from '../../src/config/configDigest.js';
+import {computeConfigDigest} from '../../src/protocol/configDigest.js';
 import {ApplyResult, ConfigStore} from '../../src/node/configStore.js';
 import {Log} from '../../src/node/log.js';
 
--- /dev/null
+++ b/tests/standins/platform.test.ts
@@ -0,0 +1,60 @@
+import {expect} from 'chai';
+import {computeConfigDigest} from '../../src/protocol/configDigest.js';
+import {Platform} from '../../src/standins/platform.js';
+import {waitUntil} from './streamClient.js';
+
+describe('platform stand-in', () => {
+  let platform: Platform;
+
+  afterEach(() => platform.stop());
+
+  const read = async (path: string) => {
+    const response = await fetch(`${platform.url}${path}`);
+    return (await response.json()) as Record<string, unknown>;
+  };
+  const patch = (baseNumber: number, value: number) =>
+    fetch(`${platform.url}/write/patch`, {
+      method: 'POST',
+      body: JSON.stringify({
+        baseNumber,
+        operations: [{op: 'replace', path: '/a', value}],
+      }),
+    });
+
+  // Guards against two patches that both take effect on the same number.
+  it('should refuse a patch against a stale number', async () => {
+    platform = await Platform.start({document: {a: 1}});
+    expect((await patch(1, 2)).status).to.equal(200);
+    const refused = await patch(1, 3);
+    expect(refused.status).to.equal(409);
+    expect(await refused.json()).to.include({number: 2});
+    const digest = computeConfigDigest({a: 2});
+    expect(await read('/v1/config/document')).to.deep.equal({
+      head: {number: 2, digest},
+      document: {a: 2},
+    });
+    const {changes} = await read('/v1/config/changes?after=1');
+    expect(changes).to.have.length(1);
+    expect((changes as object[])[0]).to.include({number: 2, digest});
+  });
+
+  // Guards against changes that reach watchers only after their wait.
+  it('should answer a watch when the number rises', async () => {
+    platform = await Platform.start({document: {a: 1}});
+    const watch = read('/v1/config/watch?after=1&waitMs=60000');
+    await waitUntil(() => platform.getCounters().waitingWatches === 1);
+    await patch(1, 2);
+    expect((await watch).number).to.equal(2);
+    expect(platform.getCounters().configReads).to.equal(1);
+  });
+
+  // Guards against a fleet that reads more than the platform allows.
+  it('should answer 429 above the read budget', async () => {
+    platform = await Platform.start({readsPerSecond: 2});
+    const statuses = [];
+    for (let index = 0; index < 3; index += 1) {
+      statuses.push((await fetch(`${platform.url}/v1/config/head`)).status);
+    }
+    expect(statuses).to.deep.equal([200, 200, 429]);
+  });
+});
