Serve requests end to end between separate processes

Cause: the lease client resolved with nothing, because unsubscribe calls onComplete before the grant was passed on. Ruled out: a fault of the dispatcher (its grant reached the client, seen in a trace of both processes).

--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -122,8 +122,9 @@
       const timer = setTimeout(() => finish(undefined), deadlineMs);
       const finish = (result: LeaseEvent | undefined) => {
         clearTimeout(timer);
-        subscription.unsubscribe();
+        // Before unsubscribe, which calls onComplete at once.
         resolve(result);
+        subscription.unsubscribe();
       };
       const subscription = client.leases.acquire.subscribe(
         {
--- /dev/null
+++ b/tools/localFleet.ts
@@ -0,0 +1,381 @@
+/** Starts a fleet with its stand-ins as processes on loopback addresses. */
+import crypto from 'node:crypto';
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import type {Configuration} from '../src/config/configuration.js';
+import type {Settings} from '../src/config/settings.js';
+import type {ConfigStatus} from '../src/node/configStore.js';
+import {MemberState, type Member} from '../src/protocol/memberMessages.js';
+import {VmState, type VmList} from '../src/protocol/platformApi.js';
+import {ManagedProcess} from './managedProcess.js';
+import {
+  buildConfiguration,
+  deploymentShapes,
+  Region,
+  type DeploymentShape,
+} from './sampleDeployments.js';
+
+const ports = {
+  callers: 18_080,
+  gatewayPeers: 17_401,
+  dispatcherPeers: 17_402,
+  gatewayOperators: 17_403,
+  dispatcherOperators: 17_404,
+};
+const standinPort = 19_000;
+const readyDeadlineMs = 30_000;
+const pollIntervalMs = 50;
+
+/** Options of a fleet; the rest is a deployment's shape. */
+export interface LocalFleetOptions extends Partial<DeploymentShape> {
+  region: Region;
+  /** Flags of every model engine, e.g. `{stepMs: 5}`. */
+  engineFlags?: Record<string, string | number>;
+  /** Flags of every plain service. */
+  serviceFlags?: Record<string, string | number>;
+  /** Changes the configuration before the platform publishes it. */
+  editConfiguration?: (configuration: Configuration) => void;
+  logLevel?: Settings['logLevel'];
+}
+
+/** An entry VM: a gateway and a dispatcher on an address of their own. */
+export interface LocalVm {
+  name: string;
+  zone: string;
+  address: string;
+  callerUrl: string;
+  settingsFile: string;
+  gateway: ManagedProcess;
+  dispatcher: ManagedProcess;
+}
+
+/** Parts of a daemon's dump that every daemon has. */
+export interface DaemonDump {
+  self: Member;
+  members: Member[];
+  configuration: ConfigStatus;
+  memoryBytes: number;
+  [part: string]: unknown;
+}
+
+/** A stand-in process. */
+export interface LocalStandin {
+  id: string;
+  url: string;
+  address: string;
+  process: ManagedProcess;
+}
+
+/**
+ * A running fleet. `stop` ends every process that it started.
+ *
+ * @example
+ * const fleet = await LocalFleet.start({region: Region.Kaap, vms: 2});
+ * try { await fetch(`${fleet.vms[0].callerUrl}/v1/addresses`); }
+ * finally { await fleet.stop(); }
+ */
+export class LocalFleet {
+  readonly vms: LocalVm[] = [];
+  readonly engines: LocalStandin[] = [];
+  readonly services: LocalStandin[] = [];
+  readonly keys = {
+    peer: crypto.randomBytes(24).toString('base64url'),
+    operator: crypto.randomBytes(24).toString('base64url'),
+  };
+  platform!: LocalStandin;
+  private readonly folder = fs.mkdtempSync(
+    path.join(os.tmpdir(), 'anvilstall-'),
+  );
+  // Fleets that run at the same time get different loopback networks.
+  private readonly network = `127.${10 + crypto.randomInt(200)}.${crypto.randomInt(250)}`;
+  private readonly processes: ManagedProcess[] = [];
+
+  private constructor(
+    readonly shape: DeploymentShape,
+    private readonly options: LocalFleetOptions,
+  ) {}
+
+  /** Starts stand-ins and VMs and waits until every daemon is ready. */
+  static async start(options: LocalFleetOptions): Promise<LocalFleet> {
+    const shape = {...deploymentShapes[options.region], ...options};
+    const fleet = new LocalFleet(shape, options);
+    try {
+      await fleet.startAll();
+      return fleet;
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+  }
+
+  /** Ends all processes and removes the settings files. */
+  async stop(): Promise<void> {
+    // Frozen processes only react to SIGKILL.
+    await Promise.all(this.processes.map(child => child.kill()));
+    fs.rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  /** Starts the gateway of a VM again, as a new incarnation. */
+  async restartGateway(vm: LocalVm): Promise<void> {
+    await vm.gateway.kill();
+    vm.gateway = this.spawn('gateway', ['--settings', vm.settingsFile]);
+    await this.waitForReady(vm);
+  }
+
+  /** Starts the dispatcher of a VM again, as a new incarnation. */
+  async restartDispatcher(vm: LocalVm): Promise<void> {
+    await vm.dispatcher.kill();
+    vm.dispatcher = this.spawn('dispatcher', ['--settings', vm.settingsFile]);
+    await this.waitForReady(vm);
+  }
+
+  /** Reads a daemon's dump over the operators' interface. */
+  async readDump(
+    vm: LocalVm,
+    role: 'gateway' | 'dispatcher',
+  ): Promise<DaemonDump> {
+    const response = await this.callOperator(vm, role, '/dump');
+    return (await response.body.json()) as DaemonDump;
+  }
+
+  /** Calls a daemon's operators' interface. */
+  async callOperator(
+    vm: LocalVm,
+    role: 'gateway' | 'dispatcher',
+    route: string,
+    method: 'GET' | 'POST' = 'GET',
+  ) {
+    const port =
+      role === 'gateway' ? ports.gatewayOperators : ports.dispatcherOperators;
+    return request(`http://${vm.address}:${port}${route}`, {
+      method,
+      headers: {authorization: `Bearer ${this.keys.operator}`},
+    });
+  }
+
+  /** Publishes a VM list. */
+  async writeVms(change: (list: VmList) => void): Promise<void> {
+    const list = this.buildVmList();
+    change(list);
+    await this.writePlatform('PUT', '/write/vms', list);
+  }
+
+  /** Submits a patch to the platform's write side; returns the status. */
+  async writePatch(
+    baseNumber: number,
+    operations: object[],
+  ): Promise<{status: number; body: unknown}> {
+    return this.writePlatform('POST', '/write/patch', {baseNumber, operations});
+  }
+
+  /** Sets faults of a stand-in. */
+  async setFaults(standin: LocalStandin, body: object): Promise<void> {
+    const response = await request(`${standin.url}/control`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(body),
+    });
+    const text = await response.body.text();
+    if (response.statusCode >= 300) {
+      throw new Error(`${standin.id}: ${response.statusCode} ${text}`);
+    }
+  }
+
+  /** Reads the counters of a stand-in. */
+  async readCounters<T>(standin: LocalStandin): Promise<T> {
+    const response = await request(`${standin.url}/control`);
+    return (await response.body.json()) as T;
+  }
+
+  private async writePlatform(
+    method: 'PUT' | 'POST',
+    route: string,
+    body: object,
+  ): Promise<{status: number; body: unknown}> {
+    const response = await request(`${this.platform.url}${route}`, {
+      method,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(body),
+    });
+    const text = await response.body.text();
+    return {
+      status: response.statusCode,
+      body: text === '' ? undefined : JSON.parse(text),
+    };
+  }
+
+  private async startAll(): Promise<void> {
+    const {shape, options} = this;
+    for (let i = 0; i < shape.engines; i++) {
+      this.engines.push(
+        this.spawnStandin('standinEngine', `engine-${i + 1}`, `1${i + 1}`, {
+          slots: 16,
+          ...options.engineFlags,
+        }),
+      );
+    }
+    for (let i = 0; i < shape.services; i++) {
+      const id = `${shape.service}-${i + 1}`;
+      this.services.push(
+        this.spawnStandin('standinService', id, `2${i + 1}`, {
+          slots: 32,
+          ...options.serviceFlags,
+        }),
+      );
+    }
+    this.startPlatform();
+    const standins = [...this.engines, ...this.services, this.platform];
+    await Promise.all(standins.map(standin => this.waitForStandin(standin)));
+    for (let i = 0; i < shape.vms; i++) this.startVm(i);
+    await Promise.all(this.vms.map(vm => this.waitForReady(vm)));
+    await this.waitForMembers();
+  }
+
+  private startPlatform(): void {
+    const configuration = buildConfiguration(this.shape, {
+      engines: this.engines.map(standin => standin.address),
+      services: this.services.map(standin => standin.address),
+    });
+    this.options.editConfiguration?.(configuration);
+    const documentFile = this.writeFile('configuration.json', configuration);
+    const vmsFile = this.writeFile('vms.json', this.buildVmList());
+    this.platform = this.spawnStandin('standinPlatform', 'platform', '250', {
+      documentFile,
+      vmsFile,
+    });
+  }
+
+  private startVm(index: number): void {
+    const name = `vm-${index + 1}`;
+    const address = this.getVmAddress(index);
+    const settings: Settings = {
+      vm: name,
+      zone: this.getVmZone(index),
+      address,
+      operatorAddress: address,
+      ports,
+      platform: {configUrl: this.platform.url, vmListUrl: this.platform.url},
+      keys: this.keys,
+      logLevel: this.options.logLevel ?? 'warn',
+    };
+    const settingsFile = this.writeFile(`${name}.json`, settings);
+    this.vms.push({
+      name,
+      zone: settings.zone,
+      address,
+      callerUrl: `http://${address}:${ports.callers}`,
+      settingsFile,
+      gateway: this.spawn('gateway', ['--settings', settingsFile]),
+      dispatcher: this.spawn('dispatcher', ['--settings', settingsFile]),
+    });
+  }
+
+  private spawnStandin(
+    binary: string,
+    id: string,
+    host: string,
+    flags: Record<string, string | number>,
+  ): LocalStandin {
+    const address = `${this.network}.${host}:${standinPort}`;
+    const args = Object.entries({
+      host: `${this.network}.${host}`,
+      port: standinPort,
+      ...flags,
+    }).flatMap(([name, value]) => [`--${name}`, String(value)]);
+    const child = this.spawn(binary, args);
+    return {id, url: `http://${address}`, address, process: child};
+  }
+
+  private spawn(binary: string, args: string[]): ManagedProcess {
+    const child = ManagedProcess.start(binary, args);
+    this.processes.push(child);
+    return child;
+  }
+
+  private buildVmList(): VmList {
+    return {
+      entryVms: Array.from({length: this.shape.vms}, (_, index) => ({
+        vm: `vm-${index + 1}`,
+        address: this.getVmAddress(index),
+        zone: this.getVmZone(index),
+        state: VmState.Live,
+      })),
+      backendServerVms: [...this.engines, ...this.services].map(standin => ({
+        backendServer: standin.id,
+        state: VmState.Live,
+      })),
+    };
+  }
+
+  private getVmAddress(index: number): string {
+    return `${this.network}.${100 + index + 1}`;
+  }
+
+  private getVmZone(index: number): string {
+    return this.shape.zones[index % this.shape.zones.length];
+  }
+
+  private writeFile(name: string, content: object): string {
+    const file = path.join(this.folder, name);
+    fs.writeFileSync(file, JSON.stringify(content, null, 2));
+    return file;
+  }
+
+  private async waitForStandin(standin: LocalStandin): Promise<void> {
+    await this.waitUntil(`${standin.id} listens`, async () => {
+      const response = await request(`${standin.url}/control`);
+      await response.body.dump();
+      return response.statusCode === 200;
+    });
+  }
+
+  private async waitForReady(vm: LocalVm): Promise<void> {
+    for (const role of ['gateway', 'dispatcher'] as const) {
+      await this.waitUntil(`${role} of ${vm.name} is ready`, async () => {
+        const response = await this.callOperator(vm, role, '/ready');
+        await response.body.dump();
+        return response.statusCode === 200;
+      });
+    }
+  }
+
+  /** Waits until every gateway knows every member. */
+  private async waitForMembers(): Promise<void> {
+    for (const vm of this.vms) {
+      await this.waitUntil(`${vm.name} knows all members`, async () => {
+        const {members} = await this.readDump(vm, 'gateway');
+        const present = members.filter(
+          member => member.state === MemberState.Alive,
+        );
+        return present.length === 2 * this.vms.length;
+      });
+    }
+  }
+
+  /** Polls until a condition holds; errors count as "not yet". */
+  async waitUntil(
+    what: string,
+    condition: () => Promise<boolean>,
+    deadlineMs = readyDeadlineMs,
+  ): Promise<void> {
+    const endMs = performance.now() + deadlineMs;
+    let lastError: unknown;
+    while (performance.now() < endMs) {
+      try {
+        if (await condition()) return;
+      } catch (error) {
+        lastError = error;
+      }
+      await sleep(pollIntervalMs);
+    }
+    const ended = this.processes
+      .filter(child => !child.isRunning())
+      .map(child => `${child.name}: ${child.getOutput().slice(-2_000)}`);
+    throw new Error(
+      `not within ${deadlineMs} ms: ${what}; last error ${String(lastError)}; ended processes: ${ended.join('\n')}`,
+    );
+  }
+}
