--- /dev/null
+++ b/src/bin/ctl.ts
@@ -0,0 +1,78 @@
+#!/usr/bin/env node
+/** The `anvilstall-ctl` binary: the operators' tool. */
+import sade from 'sade';
+import {CtlCommands, type CommandResult} from '../ctl/ctlCommands.js';
+import {readCtlSettings} from '../ctl/ctlSettings.js';
+import {OperatorClient} from '../ctl/operatorClient.js';
+import {MemberRole} from '../protocol/memberMessages.js';
+import {ExitCode} from './exitCode.js';
+import {version} from './version.js';
+
+interface Options {
+  settings: string;
+}
+
+/** Runs one command and prints its result as JSON. */
+async function runCommand(
+  options: Options,
+  command: (commands: CtlCommands) => CommandResult,
+): Promise<void> {
+  const settings = readCtlSettings(options.settings);
+  if (settings.isErr()) {
+    console.error(settings.error.message);
+    process.exitCode = ExitCode.Config;
+    return;
+  }
+  const result = await command(
+    new CtlCommands(new OperatorClient(settings.value)),
+  );
+  if (result.isErr()) {
+    console.error(`${result.error.name}: ${result.error.message}`);
+    process.exitCode = ExitCode.Failure;
+    return;
+  }
+  console.log(JSON.stringify(result.value, null, 2));
+}
+
+/** Reads a role from the command line. */
+function parseRole(role: string): MemberRole {
+  const known = Object.values(MemberRole).find(value => value === role);
+  if (known) return known;
+  console.error(`role must be one of: ${Object.values(MemberRole).join(', ')}`);
+  process.exit(ExitCode.Usage);
+}
+
+sade('anvilstall-ctl')
+  .version(version)
+  .option('--settings', 'JSON settings file', '/etc/anvilstall/ctl.json')
+  .command('fleet', 'Show every daemon and its configuration number')
+  .example('fleet --settings ctl.json')
+  .action((options: Options) => runCommand(options, c => c.listFleet()))
+  .command('config', "Show the platform's newest configuration and its number")
+  .action((options: Options) => runCommand(options, c => c.readConfiguration()))
+  .command('patch-make <wanted>', 'Make the patch to a wanted configuration')
+  .example('patch-make wanted.json > patch.json')
+  .action((wanted: string, options: Options) =>
+    runCommand(options, c => c.makePatch(wanted)),
+  )
+  .command('patch-check <patch>', 'Check a patch against the number in force')
+  .example('patch-check patch.json')
+  .action((patch: string, options: Options) =>
+    runCommand(options, c => c.checkPatchFile(patch)),
+  )
+  .command('dump <vm> <role>', "Print a daemon's state")
+  .example('dump vm-3 gateway')
+  .action((vm: string, role: string, options: Options) =>
+    runCommand(options, c => c.dump(vm, parseRole(role))),
+  )
+  .command('drain <vm> <role>', 'Let a daemon leave gracefully')
+  .example('drain vm-3 dispatcher')
+  .action((vm: string, role: string, options: Options) =>
+    runCommand(options, c => c.drain(vm, parseRole(role))),
+  )
+  .command('log-level <vm> <role> <level>', "Set a daemon's log level")
+  .example('log-level vm-3 gateway debug')
+  .action((vm: string, role: string, level: string, options: Options) =>
+    runCommand(options, c => c.setLogLevel(vm, parseRole(role), level)),
+  )
+  .parse(process.argv);
--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -2,13 +2,8 @@
 import sade from 'sade';
 import {readSettings, type Settings} from '../config/settings.js';
 import {LogLevel, setLogLevel} from '../node/log.js';
-
-/** Exit codes, after sysexits.h. */
-enum ExitCode {
-  Ok = 0,
-  Software = 70,
-  Config = 78,
-}
+import {ExitCode} from './exitCode.js';
+import {version} from './version.js';
 
 /** A running daemon. */
 interface Daemon {
@@ -26,7 +21,7 @@
   start: (settings: Settings) => Promise<Daemon>,
 ): void {
   sade(name, true)
-    .version('0.1.0')
+    .version(version)
     .option('--settings', 'JSON settings file', '/etc/anvilstall/settings.json')
     .option('--check', 'Check the settings and exit')
     .example('--settings settings.json')
--- /dev/null
+++ b/src/ctl/patchFile.ts
@@ -0,0 +1,73 @@
+/** Makes and checks the patches that operators submit to the platform. */
+import jsonPatch from 'fast-json-patch';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {applyOperations} from '../config/applyOperations.js';
+import {configurationSchema} from '../config/configuration.js';
+import {validateDocument} from '../config/validateDocument.js';
+import {
+  PatchError,
+  StalePatchError,
+  type ValidationError,
+} from '../protocol/errors.js';
+import {
+  patchOperationSchema,
+  type PatchOperation,
+  type ConfigDocument,
+} from '../protocol/platformApi.js';
+
+/** A patch as the platform's write side takes it. */
+export const patchFileSchema = z.strictObject({
+  /** Number of the configuration that the patch changes. */
+  baseNumber: z.number().int().nonnegative(),
+  operations: z.array(patchOperationSchema).min(1),
+});
+export type PatchFile = z.infer<typeof patchFileSchema>;
+
+/**
+ * Makes the patch that turns the document in force into a wanted one.
+ *
+ * @example
+ * const patch = buildPatch({head: {number: 7, digest}, document}, wanted);
+ */
+export function buildPatch(
+  current: ConfigDocument,
+  wanted: object,
+): Result<PatchFile, PatchError | ValidationError> {
+  return validateDocument(
+    'the wanted configuration',
+    configurationSchema,
+    wanted,
+  )
+    .map(() => jsonPatch.compare(current.document as object, wanted))
+    .andThen(operations =>
+      operations.length > 0
+        ? ok({
+            baseNumber: current.head.number,
+            operations: operations as PatchOperation[],
+          })
+        : err(new PatchError('the wanted configuration is the one in force')),
+    );
+}
+
+/**
+ * Checks that a patch is against the number in force, that it applies, and
+ * that its result is valid.
+ */
+export function checkPatch(
+  current: ConfigDocument,
+  patch: PatchFile,
+): Result<void, PatchError | StalePatchError | ValidationError> {
+  if (patch.baseNumber !== current.head.number) {
+    return err(new StalePatchError(patch.baseNumber, current.head.number));
+  }
+  return applyOperations(current.document, patch.operations)
+    .andThen(result =>
+      validateDocument(
+        'the patched configuration',
+        configurationSchema,
+        result,
+      ),
+    )
+    .map(() => undefined);
+}
--- a/src/protocol/platformApi.ts
+++ b/src/protocol/platformApi.ts
@@ -15,6 +15,8 @@
   path: z.string(),
 });
 
+export type PatchOperation = z.infer<typeof patchOperationSchema>;
+
 /** The change from `number - 1` to `number`. */
 export const configChangeSchema = z.object({
   number: z.number().int().positive(),
