Handle the life of leases from grant to release, drop or move

Cause: a release that overtook its grant was ignored, a grant that never reached its gateway held its slot for 10 s, a dead gateway's leases too, and a new owner granted slots that were in use.

Ruled out: to drop all leases after a pause. Their slots would count as free before the gateways had renewed them; they now count until a first renewal is 2 s late.

Change: LeaseTable with blocked ids, first renewal within 2 s, drop of dead gateways; GraceLimit; ownership changes, leaving marks and pauses reach each queue. BackendServerQueue is split into WaitingQueue, LeaseTable and SlotCounter. LeaseService names the parts of a member that it uses, so that tests can run it without a network.

--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -4,6 +4,7 @@
   type BackendServer,
   type Configuration,
 } from '../config/configuration.js';
+import type {LoadReport} from '../protocol/engineApi.js';
 import {
   LeaseEnd,
   LeaseEventKind,
@@ -12,56 +13,89 @@
   type BackendServerView,
   type LeaseEvent,
   type Release,
-  type Renew,
 } from '../protocol/leaseMessages.js';
-import {ClassScheduler, type ScheduledPick} from './classScheduler.js';
-import {computePriority, LeaseTable, type HeldLease} from './leaseTable.js';
+import type {ScheduledPick} from './classScheduler.js';
+import {
+  computePriority,
+  type HeldLease,
+  type RenewedLease,
+} from './heldLease.js';
+import {LeaseTable} from './leaseTable.js';
+import {GraceLimit} from './graceLimit.js';
 import {OverGrantTimer} from './overGrantTimer.js';
 import {ServiceTimes} from './serviceTimes.js';
-import {WaitEstimator, type WaitContext} from './waitEstimator.js';
+import {SlotCounter} from './slotCounter.js';
 import {WaitingEntry} from './waitingEntry.js';
-
-/** A lease that isn't renewed for this time is dropped. */
-export const leaseTimeoutMs = 10_000;
-
-/** A lease as its gateway renews it. */
-export type RenewedLease = Renew['leases'][number];
-
-/** What acquiring and renewing tell of a request. */
-type LeaseSource = Pick<
-  Acquire,
-  | 'leaseId'
-  | 'requestId'
-  | 'gateway'
-  | 'className'
-  | 'customer'
-  | 'fingerprint'
-  | 'suspectCount'
->;
+import {WaitingQueue} from './waitingQueue.js';
 
 /** Grants the slots of one backend server. */
 export class BackendServerQueue {
-  private readonly leases: LeaseTable;
-  private readonly scheduler: ClassScheduler<WaitingEntry>;
+  private readonly leases = new LeaseTable();
+  private readonly slots: SlotCounter;
+  private readonly waiting: WaitingQueue;
   private readonly serviceTimes = new ServiceTimes();
-  private readonly estimator = new WaitEstimator(this.serviceTimes);
   private readonly overGrants = new OverGrantTimer();
+  private readonly grace = new GraceLimit();
+  private owned = false;
+  private leaving = false;
 
   constructor(
     readonly id: string,
     private server: BackendServer,
     private configuration: Configuration,
   ) {
-    this.leases = new LeaseTable(server.slots);
-    this.scheduler = new ClassScheduler(configuration.classes);
+    this.slots = new SlotCounter(this.leases, server.slots);
+    this.waiting = new WaitingQueue({
+      classes: configuration.classes,
+      serviceTimes: this.serviceTimes,
+      countSlots: () => this.slots.countNormalSlots(),
+      getView: () => this.getView(),
+    });
   }
 
   /** Takes a new configuration. */
   update(server: BackendServer, configuration: Configuration): void {
     this.server = server;
     this.configuration = configuration;
-    this.leases.setSlots(server.slots);
-    this.scheduler.update(configuration.classes);
+    this.slots.setSlots(server.slots);
+    this.waiting.update(configuration.classes);
+    this.advance();
+  }
+
+  /**
+   * Starts or ends the ownership. A new owner adopts the leases that gateways
+   * renew; a former one refuses its waiting work and forgets its leases.
+   */
+  setOwned(owned: boolean): void {
+    if (owned === this.owned) return;
+    this.owned = owned;
+    this.leases.drop();
+    if (owned) this.grace.start(Date.now());
+    else this.waiting.refuseAll(LeaseRefusal.Moved);
+  }
+
+  /** Marks the server as leaving or not; a leaving server gets no lease. */
+  setLeaving(leaving: boolean): void {
+    this.leaving = leaving;
+    if (leaving) this.waiting.refuseAll(LeaseRefusal.Leaving);
+    else this.advance();
+  }
+
+  /**
+   * Trusts no state from before a pause, as a new owner would. Leases still
+   * count until they have had the time of a first renewal.
+   */
+  resetAfterPause(): void {
+    if (!this.owned) return;
+    const nowMs = Date.now();
+    this.grace.start(nowMs);
+    this.leases.requireRenewal(nowMs);
+    this.waiting.refuseAll(LeaseRefusal.Moved);
+  }
+
+  /** Takes the server's newest load report. */
+  applyLoadReport(report: LoadReport): void {
+    this.grace.applyReport(report);
     this.advance();
   }
 
@@ -69,8 +103,8 @@
   getView(): BackendServerView {
     return {
       backendServer: this.id,
-      freeSlots: this.leases.countFree(),
-      queueLength: this.scheduler.length,
+      freeSlots: this.countFree(),
+      queueLength: this.waiting.length,
       ejected: false,
     };
   }
@@ -88,7 +122,7 @@
       if (!entry.isSettled) {
         signal.addEventListener('abort', cancel, {once: true});
         if (signal.aborted) cancel();
-        yield this.buildQueuedEvent(entry);
+        yield this.waiting.buildQueuedEvent(entry);
       }
       const event = await entry.settled;
       delivered = !signal.aborted;
@@ -101,7 +135,9 @@
 
   /** Ends a lease and grants its slot to the next. */
   release(release: Release): void {
-    const lease = this.leases.remove(release.leaseId);
+    const entry = this.waiting.find(release.leaseId);
+    if (entry) this.cancel(entry);
+    const lease = this.leases.release(release.leaseId);
     if (!lease) return;
     this.recordServiceTime(lease, release);
     this.advance();
@@ -109,82 +145,105 @@
 
   /** Renews a lease, or adopts one that another dispatcher granted. */
   renew(gateway: string, renewed: RenewedLease): void {
-    const known = this.leases.find(renewed.leaseId);
-    const nowMs = Date.now();
-    const lease = known ?? this.buildLease({...renewed, gateway});
-    lease.tokens = renewed.tokens;
-    lease.renewedAtMs = nowMs;
-    lease.renewed = true;
-    if (!known) this.leases.add(lease);
+    const tier = this.waiting.getTier(renewed.className);
+    this.leases.renew(gateway, renewed, tier);
   }
 
   /** Drops the leases that weren't renewed in time, and serves the queue. */
   expireLeases(nowMs: number): void {
-    for (const lease of this.leases.list()) {
-      if (nowMs - lease.renewedAtMs <= leaseTimeoutMs) continue;
-      this.leases.remove(lease.leaseId);
-    }
+    this.leases.expire(nowMs);
     this.advance();
   }
 
-  /** Refuses all waiting work, e.g. because another dispatcher owns it now. */
-  refuseWaiting(refusal: LeaseRefusal): void {
-    const retryAfterMs = this.estimateRetryAfterMs();
-    for (const entry of this.scheduler.listEntries()) {
-      this.refuse(entry, refusal, retryAfterMs);
+  /** Drops the leases and the waiting work of gateways that are dead. */
+  dropGateways(isDead: (incarnation: string) => boolean): void {
+    this.leases.dropGateways(isDead);
+    for (const entry of this.waiting.listEntries()) {
+      if (isDead(entry.acquire.gateway)) this.cancel(entry);
     }
+    this.advance();
   }
 
   /** State for the dump. */
   describe(): object {
     return {
       ...this.getView(),
-      classes: this.scheduler.describe(),
+      classes: this.waiting.describe(),
       serviceTimes: this.serviceTimes.describe(),
       leases: this.leases.list(),
     };
   }
 
   private enqueue(entry: WaitingEntry): void {
-    this.scheduler.push(entry);
+    const refusal = this.checkAcquire(entry.acquire);
+    if (refusal) {
+      this.waiting.refuse(entry, refusal);
+      return;
+    }
+    this.waiting.push(entry);
     this.grantWaiting();
     if (entry.isSettled) return;
     if (entry.acquire.immediate) {
-      this.refuse(entry, LeaseRefusal.Busy);
+      this.waiting.refuse(entry, LeaseRefusal.Busy);
       return;
     }
     entry.watchExpiry(() => this.expire(entry));
-    this.evictExcess(entry);
-    this.refuseUnreachable();
+    this.waiting.evictExcess(entry, this.getQueueLimit());
+    this.waiting.refuseUnreachable();
+  }
+
+  /** Reason to refuse an acquisition before it is queued. */
+  private checkAcquire({leaseId}: Acquire): LeaseRefusal | undefined {
+    if (!this.owned) return LeaseRefusal.Moved;
+    if (this.leaving) return LeaseRefusal.Leaving;
+    // The gateway has given up already, or has used the id before.
+    const used = this.leases.has(leaseId) || this.waiting.find(leaseId);
+    return used ? LeaseRefusal.DeadlineExceeded : undefined;
+  }
+
+  private countFree(): number {
+    if (!this.owned || this.leaving) return 0;
+    const free = this.slots.countFree();
+    if (!this.grace.isActive(Date.now())) return free;
+    return Math.min(free, this.grace.countFree(this.leases.list()));
+  }
+
+  private getQueueLimit(): number {
+    const {classes, maxQueueLength} = this.configuration;
+    // With room for one entry a class, some class always has one to spare.
+    return Math.max(maxQueueLength, Object.keys(classes).length);
   }
 
   /** Serves the queue after a change of leases, slots or time. */
   private advance(): void {
     this.grantWaiting();
-    this.refuseUnreachable();
+    this.waiting.refuseUnreachable();
   }
 
   private grantWaiting(): void {
     for (;;) {
       const pick = this.pickGrantable();
       if (!pick) return;
-      this.scheduler.take(pick.entry);
+      this.waiting.take(pick.entry);
       this.grant(pick.entry);
     }
   }
 
   private pickGrantable(): ScheduledPick<WaitingEntry> | undefined {
-    const free = this.leases.countFree();
-    const mayOverGrant = this.overGrants.allow(-free, Date.now());
-    if (this.scheduler.length === 0) return undefined;
-    const next = this.scheduler.pickNext();
-    if (free > 0 || !next) return next;
+    const nowMs = Date.now();
+    const excess = -this.slots.countFree();
+    const mayOverGrant =
+      this.overGrants.allow(excess, nowMs) && !this.grace.isActive(nowMs);
+    if (this.waiting.length === 0) return undefined;
+    if (!this.owned || this.leaving) return undefined;
+    const next = this.waiting.pickNext(() => true);
+    if (!next || this.countFree() > 0) return next;
     if (!mayOverGrant || !this.isPreemptive()) return undefined;
     const canOverGrant = (entry: WaitingEntry) =>
-      this.leases.allowOverGrant(this.scheduler.getTier(entry.className));
+      this.slots.allowOverGrant(this.waiting.getTier(entry.className));
     // A class whose minimum share is due must not be overtaken by excess work.
     if (next.due) return canOverGrant(next.entry) ? next : undefined;
-    return this.scheduler.pickNext(canOverGrant);
+    return this.waiting.pickNext(canOverGrant);
   }
 
   /** Only engines pause work of a lower priority; plain services don't. */
@@ -193,8 +252,8 @@
   }
 
   private grant(entry: WaitingEntry): void {
-    const lease = this.buildLease(entry.acquire);
-    this.leases.add(lease);
+    const tier = this.waiting.getTier(entry.className);
+    const lease = this.leases.add(entry.acquire, tier);
     entry.settle({
       kind: LeaseEventKind.Granted,
       address: this.server.address,
@@ -203,46 +262,9 @@
     });
   }
 
-  private buildLease(source: LeaseSource): HeldLease {
-    const nowMs = Date.now();
-    return {
-      leaseId: source.leaseId,
-      requestId: source.requestId,
-      gateway: source.gateway,
-      className: source.className,
-      customer: source.customer,
-      fingerprint: source.fingerprint,
-      suspectCount: source.suspectCount,
-      tier: this.scheduler.getTier(source.className),
-      tokens: 0,
-      demoted: false,
-      grantedAtMs: nowMs,
-      renewedAtMs: nowMs,
-      renewed: false,
-    };
-  }
-
-  private evictExcess(newcomer: WaitingEntry): void {
-    const classes = Object.keys(this.configuration.classes).length;
-    // With room for one entry a class, some class always has one to spare.
-    const limit = Math.max(this.configuration.maxQueueLength, classes);
-    while (this.scheduler.length > limit) {
-      const victim = this.scheduler.pickVictim() ?? newcomer;
-      this.refuse(victim, LeaseRefusal.QueueFull);
-    }
-  }
-
-  private refuseUnreachable(): void {
-    if (this.scheduler.length === 0) return;
-    const context = this.buildWaitContext();
-    for (const entry of this.estimator.listUnreachable(context)) {
-      this.refuse(entry, LeaseRefusal.TargetUnreachable);
-    }
-  }
-
   private expire(entry: WaitingEntry): void {
     const expired = Date.now() >= entry.deadlineAtMs;
-    this.refuse(
+    this.waiting.refuse(
       entry,
       expired ? LeaseRefusal.DeadlineExceeded : LeaseRefusal.TargetUnreachable,
     );
@@ -250,55 +272,16 @@
 
   /** Takes back an entry whose gateway no longer waits for it. */
   private cancel(entry: WaitingEntry): void {
-    if (!entry.isSettled) this.refuse(entry, LeaseRefusal.DeadlineExceeded);
+    if (!entry.isSettled)
+      this.waiting.refuse(entry, LeaseRefusal.DeadlineExceeded);
     if (!entry.isGranted) return;
-    this.leases.remove(entry.acquire.leaseId);
+    this.leases.release(entry.acquire.leaseId);
     this.advance();
   }
 
-  private refuse(
-    entry: WaitingEntry,
-    refusal: LeaseRefusal,
-    retryAfterMs = this.estimateRetryAfterMs(),
-  ): void {
-    this.scheduler.remove(entry);
-    const view = this.getView();
-    entry.settle({
-      kind: LeaseEventKind.Refused,
-      refusal,
-      retryAfterMs,
-      view,
-    });
-  }
-
-  private estimateRetryAfterMs(): number {
-    return this.estimator.estimateRetryAfterMs(
-      this.scheduler.listEntries(),
-      this.leases.countNormalSlots(),
-    );
-  }
-
   private recordServiceTime(lease: HeldLease, {end}: Release): void {
     if (end === LeaseEnd.Unused || end === LeaseEnd.ConnectFailed) return;
     const heldMs = Date.now() - lease.grantedAtMs;
     this.serviceTimes.record(lease.className, heldMs);
   }
-
-  private buildWaitContext(): WaitContext {
-    return {
-      order: this.scheduler.listInGrantOrder(),
-      slots: this.leases.countNormalSlots(),
-      nowMs: Date.now(),
-    };
-  }
-
-  private buildQueuedEvent(entry: WaitingEntry): LeaseEvent {
-    const context = this.buildWaitContext();
-    return {
-      kind: LeaseEventKind.Queued,
-      position: context.order.indexOf(entry) + 1,
-      expectedWaitMs: this.estimator.estimateWaitMs(context, entry),
-      view: this.getView(),
-    };
-  }
 }
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -4,6 +4,7 @@
   type Configuration,
 } from '../config/configuration.js';
 import type {DaemonNode} from '../node/daemonNode.js';
+import {waitFor} from '../node/delay.js';
 import {
   LeaseEventKind,
   LeaseRefusal,
@@ -15,28 +16,39 @@
   type Renew,
   type RenewAnswer,
 } from '../protocol/leaseMessages.js';
+import {MemberState} from '../protocol/memberMessages.js';
 import type {DispatcherHandlers} from '../protocol/peerRouter.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
 import {BackendServerQueue} from './backendServerQueue.js';
-import {waitFor} from '../node/delay.js';
+import {PauseDetector} from './pauseDetector.js';
+
+/** Interval at which leases expire and waits are estimated again. */
+const tickIntervalMs = 100;
 
-const expireIntervalMs = 100;
+/** Parts of a member that the service uses. */
+export type LeaseServiceNode = Pick<
+  DaemonNode,
+  'config' | 'membership' | 'ownership' | 'vmListFollower' | 'log'
+>;
 
 /** Grants leases on the backend servers that this dispatcher owns. */
 export class LeaseService implements DispatcherHandlers {
   private readonly queues = new Map<string, BackendServerQueue>();
+  private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
-  constructor(private readonly node: DaemonNode) {
+  constructor(private readonly node: LeaseServiceNode) {
     node.config.subscribe(configuration => this.applyConfig(configuration));
-    node.ownership.subscribe(() => this.refuseMoved());
+    node.ownership.subscribe(() => this.refreshOwnership());
+    node.membership.subscribe(() => this.dropDeadGateways());
     node.vmListFollower.subscribe(list => this.applyVmList(list));
   }
 
   /** Drops leases of gateways that are gone, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await waitFor(expireIntervalMs, signal);
+      await waitFor(tickIntervalMs, signal);
+      this.checkPause();
       for (const queue of this.queues.values()) queue.expireLeases(Date.now());
     }
   }
@@ -45,23 +57,25 @@
     acquire: Acquire,
     signal: AbortSignal,
   ): AsyncGenerator<LeaseEvent> {
+    this.checkPause();
     const queue = this.queues.get(acquire.backendServer);
-    if (!this.isOwner(acquire.backendServer)) {
-      yield {kind: LeaseEventKind.Refused, refusal: LeaseRefusal.Moved};
-      return;
-    }
-    if (!queue || this.isLeaving(acquire.backendServer)) {
-      yield {kind: LeaseEventKind.Refused, refusal: LeaseRefusal.Leaving};
+    if (queue) {
+      yield* queue.acquire(acquire, signal);
       return;
     }
-    yield* queue.acquire(acquire, signal);
+    const refusal = this.isOwner(acquire.backendServer)
+      ? LeaseRefusal.Leaving
+      : LeaseRefusal.Moved;
+    yield {kind: LeaseEventKind.Refused, refusal};
   }
 
   async release(release: Release): Promise<void> {
+    this.checkPause();
     this.queues.get(release.backendServer)?.release(release);
   }
 
   async renew(renew: Renew): Promise<RenewAnswer> {
+    this.checkPause();
     const moved: string[] = [];
     for (const lease of renew.leases) {
       const queue = this.queues.get(lease.backendServer);
@@ -79,27 +93,34 @@
     return {requests, tokens, retryAfterMs: 0};
   }
 
+  /** Queues of the backend servers owned here. */
+  listOwned(): BackendServerQueue[] {
+    return [...this.queues.values()].filter(({id}) => this.isOwner(id));
+  }
+
   /** State for the dump. */
   describe(): object {
-    return {
-      owned: [...this.queues.values()]
-        .filter(queue => this.isOwner(queue.id))
-        .map(queue => queue.describe()),
-    };
+    return {owned: this.listOwned().map(queue => queue.describe())};
   }
 
   private applyConfig(configuration: Configuration): void {
     const {backendServers} = configuration;
     for (const [id, server] of Object.entries(backendServers)) {
       const queue = this.queues.get(id);
-      if (queue) queue.update(server, configuration);
-      else {
-        this.queues.set(id, new BackendServerQueue(id, server, configuration));
+      if (queue) {
+        // Leaving first, so that the change of slots grants nothing there.
+        queue.setLeaving(this.isLeaving(id, configuration));
+        queue.update(server, configuration);
+        continue;
       }
+      const added = new BackendServerQueue(id, server, configuration);
+      added.setLeaving(this.isLeaving(id, configuration));
+      added.setOwned(this.isOwner(id));
+      this.queues.set(id, added);
     }
     for (const [id, queue] of this.queues) {
       if (Object.hasOwn(backendServers, id)) continue;
-      queue.refuseWaiting(LeaseRefusal.Leaving);
+      queue.setLeaving(true);
       this.queues.delete(id);
     }
   }
@@ -109,24 +130,39 @@
       .filter(vm => vm.state === VmState.Leaving)
       .map(vm => vm.backendServer);
     this.leavingServers = new Set(leaving);
-    for (const id of leaving) {
-      this.queues.get(id)?.refuseWaiting(LeaseRefusal.Leaving);
+    const configuration = this.node.config.getConfiguration();
+    if (!configuration) return;
+    for (const [id, queue] of this.queues) {
+      queue.setLeaving(this.isLeaving(id, configuration));
     }
   }
 
-  private refuseMoved(): void {
-    for (const [id, queue] of this.queues) {
-      if (!this.isOwner(id)) queue.refuseWaiting(LeaseRefusal.Moved);
-    }
+  private refreshOwnership(): void {
+    for (const [id, queue] of this.queues) queue.setOwned(this.isOwner(id));
+  }
+
+  private dropDeadGateways(): void {
+    const isDead = (incarnation: string) =>
+      this.node.membership.find(incarnation)?.state === MemberState.Dead;
+    for (const queue of this.queues.values()) queue.dropGateways(isDead);
+  }
+
+  /** After a pause, other dispatchers may have granted the same slots. */
+  private checkPause(): void {
+    const pausedMs = this.pauses.detect(Date.now());
+    if (pausedMs === 0) return;
+    this.node.log.warn('process was paused; leases are confirmed again', {
+      pausedMs,
+    });
+    for (const queue of this.queues.values()) queue.resetAfterPause();
   }
 
   private isOwner(id: string): boolean {
     return this.node.ownership.isOwner(id);
   }
 
-  private isLeaving(id: string): boolean {
-    const configuration = this.node.config.getConfiguration();
-    const state = configuration?.backendServers[id]?.state;
+  private isLeaving(id: string, configuration: Configuration): boolean {
+    const state = configuration.backendServers[id]?.state;
     return state === BackendServerState.Leaving || this.leavingServers.has(id);
   }
 }
--- a/src/dispatcher/leaseTable.ts
+++ b/src/dispatcher/leaseTable.ts
@@ -1,72 +1,30 @@
-/** The leases on one backend server, and which of them hold a slot. */
-
-/** Factor from a tier to the engine's priority numbers. */
-const priorityPerTier = 1_000;
-/** Added to the priority number of a demoted stream. */
-const demotedPriority = 500;
-/** Share of slots that higher-tier work may be granted in excess. */
-const overGrantShare = 0.25;
-/** Share of slots that is left to demoted streams. */
-const demotedShare = 0.25;
-
-/** A running request, as the dispatcher knows it. */
-export interface HeldLease {
-  leaseId: string;
-  requestId: string;
-  gateway: string;
-  className: string;
-  customer: string;
-  fingerprint?: string;
-  /** Crashes that the gateway knows of for this request. */
-  suspectCount: number;
-  tier: number;
-  tokens: number;
-  /** True for a long stream that runs behind the others of its tier. */
-  demoted: boolean;
-  grantedAtMs: number;
-  renewedAtMs: number;
-  /** True once the gateway has renewed the lease here. */
-  renewed: boolean;
-}
-
-/** Priority number for the engine; lower is served first. */
-export function computePriority(
-  lease: Pick<HeldLease, 'tier' | 'demoted'>,
-): number {
-  return lease.tier * priorityPerTier + (lease.demoted ? demotedPriority : 0);
-}
-
-/** Holds leases by id and counts them against the slots. */
+/** The leases on one backend server. */
+import {
+  buildLease,
+  type HeldLease,
+  type LeaseSource,
+  type RenewedLease,
+} from './heldLease.js';
+import {ReleasedLeases} from './releasedLeases.js';
+
+/** A lease that isn't renewed for this time is dropped. */
+export const leaseTimeoutMs = 10_000;
+/** A lease that was never renewed since its grant is dropped after this time. */
+export const firstRenewalMs = 2_000;
+
+/** Holds leases by id, from grant or adoption to release or expiry. */
 export class LeaseTable {
   private readonly leases = new Map<string, HeldLease>();
-
-  constructor(private slots: number) {}
+  private readonly released = new ReleasedLeases();
 
   /** Number of leases, demoted ones included. */
   get size(): number {
     return this.leases.size;
   }
 
-  /** Changes the number of slots, e.g. after a change of configuration. */
-  setSlots(slots: number): void {
-    this.slots = slots;
-  }
-
-  /** Adds a lease, or replaces the one with the same id. */
-  add(lease: HeldLease): void {
-    this.leases.set(lease.leaseId, lease);
-  }
-
-  /** Looks up a lease. */
-  find(leaseId: string): HeldLease | undefined {
-    return this.leases.get(leaseId);
-  }
-
-  /** Removes a lease and returns it. */
-  remove(leaseId: string): HeldLease | undefined {
-    const lease = this.leases.get(leaseId);
-    this.leases.delete(leaseId);
-    return lease;
+  /** True when the id is held, or was released a short time ago. */
+  has(leaseId: string): boolean {
+    return this.leases.has(leaseId) || this.released.has(leaseId);
   }
 
   /** Lists all leases. */
@@ -74,56 +32,74 @@
     return [...this.leases.values()];
   }
 
-  /** Forgets all leases. */
-  drop(): void {
-    this.leases.clear();
-  }
-
-  /** Number of slots that no lease counts against; negative when exceeded. */
-  countFree(): number {
-    return this.slots - this.countCounted();
+  /** Adds the lease of a grant. */
+  add(source: LeaseSource, tier: number): HeldLease {
+    const lease = buildLease(source, tier);
+    this.leases.set(lease.leaseId, lease);
+    return lease;
   }
 
-  /** Slots that work other than demoted streams can use. */
-  countNormalSlots(): number {
-    return Math.max(1, this.slots - this.countReserved());
+  /**
+   * Renews a lease, or adopts one that another dispatcher granted. Returns
+   * undefined for a lease that was released before.
+   */
+  renew(
+    gateway: string,
+    renewed: RenewedLease,
+    tier: number,
+  ): HeldLease | undefined {
+    if (this.released.has(renewed.leaseId)) return undefined;
+    let lease = this.leases.get(renewed.leaseId);
+    if (!lease) {
+      lease = this.add({...renewed, gateway}, tier);
+      lease.adopted = true;
+    }
+    lease.tokens = renewed.tokens;
+    lease.renewedAtMs = Date.now();
+    lease.renewed = true;
+    return lease;
   }
 
   /**
-   * True when one more lease of the tier may exceed the slots: the excess is
-   * limited, the engine would pause work of a lower tier for it, and demoted
-   * streams would keep the slots that are left to them.
+   * Ends a lease and returns it. The id is blocked from then on, because its
+   * grant or a renewal may still be on the way.
    */
-  allowOverGrant(tier: number): boolean {
-    const excess = this.countCounted() - this.slots;
-    const limit = Math.max(1, Math.floor(this.slots * overGrantShare));
-    if (excess < 0 || excess >= limit) return false;
-    const running = this.list()
-      .sort((a, b) => computePriority(a) - computePriority(b))
-      .slice(0, this.slots);
-    const paused = running.pop();
-    if (!paused || paused.tier <= tier) return false;
-    const demoted = running.filter(lease => lease.demoted).length;
-    return demoted >= this.countReserved();
+  release(leaseId: string): HeldLease | undefined {
+    this.released.add(leaseId, Date.now());
+    const lease = this.leases.get(leaseId);
+    this.leases.delete(leaseId);
+    return lease;
   }
 
-  /** Leases that count against the slots. */
-  private countCounted(): number {
-    return this.leases.size - this.countUncounted();
+  /** Drops the leases that weren't renewed in time. */
+  expire(nowMs: number): void {
+    this.released.expire(nowMs);
+    for (const lease of this.list()) {
+      const inTime = lease.renewed
+        ? nowMs - lease.renewedAtMs <= leaseTimeoutMs
+        : nowMs - lease.grantedAtMs <= firstRenewalMs;
+      if (!inTime) this.leases.delete(lease.leaseId);
+    }
   }
 
-  /** Slots that demoted streams occupy for certain. */
-  private countReserved(): number {
-    const reserve = Math.ceil(this.slots * demotedShare);
-    return Math.min(this.countDemoted(), reserve);
+  /** Drops the leases of gateways that are dead. */
+  dropGateways(isDead: (incarnation: string) => boolean): void {
+    for (const lease of this.list()) {
+      if (isDead(lease.gateway)) this.leases.delete(lease.leaseId);
+    }
   }
 
-  private countUncounted(): number {
-    const most = this.slots - Math.ceil(this.slots * demotedShare);
-    return Math.min(this.countDemoted() - this.countReserved(), most);
+  /** Requires a new first renewal of every lease, e.g. after a pause. */
+  requireRenewal(nowMs: number): void {
+    for (const lease of this.list()) {
+      lease.renewed = false;
+      lease.adopted = true;
+      lease.grantedAtMs = nowMs;
+    }
   }
 
-  private countDemoted(): number {
-    return this.list().filter(lease => lease.demoted).length;
+  /** Forgets all leases. */
+  drop(): void {
+    this.leases.clear();
   }
 }
--- /dev/null
+++ b/src/dispatcher/waitingQueue.ts
@@ -0,0 +1,155 @@
+/** The requests that wait for a slot of one backend server. */
+import {
+  LeaseEventKind,
+  LeaseRefusal,
+  type BackendServerView,
+  type LeaseEvent,
+} from '../protocol/leaseMessages.js';
+import {
+  ClassScheduler,
+  type ScheduledClass,
+  type ScheduledPick,
+} from './classScheduler.js';
+import type {ServiceTimes} from './serviceTimes.js';
+import {WaitEstimator, type WaitContext} from './waitEstimator.js';
+import type {WaitingEntry} from './waitingEntry.js';
+
+export interface WaitingQueueOptions {
+  classes: Readonly<Record<string, ScheduledClass>>;
+  serviceTimes: ServiceTimes;
+  /** Slots that serve the queue. */
+  countSlots: () => number;
+  /** Counts that events carry. */
+  getView: () => BackendServerView;
+}
+
+/** Queues, evicts and refuses; grants are taken from it by the caller. */
+export class WaitingQueue {
+  private readonly scheduler: ClassScheduler<WaitingEntry>;
+  private readonly estimator: WaitEstimator;
+  private readonly byLeaseId = new Map<string, WaitingEntry>();
+
+  constructor(private readonly options: WaitingQueueOptions) {
+    this.scheduler = new ClassScheduler(options.classes);
+    this.estimator = new WaitEstimator(options.serviceTimes);
+  }
+
+  /** Number of waiting entries. */
+  get length(): number {
+    return this.byLeaseId.size;
+  }
+
+  /** Takes new classes. */
+  update(classes: Readonly<Record<string, ScheduledClass>>): void {
+    this.scheduler.update(classes);
+  }
+
+  /** Tier of a class. */
+  getTier(className: string): number {
+    return this.scheduler.getTier(className);
+  }
+
+  /** Looks up the waiting entry of a lease id. */
+  find(leaseId: string): WaitingEntry | undefined {
+    return this.byLeaseId.get(leaseId);
+  }
+
+  /** Lists the waiting entries, in no special order. */
+  listEntries(): WaitingEntry[] {
+    return [...this.byLeaseId.values()];
+  }
+
+  /** Adds an entry. */
+  push(entry: WaitingEntry): void {
+    this.byLeaseId.set(entry.acquire.leaseId, entry);
+    this.scheduler.push(entry);
+  }
+
+  /** Returns the entry to grant next. */
+  pickNext(
+    isEligible: (entry: WaitingEntry) => boolean,
+  ): ScheduledPick<WaitingEntry> | undefined {
+    return this.scheduler.pickNext(isEligible);
+  }
+
+  /** Removes an entry that is granted. */
+  take(entry: WaitingEntry): void {
+    this.byLeaseId.delete(entry.acquire.leaseId);
+    this.scheduler.take(entry);
+  }
+
+  /** Evicts entries above the limit; the newcomer may be the one. */
+  evictExcess(newcomer: WaitingEntry, limit: number): void {
+    while (this.length > limit) {
+      const victim = this.scheduler.pickVictim() ?? newcomer;
+      this.refuse(victim, LeaseRefusal.QueueFull);
+    }
+  }
+
+  /** Refuses what can't start in time any more. */
+  refuseUnreachable(): void {
+    if (this.length === 0) return;
+    const unreachable = this.estimator.listUnreachable(this.buildContext());
+    if (unreachable.length === 0) return;
+    const retryAfterMs = this.estimateRetryAfterMs();
+    for (const entry of unreachable) {
+      this.refuse(entry, LeaseRefusal.TargetUnreachable, retryAfterMs);
+    }
+  }
+
+  /** Refuses all entries. */
+  refuseAll(refusal: LeaseRefusal): void {
+    const retryAfterMs = this.estimateRetryAfterMs();
+    for (const entry of this.listEntries()) {
+      this.refuse(entry, refusal, retryAfterMs);
+    }
+  }
+
+  /** Refuses an entry, whether it waits already or not. */
+  refuse(
+    entry: WaitingEntry,
+    refusal: LeaseRefusal,
+    retryAfterMs = this.estimateRetryAfterMs(),
+  ): void {
+    if (this.scheduler.remove(entry)) {
+      this.byLeaseId.delete(entry.acquire.leaseId);
+    }
+    entry.settle({
+      kind: LeaseEventKind.Refused,
+      refusal,
+      retryAfterMs,
+      view: this.options.getView(),
+    });
+  }
+
+  /** Builds the event that tells of an entry's place. */
+  buildQueuedEvent(entry: WaitingEntry): LeaseEvent {
+    const context = this.buildContext();
+    return {
+      kind: LeaseEventKind.Queued,
+      position: context.order.indexOf(entry) + 1,
+      expectedWaitMs: this.estimator.estimateWaitMs(context, entry),
+      view: this.options.getView(),
+    };
+  }
+
+  /** State for the dump. */
+  describe(): object {
+    return this.scheduler.describe();
+  }
+
+  private estimateRetryAfterMs(): number {
+    return this.estimator.estimateRetryAfterMs(
+      this.listEntries(),
+      this.options.countSlots(),
+    );
+  }
+
+  private buildContext(): WaitContext {
+    return {
+      order: this.scheduler.listInGrantOrder(),
+      slots: this.options.countSlots(),
+      nowMs: Date.now(),
+    };
+  }
+}
--- a/tests/dispatcher/backendServerQueue.test.ts
+++ b/tests/dispatcher/backendServerQueue.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {BackendServerQueue} from '../../src/dispatcher/backendServerQueue.js';
+import {graceMs} from '../../src/dispatcher/graceLimit.js';
 import {
   LeaseEventKind,
   LeaseRefusal,
@@ -38,7 +39,10 @@
   ): BackendServerQueue {
     const configuration = buildConfiguration(classes, options);
     const server = getEngine(configuration);
-    return new BackendServerQueue('engine-1', server, configuration);
+    const queue = new BackendServerQueue('engine-1', server, configuration);
+    queue.setOwned(true);
+    clock.tick(graceMs);
+    return queue;
   }
 
   function startCaller(
--- /dev/null
+++ b/tests/dispatcher/leaseService.test.ts
@@ -0,0 +1,208 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {BackendServerState} from '../../src/config/configuration.js';
+import {graceMs} from '../../src/dispatcher/graceLimit.js';
+import {LeaseService} from '../../src/dispatcher/leaseService.js';
+import {firstRenewalMs} from '../../src/dispatcher/leaseTable.js';
+import {
+  LeaseEventKind,
+  LeaseRefusal,
+  type Acquire,
+} from '../../src/protocol/leaseMessages.js';
+import {MemberRole, MemberState} from '../../src/protocol/memberMessages.js';
+import {VmState} from '../../src/protocol/platformApi.js';
+import {buildMember, FakeNode} from './fakeNode.js';
+import {
+  buildAcquire,
+  buildConfiguration,
+  buildRelease,
+  Caller,
+  settlePromises,
+} from './fixtures.js';
+
+describe('lease service', () => {
+  let clock: FakeTimers.Clock;
+  let node: FakeNode;
+  let service: LeaseService;
+  let stop: AbortController;
+  let running: Promise<void>;
+
+  beforeEach(async () => {
+    clock = FakeTimers.install({
+      now: 1_000_000,
+      toFake: ['Date', 'setTimeout', 'clearTimeout'],
+    });
+    node = new FakeNode();
+    service = new LeaseService(node as never);
+    node.applyConfig(buildConfiguration({c: {tier: 0}}, {slots: 2}));
+    stop = new AbortController();
+    running = service.run(stop.signal);
+    await clock.tickAsync(graceMs);
+  });
+
+  afterEach(async () => {
+    stop.abort();
+    await running;
+    clock.uninstall();
+  });
+
+  function startCaller(change: Partial<Acquire> = {}): Caller {
+    return new Caller(service, buildAcquire('c', change));
+  }
+
+  async function renewAll(...callers: Caller[]): Promise<string[]> {
+    const answer = await service.renew({
+      gateway: 'gateway-1',
+      leases: callers.map(({acquire}) => ({...acquire, tokens: 1})),
+    });
+    return answer.moved;
+  }
+
+  /** Takes all slots with leases that have been renewed. */
+  async function fillSlots(): Promise<Caller[]> {
+    const callers = [startCaller(), startCaller()];
+    await settlePromises();
+    await renewAll(...callers);
+    return callers;
+  }
+
+  // Guards against a grant that nobody uses and nobody releases.
+  it('should block a lease id that was released before its grant', async () => {
+    const [held] = await fillSlots();
+    const early = buildAcquire('c');
+    await service.release(buildRelease(early.leaseId));
+    const late = new Caller(service, early);
+    const waiting = startCaller();
+    await settlePromises();
+    await service.release(buildRelease(waiting.acquire.leaseId));
+    await service.release(buildRelease(held.acquire.leaseId));
+    await settlePromises();
+    expect(late.getResult()).to.equal(LeaseRefusal.DeadlineExceeded);
+    expect(waiting.getResult()).to.equal(LeaseRefusal.DeadlineExceeded);
+    expect(service.listOwned()[0].getView().freeSlots).to.equal(1);
+  });
+
+  // Guards against a late renewal that occupies a slot for ever.
+  it('should not adopt a lease that was released', async () => {
+    const [held] = await fillSlots();
+    await service.release(buildRelease(held.acquire.leaseId));
+    await renewAll(held);
+    expect(service.listOwned()[0].getView().freeSlots).to.equal(1);
+  });
+
+  // Guards against slots lost to grants that never reached their gateway.
+  it('should drop a grant that is never renewed', async () => {
+    const callers = [startCaller(), startCaller(), startCaller()];
+    await clock.tickAsync(firstRenewalMs - 200);
+    expect(callers[2].getResult()).to.equal(undefined);
+    await renewAll(callers[0]);
+    await clock.tickAsync(400);
+    expect(callers[2].getResult()).to.equal(LeaseEventKind.Granted);
+    expect(service.listOwned()[0].getView().freeSlots).to.equal(0);
+  });
+
+  // Guards against slots that a dead gateway holds until they time out.
+  it('should drop the leases of a gateway that is dead', async () => {
+    const gateway = buildMember('gateway-1', MemberRole.Gateway);
+    node.membership.merge(gateway);
+    await fillSlots();
+    const other = startCaller({gateway: 'gateway-2'});
+    node.membership.merge({...gateway, state: MemberState.Dead});
+    await settlePromises();
+    expect(other.getResult()).to.equal(LeaseEventKind.Granted);
+  });
+
+  // Guards against work that waits at a dispatcher which grants nothing more.
+  it('should refuse waiting work as moved at once when it leaves', async () => {
+    const held = await fillSlots();
+    const waiting = startCaller();
+    await settlePromises();
+    node.membership.updateSelf({state: MemberState.Leaving});
+    await settlePromises();
+    expect(waiting.getResult()).to.equal(LeaseRefusal.Moved);
+    expect(await renewAll(...held)).to.have.length(2);
+    const later = startCaller();
+    await settlePromises();
+    expect(later.getResult()).to.equal(LeaseRefusal.Moved);
+  });
+
+  // Guards against a new owner that grants slots which are in use.
+  it('should grant only reported free slots in the grace time', async () => {
+    const other = buildMember('other', MemberRole.Dispatcher);
+    // Ids are tried until the other dispatcher owns the server.
+    let id = 0;
+    while (node.ownership.isOwner('engine-1')) {
+      const incarnation = `other-${id++}`;
+      node.membership.merge({...other, incarnation, peerAddress: incarnation});
+    }
+    const dispatchers = node.membership.listPresent(MemberRole.Dispatcher);
+    for (const {incarnation} of dispatchers.slice(1)) {
+      node.membership.merge({
+        ...other,
+        incarnation,
+        peerAddress: incarnation,
+        state: MemberState.Dead,
+      });
+    }
+    expect(node.ownership.isOwner('engine-1')).to.equal(true);
+    const [queue] = service.listOwned();
+    const first = startCaller({immediate: true});
+    await settlePromises();
+    expect(first.getResult()).to.equal(LeaseRefusal.Busy);
+    const report = {slots: 2, running: 1, waiting: 0, takenAtMs: Date.now()};
+    const callers = [startCaller(), startCaller()];
+    queue.applyLoadReport(report);
+    await settlePromises();
+    const results = callers.map(caller => caller.getResult());
+    expect(results).to.deep.equal([LeaseEventKind.Granted, undefined]);
+    await renewAll(callers[0], new Caller(service, buildAcquire('c')));
+    await clock.tickAsync(graceMs);
+    expect(callers[1].getResult()).to.equal(undefined);
+  });
+
+  // Guards against grants from a state that is seconds old.
+  it('should trust no lease from before a pause', async () => {
+    const [kept, lost] = await fillSlots();
+    const waiting = startCaller();
+    await settlePromises();
+    clock.setSystemTime(Date.now() + 5_000);
+    await clock.tickAsync(100);
+    expect(waiting.getResult()).to.equal(LeaseRefusal.Moved);
+    const next = startCaller();
+    await clock.tickAsync(firstRenewalMs - 200);
+    expect(next.getResult()).to.equal(undefined);
+    await renewAll(kept);
+    await clock.tickAsync(400);
+    expect(next.getResult()).to.equal(LeaseEventKind.Granted);
+    expect(lost.listFinal()).to.have.length(1);
+  });
+
+  // Guards against new work on a server that is about to go.
+  it('should give no lease on a server that is leaving', async () => {
+    const held = await fillSlots();
+    const waiting = startCaller();
+    await settlePromises();
+    node.applyVmList({
+      entryVms: [],
+      backendServerVms: [{backendServer: 'engine-1', state: VmState.Leaving}],
+    });
+    await settlePromises();
+    expect(waiting.getResult()).to.equal(LeaseRefusal.Leaving);
+    await service.release(buildRelease(held[0].acquire.leaseId));
+    const later = startCaller();
+    await settlePromises();
+    expect(later.getResult()).to.equal(LeaseRefusal.Leaving);
+  });
+
+  // Guards against a configuration that is followed for new work only.
+  it('should refuse queued work when the configuration says so', async () => {
+    await fillSlots();
+    const waiting = startCaller();
+    await settlePromises();
+    const configuration = buildConfiguration({c: {tier: 0}}, {slots: 9});
+    configuration.backendServers['engine-1'].state = BackendServerState.Leaving;
+    node.applyConfig(configuration);
+    await settlePromises();
+    expect(waiting.getResult()).to.equal(LeaseRefusal.Leaving);
+  });
+});
