Demote long streams from the token counts of renewals

Cause: a few streams many times longer than the rest held their slots while short work waited.

Ruled out: to leave all demoted streams out of the count. They would pile up on the engine without a limit and get no slot while short work comes.

--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -25,9 +25,15 @@
 import {OverGrantTimer} from './overGrantTimer.js';
 import {ServiceTimes} from './serviceTimes.js';
 import {SlotCounter} from './slotCounter.js';
+import type {StreamLengths} from './streamLengths.js';
 import {WaitingEntry} from './waitingEntry.js';
 import {WaitingQueue} from './waitingQueue.js';
 
+/** State that all queues of a dispatcher share. */
+export interface SharedState {
+  lengths: StreamLengths;
+}
+
 /** Grants the slots of one backend server. */
 export class BackendServerQueue {
   private readonly leases = new LeaseTable();
@@ -43,6 +49,7 @@
     readonly id: string,
     private server: BackendServer,
     private configuration: Configuration,
+    private readonly shared: SharedState,
   ) {
     this.slots = new SlotCounter(this.leases, server.slots);
     this.waiting = new WaitingQueue({
@@ -139,14 +146,21 @@
     if (entry) this.cancel(entry);
     const lease = this.leases.release(release.leaseId);
     if (!lease) return;
-    this.recordServiceTime(lease, release);
+    this.recordUse(lease, release);
     this.advance();
   }
 
-  /** Renews a lease, or adopts one that another dispatcher granted. */
-  renew(gateway: string, renewed: RenewedLease): void {
+  /**
+   * Renews a lease, or adopts one that another dispatcher granted. Returns the
+   * engine priority of a demoted stream; it is repeated on each renewal,
+   * because an answer may be lost.
+   */
+  renew(gateway: string, renewed: RenewedLease): number | undefined {
     const tier = this.waiting.getTier(renewed.className);
-    this.leases.renew(gateway, renewed, tier);
+    const lease = this.leases.renew(gateway, renewed, tier);
+    if (!lease) return undefined;
+    if (!lease.demoted && this.isLong(lease)) this.demote(lease);
+    return lease.demoted ? computePriority(lease) : undefined;
   }
 
   /** Drops the leases that weren't renewed in time, and serves the queue. */
@@ -262,6 +276,17 @@
     });
   }
 
+  private isLong({className, customer, tokens}: HeldLease): boolean {
+    return this.shared.lengths.isLong(className, customer, tokens);
+  }
+
+  /** Lets a long stream run behind the others and frees its slot. */
+  private demote(lease: HeldLease): void {
+    lease.demoted = true;
+    this.serviceTimes.record(lease.className, Date.now() - lease.grantedAtMs);
+    this.advance();
+  }
+
   private expire(entry: WaitingEntry): void {
     const expired = Date.now() >= entry.deadlineAtMs;
     this.waiting.refuse(
@@ -279,9 +304,13 @@
     this.advance();
   }
 
-  private recordServiceTime(lease: HeldLease, {end}: Release): void {
+  private recordUse(lease: HeldLease, {end, tokens}: Release): void {
     if (end === LeaseEnd.Unused || end === LeaseEnd.ConnectFailed) return;
-    const heldMs = Date.now() - lease.grantedAtMs;
-    this.serviceTimes.record(lease.className, heldMs);
+    if (end === LeaseEnd.Completed && tokens > 0) {
+      this.shared.lengths.record(lease.className, lease.customer, tokens);
+    }
+    // The time until a demotion was recorded then.
+    if (lease.demoted) return;
+    this.serviceTimes.record(lease.className, Date.now() - lease.grantedAtMs);
   }
 }
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -19,8 +19,9 @@
 import {MemberState} from '../protocol/memberMessages.js';
 import type {DispatcherHandlers} from '../protocol/peerRouter.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
-import {BackendServerQueue} from './backendServerQueue.js';
+import {BackendServerQueue, type SharedState} from './backendServerQueue.js';
 import {PauseDetector} from './pauseDetector.js';
+import {StreamLengths} from './streamLengths.js';
 
 /** Interval at which leases expire and waits are estimated again. */
 const tickIntervalMs = 100;
@@ -34,6 +35,7 @@
 /** Grants leases on the backend servers that this dispatcher owns. */
 export class LeaseService implements DispatcherHandlers {
   private readonly queues = new Map<string, BackendServerQueue>();
+  private readonly shared: SharedState = {lengths: new StreamLengths()};
   private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
@@ -77,15 +79,18 @@
   async renew(renew: Renew): Promise<RenewAnswer> {
     this.checkPause();
     const moved: string[] = [];
+    const priorities: RenewAnswer['priorities'] = [];
     for (const lease of renew.leases) {
       const queue = this.queues.get(lease.backendServer);
       if (!queue || !this.isOwner(lease.backendServer)) {
         moved.push(lease.leaseId);
         continue;
       }
-      queue.renew(renew.gateway, lease);
+      const priority = queue.renew(renew.gateway, lease);
+      if (priority === undefined) continue;
+      priorities.push({leaseId: lease.leaseId, priority});
     }
-    return {moved, priorities: []};
+    return {moved, priorities};
   }
 
   async drawLimit(draw: DrawLimit): Promise<DrawLimitAnswer> {
@@ -100,7 +105,10 @@
 
   /** State for the dump. */
   describe(): object {
-    return {owned: this.listOwned().map(queue => queue.describe())};
+    return {
+      owned: this.listOwned().map(queue => queue.describe()),
+      streamLengths: this.shared.lengths.describe(),
+    };
   }
 
   private applyConfig(configuration: Configuration): void {
@@ -113,7 +121,12 @@
         queue.update(server, configuration);
         continue;
       }
-      const added = new BackendServerQueue(id, server, configuration);
+      const added = new BackendServerQueue(
+        id,
+        server,
+        configuration,
+        this.shared,
+      );
       added.setLeaving(this.isLeaving(id, configuration));
       added.setOwned(this.isOwner(id));
       this.queues.set(id, added);
--- a/tests/dispatcher/backendServerQueue.test.ts
+++ b/tests/dispatcher/backendServerQueue.test.ts
@@ -12,6 +12,7 @@
   buildAcquire,
   buildConfiguration,
   buildRelease,
+  buildSharedState,
   Caller,
   getEngine,
   propertyOptions,
@@ -39,7 +40,12 @@
   ): BackendServerQueue {
     const configuration = buildConfiguration(classes, options);
     const server = getEngine(configuration);
-    const queue = new BackendServerQueue('engine-1', server, configuration);
+    const queue = new BackendServerQueue(
+      'engine-1',
+      server,
+      configuration,
+      buildSharedState(),
+    );
     queue.setOwned(true);
     clock.tick(graceMs);
     return queue;
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -6,6 +6,8 @@
   type BackendServer,
   type Configuration,
 } from '../../src/config/configuration.js';
+import type {SharedState} from '../../src/dispatcher/backendServerQueue.js';
+import {StreamLengths} from '../../src/dispatcher/streamLengths.js';
 import {
   LeaseEnd,
   LeaseEventKind,
@@ -81,6 +83,11 @@
   return configuration.backendServers[id];
 }
 
+/** Builds the state that the queues of a dispatcher share. */
+export function buildSharedState(): SharedState {
+  return {lengths: new StreamLengths()};
+}
+
 let nextId = 0;
 
 /** Builds the acquisition of a lease. */
