Resume broken answers and give callers only whole ones

Cause: a cut, crossed, gapped or silent engine stream ended the caller's answer, and the outcome was guessed from the number of tokens. Ruled out: undici's request() with a body stream. It hides whether a byte was written; its dispatch handler is called immediately before the write, which proves "not run". Ruled out, too: keeping the slot after a cut connection. The engine may have crashed, so the request goes back to the dispatcher, which knows the other suspects; only a silent connection keeps its slot for the one retry on the same server. Change: ChatSession runs attempts with ids of their own (request id, dot, number), resumes at the token that is due, on a new connection, on the same server once, then elsewhere. Retries take from a budget (10% of requests, burst 20, at most 8 attempts), only for repeatable classes or when no byte was written. Limits: no token within 4 times the target between tokens, at least 2 s; 4 times the target for the first token, at least 5 s; time that the caller takes isn't counted. A finish reason after gapless indexes is what makes an answer whole.

--- a/src/gateway/chatService.ts
+++ b/src/gateway/chatService.ts
@@ -1,55 +1,52 @@
-/** Serves model requests: leases, streams, assembly of whole answers. */
+/** Serves model requests, streamed or whole. */
 import {err, ok, type Result} from 'neverthrow';
-import {BackendServerKind} from '../config/configuration.js';
 import type {
   ChatChunk,
   ChatCompletion,
   ChatRequest,
 } from '../protocol/callerApi.js';
-import {LeaseEnd} from '../protocol/leaseMessages.js';
-import {Outcome} from '../protocol/outcome.js';
-import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {relayEngineStream, type ChunkHandler} from './engineStream.js';
-import type {LeaseClient} from './leaseClient.js';
+import type {Refusal} from '../protocol/refusal.js';
+import {
+  ChatSession,
+  type ChatChunkHandler,
+  type ChatParts,
+} from './chatSession.js';
+import {EngineConnections} from './engineConnections.js';
+import type {LeaseSource} from './lease.js';
+import {RequestBudget} from './requestBudget.js';
 import type {RequestContext} from './requestContext.js';
 
-/** Serves chat requests, streamed or whole. */
+/** Retries per request, and the most that can follow each other. */
+const retryBudget = {ratio: 0.1, burst: 20};
+
+/** Serves chat requests and knows which are in progress. */
 export class ChatService {
-  constructor(private readonly leases: LeaseClient) {}
+  private readonly parts: ChatParts;
+  private active = 0;
+  private readonly idleListeners = new Set<() => void>();
+
+  constructor(leases: LeaseSource, parts: Partial<ChatParts> = {}) {
+    this.parts = {
+      connections: new EngineConnections(),
+      retries: new RequestBudget(retryBudget),
+      ...parts,
+      leases,
+    };
+  }
 
   /** Relays an answer chunk by chunk; succeeds when it was whole. */
   async stream(
     context: RequestContext,
     request: ChatRequest,
-    onChunk: (chunk: ChatChunk) => Promise<void>,
+    onChunk: ChatChunkHandler,
   ): Promise<Result<void, Refusal>> {
-    const acquired = await this.leases.acquire(context, {
-      kind: BackendServerKind.ModelEngine,
-      model: request.model,
-    });
-    if (acquired.isErr()) return err(acquired.error);
-    const lease = acquired.value;
-    const relay: ChunkHandler = ({token_index: _index, ...chunk}) =>
-      onChunk(chunk as ChatChunk);
-    const result = await relayEngineStream({
-      lease,
-      request,
-      resumeFrom: 0,
-      signal: context.signal,
-      onChunk: relay,
-    });
-    this.leases.release(lease, {
-      end: result.isOk() ? LeaseEnd.Completed : LeaseEnd.Broken,
-      tokens: lease.tokens,
-    });
-    return result.mapErr(
-      error =>
-        new Refusal(
-          RefusalReason.BackendServerFailed,
-          lease.tokens > 0 ? Outcome.Partial : Outcome.MayHaveRun,
-          error.message,
-        ),
-    );
+    this.active += 1;
+    try {
+      return await new ChatSession(this.parts, context, request, onChunk).run();
+    } finally {
+      this.active -= 1;
+      if (this.active === 0) this.announceIdle();
+    }
   }
 
   /** Collects a whole answer. */
@@ -64,6 +61,24 @@
     if (result.isErr()) return err(result.error);
     return ok(buildCompletion(context.requestId, request.model, chunks));
   }
+
+  /** Number of requests in progress, the waiting ones included. */
+  countActive(): number {
+    return this.active;
+  }
+
+  /** Waits until no request is in progress, then closes idle connections. */
+  async drain(): Promise<void> {
+    if (this.active > 0) {
+      await new Promise<void>(resolve => this.idleListeners.add(resolve));
+    }
+    await this.parts.connections.stop();
+  }
+
+  private announceIdle(): void {
+    for (const listener of this.idleListeners) listener();
+    this.idleListeners.clear();
+  }
 }
 
 function buildCompletion(
@@ -71,7 +86,12 @@
   model: string,
   chunks: readonly ChatChunk[],
 ): ChatCompletion {
-  const last = chunks.at(-1);
+  const choices = chunks.map(chunk => chunk.choices[0]);
+  const last = choices.at(-1);
+  // An answer may end with a chunk that carries a finish reason and no token.
+  const tokens = choices.filter(
+    ({delta, finish_reason: reason}) => reason === null || delta.content,
+  );
   return {
     id: requestId,
     object: 'chat.completion',
@@ -82,11 +102,11 @@
         index: 0,
         message: {
           role: 'assistant',
-          content: chunks.map(c => c.choices[0].delta.content ?? '').join(''),
+          content: choices.map(({delta}) => delta.content ?? '').join(''),
         },
-        finish_reason: last?.choices[0].finish_reason ?? 'stop',
+        finish_reason: last?.finish_reason ?? 'stop',
       },
     ],
-    usage: {completion_tokens: chunks.length},
+    usage: {completion_tokens: tokens.length},
   };
 }
--- /dev/null
+++ b/src/gateway/lease.ts
@@ -0,0 +1,86 @@
+/** What the gateway's parts pass to each other about slot leases. */
+import type {Result} from 'neverthrow';
+import {
+  BackendServerKind,
+  BackendServerState,
+  type BackendServer,
+} from '../config/configuration.js';
+import type {Release} from '../protocol/leaseMessages.js';
+import type {Refusal} from '../protocol/refusal.js';
+import type {RequestContext} from './requestContext.js';
+
+/** Which backend servers can serve a request. */
+export type LeaseTarget =
+  | {kind: BackendServerKind.ModelEngine; model: string}
+  | {kind: BackendServerKind.PlainService; service: string};
+
+/** What a lease's use looked like, for its release. */
+export type LeaseReport = Pick<
+  Release,
+  'end' | 'tokens' | 'firstTokenMs' | 'betweenTokensMs' | 'slowness'
+>;
+
+/** A granted slot of a backend server. */
+export interface Lease {
+  readonly leaseId: string;
+  readonly backendServer: string;
+  /** `ip:port` of the backend server. */
+  readonly address: string;
+  /** Engine priority; renewals change it. */
+  priority: number;
+  /** Tokens produced so far; carried on renewals. */
+  tokens: number;
+  readonly context: RequestContext;
+  /** `performance.now()` at which the grant arrived. */
+  readonly grantedAtMs: number;
+  readonly fingerprint?: string;
+  readonly suspectCount: number;
+  /** Called when a renewal brings another engine priority. */
+  onPriority?: (priority: number) => void;
+}
+
+/** Wishes for one acquisition; all are optional. */
+export interface AcquireOptions {
+  /** Ask this backend server first. */
+  prefer?: string;
+  /** Backend servers to use only when no other is left. */
+  avoid?: ReadonlySet<string>;
+  /** Take a free slot or none: never queue, and never an avoided server. */
+  immediateOnly?: boolean;
+  /** Ends the acquisition early, besides the caller's signal. */
+  signal?: AbortSignal;
+  /** True when the caller already holds a part of the answer. */
+  resumed?: boolean;
+  fingerprint?: string;
+  prefixDigest?: string;
+  /** Crashes at which the request was in flight. */
+  suspectCount?: number;
+}
+
+/** Where requests get their slots from. */
+export interface LeaseSource {
+  /** Waits for a slot of one of the target's backend servers. */
+  acquire(
+    context: RequestContext,
+    target: LeaseTarget,
+    options?: AcquireOptions,
+  ): Promise<Result<Lease, Refusal>>;
+  /** Gives a slot back. */
+  release(lease: Lease, report: LeaseReport): void;
+}
+
+/** True when the configuration lets the backend server serve the target. */
+export function matchTarget(
+  server: BackendServer,
+  target: LeaseTarget,
+): boolean {
+  if (server.state === BackendServerState.Leaving) return false;
+  switch (server.kind) {
+    case BackendServerKind.ModelEngine:
+      return (
+        target.kind === server.kind && server.models.includes(target.model)
+      );
+    case BackendServerKind.PlainService:
+      return target.kind === server.kind && server.service === target.service;
+  }
+}
--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -1,11 +1,6 @@
 /** Gets slot leases from the dispatchers that own the backend servers. */
 import crypto from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import {
-  BackendServerKind,
-  BackendServerState,
-  type BackendServer,
-} from '../config/configuration.js';
 import type {DaemonNode} from '../node/daemonNode.js';
 import {
   LeaseEventKind,
@@ -15,38 +10,23 @@
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {waitFor} from '../node/delay.js';
+import {
+  matchTarget,
+  type Lease,
+  type LeaseReport,
+  type LeaseSource,
+  type LeaseTarget,
+} from './lease.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 
 const renewIntervalMs = 500;
 const renewDeadlineMs = 1_000;
 const releaseDeadlineMs = 1_000;
 
-/** Which backend servers can serve a request. */
-export type LeaseTarget =
-  | {kind: BackendServerKind.ModelEngine; model: string}
-  | {kind: BackendServerKind.PlainService; service: string};
-
-/** What a lease's use looked like, for its release. */
-export type LeaseReport = Pick<
-  Release,
-  'end' | 'tokens' | 'firstTokenMs' | 'betweenTokensMs' | 'slowness'
->;
-
-/** A granted slot of a backend server. */
-export interface Lease {
-  readonly leaseId: string;
-  readonly backendServer: string;
-  /** `ip:port` of the backend server. */
-  readonly address: string;
-  priority: number;
-  /** Tokens produced so far; carried on renewals. */
-  tokens: number;
-  readonly context: RequestContext;
-  readonly grantedAtMs: number;
-}
+export type {Lease, LeaseReport, LeaseTarget} from './lease.js';
 
 /** Acquires, renews and releases leases. */
-export class LeaseClient {
+export class LeaseClient implements LeaseSource {
   private readonly held = new Map<string, Lease>();
 
   constructor(private readonly node: DaemonNode) {}
@@ -156,6 +136,7 @@
       address: event.address,
       priority: event.priority,
       tokens: 0,
+      suspectCount: 0,
       context,
       grantedAtMs: performance.now(),
     };
@@ -204,18 +185,6 @@
   }
 }
 
-function matchTarget(server: BackendServer, target: LeaseTarget): boolean {
-  if (server.state === BackendServerState.Leaving) return false;
-  switch (server.kind) {
-    case BackendServerKind.ModelEngine:
-      return (
-        target.kind === server.kind && server.models.includes(target.model)
-      );
-    case BackendServerKind.PlainService:
-      return target.kind === server.kind && server.service === target.service;
-  }
-}
-
 function buildNoServerRefusal(): Refusal {
   return new Refusal(
     RefusalReason.NoBackendServer,
--- /dev/null
+++ b/src/gateway/requestBudget.ts
@@ -0,0 +1,43 @@
+/** Token bucket that grows with the number of requests. */
+
+export interface RequestBudgetOptions {
+  /** Part of a token that each request adds. */
+  ratio: number;
+  /** Most tokens held; also the number at the start. */
+  burst: number;
+}
+
+/**
+ * Limits extra work, such as retries, to a ratio of the requests.
+ *
+ * @example
+ * const retries = new RequestBudget({ratio: 0.1, burst: 20});
+ * retries.refill();
+ * if (retries.take()) await retry();
+ */
+export class RequestBudget {
+  private tokens: number;
+
+  constructor(private readonly options: RequestBudgetOptions) {
+    this.tokens = options.burst;
+  }
+
+  /** Adds the part of a token that one request of a caller brings. */
+  refill(): void {
+    const {ratio, burst} = this.options;
+    this.tokens = Math.min(burst, this.tokens + ratio);
+  }
+
+  /** Takes one token; false when there is none. */
+  take(): boolean {
+    // Adding 0.1 ten times gives a little less than 1.
+    if (this.tokens < 1 - 1e-9) return false;
+    this.tokens = Math.max(0, this.tokens - 1);
+    return true;
+  }
+
+  /** Tokens left, for the dump. */
+  describe(): number {
+    return this.tokens;
+  }
+}
--- /dev/null
+++ b/tests/gateway/engineStream.test.ts
@@ -0,0 +1,106 @@
+import {expect} from 'chai';
+import {EngineConnections} from '../../src/gateway/engineConnections.js';
+import {
+  AttemptEndKind,
+  runAttempt,
+  type AttemptEnd,
+  type ChunkTaker,
+} from '../../src/gateway/engineStream.js';
+import {OutcomeTracker} from '../../src/gateway/outcomeTracker.js';
+import {Outcome} from '../../src/protocol/outcome.js';
+import {answerTokens, FakeEngine} from '../support/fakeEngine.js';
+import {chatRequest, waitUntil} from '../support/gatewayFixtures.js';
+
+describe('engine stream', () => {
+  let engine: FakeEngine;
+  let tracker: OutcomeTracker;
+
+  beforeEach(() => {
+    tracker = new OutcomeTracker();
+  });
+
+  function sendRequest(
+    take: ChunkTaker,
+    signal = new AbortController().signal,
+  ): Promise<AttemptEnd> {
+    return runAttempt({
+      attemptId: 'r1.1',
+      request: chatRequest,
+      priority: 1,
+      resumeFrom: 0,
+      deadlineMs: 1_000,
+      limits: {firstTokenMs: 5_000, betweenTokensMs: 50},
+      connection: new EngineConnections().open(engine.address),
+      tracker,
+      signal,
+      take,
+    });
+  }
+
+  afterEach(() => engine.stop());
+
+  // Guards against a pause of the process that makes all its streams silent:
+  // after it, timers run before the sockets are read.
+  it('should read what arrived during a pause before it calls it silent', async () => {
+    engine = await FakeEngine.start(call => call.sendToken(0));
+    let taken = 0;
+    const end = await sendRequest(async () => {
+      if (++taken === 1) {
+        setImmediate(() => {
+          engine.calls[0].sendTokens(undefined, 1);
+          const resumesAtMs = performance.now() + 120;
+          while (performance.now() < resumesAtMs);
+        });
+      }
+      return true;
+    });
+    expect(end.kind).to.equal(AttemptEndKind.Complete);
+    expect(taken).to.equal(answerTokens.length);
+  });
+
+  // Guards against an engine that is read on without bound for a slow caller.
+  it('should read no further while the caller takes nothing', async () => {
+    engine = await FakeEngine.start(call => {
+      call.sendToken(0);
+      for (let i = 0; i < 20_000; i++) call.sendToken(0);
+    });
+    const abortController = new AbortController();
+    let isTaken = false;
+    const end = sendRequest(
+      () =>
+        new Promise(resolve => {
+          isTaken = true;
+          abortController.signal.addEventListener('abort', () =>
+            resolve(false),
+          );
+        }),
+      abortController.signal,
+    );
+    await waitUntil(() => isTaken);
+    const {response} = engine.calls[0];
+    const before = response.writableLength;
+    for (let turn = 0; turn < 1_000; turn++) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(response.writableLength).to.be.above(0);
+    expect(response.writableLength).to.be.at.most(before);
+    abortController.abort();
+    expect((await end).kind).to.equal(AttemptEndKind.Aborted);
+    await waitUntil(() => engine.calls[0].closed);
+  });
+
+  // Guards against a request of a caller that left being sent all the same.
+  it('should write nothing when it is aborted before the connection opens', async () => {
+    engine = await FakeEngine.start();
+    const abortController = new AbortController();
+    const end = sendRequest(async () => true, abortController.signal);
+    abortController.abort();
+    expect((await end).kind).to.equal(AttemptEndKind.Aborted);
+    await waitUntil(() => engine.countConnections() === 1);
+    expect(tracker.decide()).to.equal(Outcome.NotRun);
+    // A second request on the same engine arrives after what was sent before.
+    const later = await sendRequest(async () => true);
+    expect(later.kind).to.equal(AttemptEndKind.Complete);
+    expect(engine.calls).to.have.length(1);
+  });
+});
