--- a/tests/dispatcher/fakeNode.ts
+++ b/tests/dispatcher/fakeNode.ts
@@ -1,5 +1,5 @@
 /** A member without its network, for tests of the dispatcher's parts. */
-import {computeConfigDigest} from '../../src/config/configDigest.js';
+import {computeConfigDigest} from '../../src/protocol/configDigest.js';
 import type {Configuration} from '../../src/config/configuration.js';
 import {Broadcaster} from '../../src/node/broadcaster.js';
 import {ConfigStore} from '../../src/node/configStore.js';
