Add faults and orders to the model engine stand-in

Cause: crash, silence, poison, crossed and cut answers, and engines that honour or ignore fencing numbers can't be tested without them. Ruled out: silence by pausing generation, because the engine would then also be idle; the socket's sending methods are replaced instead. Node answers a client's end through one of these methods, so a silent connection never closed (seen as a test that timed out); it is now destroyed on the end. Change: GET and POST /control, POST /orders with the weight store, crash and restart on the same port, stream faults, counters.

--- a/src/standins/batchScheduler.ts
+++ b/src/standins/batchScheduler.ts
@@ -1,6 +1,4 @@
 /** Continuous batching of the model engine stand-in. */
-import {performance} from 'node:perf_hooks';
-
 /** A request in the engine. */
 export interface Job {
   readonly requestId: string;
--- a/src/standins/engineCounters.ts
+++ b/src/standins/engineCounters.ts
@@ -9,7 +9,14 @@
   tokensGenerated: number;
   /** Tokens generated for requests that were then cancelled. */
   tokensWasted: number;
+  /** Tokens generated for requests that were in flight at a crash. */
+  tokensInCrashes: number;
   crashes: number;
+  ordersAccepted: number;
+  /** Orders refused for their fencing number or their sender. */
+  ordersRefused: number;
+  /** Orders obeyed although their fencing number was old. */
+  oldOrdersAccepted: number;
 }
 
 /** Builds counters at zero. */
@@ -19,7 +26,11 @@
     runsByFingerprint: {},
     tokensGenerated: 0,
     tokensWasted: 0,
+    tokensInCrashes: 0,
     crashes: 0,
+    ordersAccepted: 0,
+    ordersRefused: 0,
+    oldOrdersAccepted: 0,
   };
 }
 
--- a/src/standins/engineOptions.ts
+++ b/src/standins/engineOptions.ts
@@ -8,7 +8,15 @@
   .transform(model => ({model, version: '1', adapters: []}))
   .or(loadedModelSchema);
 
-export const engineOptionsSchema = z.strictObject({
+/** What an engine does with an order whose fencing number is old. */
+export enum FencingMode {
+  /** It refuses the order. */
+  Honoured = 'honoured',
+  /** It obeys the order, and reports its number. */
+  Ignored = 'ignored',
+}
+
+const engineOptionsShape = z.strictObject({
   ...listenOptions,
   /** Requests that get a token in the same step. */
   slots: z.number().int().positive().default(16),
@@ -34,6 +42,21 @@
    * option the engine serves any model, whatever is loaded.
    */
   models: z.array(modelOptionSchema).optional(),
+  fencing: z.enum(FencingMode).default(FencingMode.Honoured),
+  /** Whether orders need `authorization: Bearer <orderKey>`. */
+  verifiesSender: z.boolean().default(false),
+  orderKey: z.string().optional(),
+  /** Time to load a model in milliseconds. */
+  loadMs: millisecondsSchema.default(500),
+  /** Base URL of the weight store; without one, loading reads nothing. */
+  weightStoreUrl: z.url().optional(),
+  /** Time that connections are refused after a crash in milliseconds. */
+  restartMs: millisecondsSchema.default(1_000),
 });
+
+export const engineOptionsSchema = engineOptionsShape.refine(
+  ({verifiesSender, orderKey}) => !verifiesSender || orderKey !== undefined,
+  {path: ['orderKey'], message: 'is required when verifiesSender is set'},
+);
 export type EngineOptions = z.output<typeof engineOptionsSchema>;
 export type EngineOptionsInput = z.input<typeof engineOptionsSchema>;
--- a/src/standins/modelEngine.ts
+++ b/src/standins/modelEngine.ts
@@ -1,71 +1,55 @@
 /** Stand-in of a model engine, with the HTTP API of `engineApi.ts`. */
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
-import {z} from 'zod';
-import {chatRequestSchema} from '../protocol/callerApi.js';
+import type {z} from 'zod';
 import {
-  computePrefixDigest,
+  engineOrderSchema,
   enginePrioritySchema,
-  EngineRole,
   type EngineState,
 } from '../protocol/engineApi.js';
-import {buildToken, planAnswer, type AnswerPlan} from './answerText.js';
-import {BatchScheduler, type Job} from './batchScheduler.js';
+import {planAnswer} from './answerText.js';
 import {
   addOne,
   buildEngineCounters,
   type EngineCounters,
 } from './engineCounters.js';
+import {
+  buildEngineFaults,
+  engineControlSchema,
+  type EngineFaults,
+} from './engineFaults.js';
+import {
+  EngineGenerator,
+  engineRequestSchema,
+  type EngineContext,
+} from './engineGenerator.js';
 import {
   engineOptionsSchema,
   type EngineOptions,
   type EngineOptionsInput,
 } from './engineOptions.js';
-import {EngineStream} from './engineStream.js';
-import {LoadHistory} from './loadHistory.js';
-import {PrefixCache} from './prefixCache.js';
+import {OrderExecutor, OrderResult} from './orderExecutor.js';
 import {SeededRandom} from './seededRandom.js';
-import {StandinServer, type StandinEnv} from './standinServer.js';
-
-const engineRequestSchema = chatRequestSchema.extend({
-  priority: z.number().int().default(0),
-  resume_from: z.number().int().nonnegative().default(0),
-});
-type EngineRequest = z.output<typeof engineRequestSchema>;
-
-interface EngineJob extends Job {
-  readonly model: string;
-  readonly plan: AnswerPlan;
-  readonly firstIndex: number;
-  stream: EngineStream;
-}
+import {readJson, StandinServer, type StandinEnv} from './standinServer.js';
 
 /** A model engine that generates hashed words. */
 export class ModelEngine {
   private server!: StandinServer;
-  private readonly scheduler: BatchScheduler<EngineJob>;
-  private readonly counters: EngineCounters = buildEngineCounters();
-  private readonly random: SeededRandom;
-  private load: LoadHistory;
-  private cache: PrefixCache;
-  private state: EngineState;
-  private arrivals = 0;
+  private readonly context: EngineContext;
+  private generator: EngineGenerator;
+  private orders: OrderExecutor;
+  private isDown = false;
 
   private constructor(readonly options: EngineOptions) {
-    this.random = new SeededRandom(options.seed);
-    this.scheduler = new BatchScheduler(options.slots, options.stepMs, {
-      start: job =>
-        addOne(this.counters.runsByFingerprint, job.plan.fingerprint),
-      generate: (job, index) => this.sendToken(job, index),
-      finish: job => this.finish(job),
-    });
-    this.load = new LoadHistory(options.slots, options.loadLagMs);
-    this.cache = new PrefixCache(options, this.random);
-    this.state = {
-      models: options.models ?? [],
-      role: EngineRole.Mixed,
-      fencingNumber: 0,
+    this.context = {
+      options,
+      counters: buildEngineCounters(),
+      faults: buildEngineFaults(),
+      random: new SeededRandom(options.seed),
+      kill: () => this.kill(),
     };
+    this.generator = new EngineGenerator(this.context);
+    this.orders = new OrderExecutor(options, options.models ?? []);
   }
 
   /**
@@ -87,54 +71,99 @@
     return this.server.url;
   }
 
+  /** False between a crash and the return from it. */
+  get isListening(): boolean {
+    return !this.isDown;
+  }
+
   get port(): number {
     return this.server.port;
   }
 
   /** Destroys all connections and refuses new ones. */
   async stop(): Promise<void> {
-    this.scheduler.drain();
+    this.generator.stop();
+    this.orders.stop();
     await this.server.stop();
   }
 
+  /**
+   * Crashes the engine: destroys all connections, loses all state, refuses
+   * connections for a time, then returns with nothing loaded.
+   */
+  kill(restartMs = this.options.restartMs): void {
+    if (this.isDown) return;
+    this.isDown = true;
+    const {counters} = this.context;
+    counters.crashes += 1;
+    counters.tokensInCrashes += this.generator.stop();
+    this.orders.stop();
+    this.generator = new EngineGenerator(this.context);
+    this.orders = new OrderExecutor(this.options, []);
+    void this.server.refuseFor(restartMs, () => (this.isDown = false));
+  }
+
   /** Returns a copy of the counters. */
   getCounters(): EngineCounters {
-    return structuredClone(this.counters);
+    return structuredClone(this.context.counters);
+  }
+
+  /**
+   * Sets faults; the others stay as they are.
+   *
+   * @example
+   * engine.setFaults({slowFactor: 10});
+   */
+  setFaults(changes: Partial<EngineFaults>): void {
+    Object.assign(this.context.faults, changes);
+    this.generator.applyFaults();
+    if (changes.silence !== undefined) this.server.setSilence(changes.silence);
   }
 
   private buildApp(): Hono<StandinEnv> {
     const app = new Hono<StandinEnv>();
     app.post('/v1/chat/completions', context => this.acceptChat(context));
     app.delete('/v1/requests/:id', context => {
-      const jobs = this.scheduler.listByRequest(context.req.param('id'));
-      for (const job of jobs) this.cancel(job);
-      return context.json({cancelled: jobs.length}, jobs.length ? 200 : 404);
+      const cancelled = this.generator.cancelRequest(context.req.param('id'));
+      return context.json({cancelled}, cancelled > 0 ? 200 : 404);
     });
     app.post('/v1/requests/:id/priority', async context => {
       const body = enginePrioritySchema.safeParse(await readJson(context));
-      if (!body.success) return context.json({error: body.error.message}, 400);
-      const jobs = this.scheduler.listByRequest(context.req.param('id'));
-      for (const job of jobs) job.priority = body.data.priority;
-      return context.json({changed: jobs.length}, jobs.length ? 200 : 404);
+      if (!body.success) return refuseBody(context, body.error);
+      const changed = this.generator.setPriority(
+        context.req.param('id'),
+        body.data.priority,
+      );
+      return context.json({changed}, changed > 0 ? 200 : 404);
     });
-    app.get('/load', context => context.json(this.load.report()));
+    app.get('/load', context => context.json(this.generator.reportLoad()));
     app.get('/cache-events', context => {
       const after = Number(context.req.query('after') ?? 0);
-      return context.json(this.cache.listEventsAfter(after));
+      return context.json(this.generator.listCacheEventsAfter(after));
+    });
+    app.get('/state', context => context.json(this.getState()));
+    app.post('/orders', context => this.acceptOrder(context));
+    app.get('/control', context => {
+      this.server.allowControl(context.env.incoming.socket);
+      return context.json(this.context.counters);
     });
-    app.get('/state', context => context.json(this.state));
-    app.get('/control', context => context.json(this.counters));
+    app.post('/control', context => this.acceptControl(context));
     return app;
   }
 
+  /** What is loaded now, and the last fencing number. */
+  getState(): EngineState {
+    return this.orders.getState();
+  }
+
   private async acceptChat(context: Context<StandinEnv>): Promise<Response> {
     const body = engineRequestSchema.safeParse(await readJson(context));
-    if (!body.success) return context.json({error: body.error.message}, 400);
+    if (!body.success) return refuseBody(context, body.error);
     const request = body.data;
-    this.arrivals += 1;
-    const requestId =
-      context.req.header('x-request-id') ?? `engine-${this.arrivals}`;
-    addOne(this.counters.requestsSeen, requestId);
+    const requestId = context.req.header('x-request-id');
+    if (!requestId)
+      return context.json({error: 'x-request-id is missing'}, 400);
+    addOne(this.context.counters.requestsSeen, requestId);
     if (!this.hasModel(request.model)) {
       const error = `model "${request.model}" is not loaded`;
       return context.json({error}, 404);
@@ -144,93 +173,59 @@
       const error = `the answer has ${plan.tokenCount} tokens`;
       return context.json({error}, 400);
     }
-    const job: EngineJob = {
-      requestId,
-      model: request.model,
-      plan,
-      priority: request.priority,
-      arrival: this.arrivals,
-      prefillLeftMs: this.computePrefillMs(request, plan),
-      firstIndex: request.resume_from,
-      nextIndex: request.resume_from,
-      tokenCount: plan.tokenCount,
-      started: false,
-      stream: new EngineStream(context.env.outgoing as never, requestId, () =>
-        this.cancel(job),
-      ),
-    };
-    this.scheduler.add(job);
-    this.load.record(this.scheduler.size);
+    const response = context.env.outgoing;
+    // The client may have left, or the engine crashed, while the body was read.
+    if (response.destroyed) return RESPONSE_ALREADY_SENT;
+    this.generator.accept({request, requestId, plan, response});
     return RESPONSE_ALREADY_SENT;
   }
 
   private hasModel(model: string): boolean {
     if (this.options.models === undefined) return true;
-    return this.state.models.some(loaded => loaded.model === model);
-  }
-
-  /** A resumed request is charged for the text that it resumes, too. */
-  private computePrefillMs(request: EngineRequest, plan: AnswerPlan): number {
-    const {prefillMs, prefillCharacterMs} = this.options;
-    const prefixDigest = computePrefixDigest(request.messages);
-    const isCached = this.cache.touch(prefixDigest);
-    let characters = 0;
-    for (const [index, message] of request.messages.entries()) {
-      const inPrefix = index === 0 || message.role === 'system';
-      if (!(isCached && inPrefix)) characters += message.content.length;
+    return this.getState().models.some(loaded => loaded.model === model);
+  }
+
+  private async acceptOrder(context: Context<StandinEnv>): Promise<Response> {
+    const {counters} = this.context;
+    if (!this.isPermitted(context.req.header('authorization'))) {
+      counters.ordersRefused += 1;
+      return context.json({error: 'wrong order key'}, 401);
     }
-    for (let index = 0; index < request.resume_from; index += 1) {
-      characters += buildToken(plan.fingerprint, index).length;
+    const body = engineOrderSchema.safeParse(await readJson(context));
+    if (!body.success) return refuseBody(context, body.error);
+    switch (this.orders.accept(body.data)) {
+      case OrderResult.RefusedOld: {
+        counters.ordersRefused += 1;
+        const {fencingNumber} = this.getState();
+        return context.json({error: 'old fencing number', fencingNumber}, 409);
+      }
+      case OrderResult.AcceptedOld:
+        counters.oldOrdersAccepted += 1;
+        break;
+      case OrderResult.Accepted:
+        counters.ordersAccepted += 1;
+        break;
     }
-    return prefillMs + prefillCharacterMs * characters;
-  }
-
-  private sendToken(job: EngineJob, index: number): void {
-    this.counters.tokensGenerated += 1;
-    const isLast = index === job.tokenCount - 1;
-    this.sendChunk(job, index, buildToken(job.plan.fingerprint, index), isLast);
-  }
-
-  private sendChunk(
-    job: EngineJob,
-    index: number,
-    content: string,
-    isLast: boolean,
-  ): void {
-    job.stream.send({
-      id: job.requestId,
-      object: 'chat.completion.chunk',
-      created: Math.floor(Date.now() / 1000),
-      model: job.model,
-      token_index: index,
-      choices: [
-        {
-          index: 0,
-          delta: index === 0 ? {role: 'assistant', content} : {content},
-          finish_reason: isLast ? job.plan.finishReason : null,
-        },
-      ],
-    });
+    return context.json(this.getState(), 202);
   }
 
-  private finish(job: EngineJob): void {
-    // A client that already holds every token still needs the finish reason.
-    if (job.firstIndex === job.tokenCount) {
-      this.sendChunk(job, job.tokenCount, '', true);
-    }
-    job.stream.end(true);
-    this.load.record(this.scheduler.size);
+  private isPermitted(authorization: string | undefined): boolean {
+    const {verifiesSender, orderKey} = this.options;
+    return !verifiesSender || authorization === `Bearer ${orderKey}`;
   }
 
-  private cancel(job: EngineJob): void {
-    if (!this.scheduler.remove(job)) return;
-    this.counters.tokensWasted += job.nextIndex - job.firstIndex;
-    job.stream.end(false);
-    this.load.record(this.scheduler.size);
+  private async acceptControl(context: Context<StandinEnv>): Promise<Response> {
+    const {incoming, outgoing} = context.env;
+    this.server.allowControl(incoming.socket);
+    const body = engineControlSchema.safeParse(await readJson(context));
+    if (!body.success) return refuseBody(context, body.error);
+    const {reset, crash, restartMs, ...changes} = body.data;
+    this.setFaults({...(reset ? buildEngineFaults() : {}), ...changes});
+    if (crash) outgoing.once('finish', () => this.kill(restartMs));
+    return context.json(this.context.faults);
   }
 }
 
-/** Reads a JSON body; undefined when it is malformed. */
-async function readJson(context: Context): Promise<unknown> {
-  return context.req.json().catch(() => undefined);
+function refuseBody(context: Context, error: z.ZodError): Response {
+  return context.json({error: error.message}, 400);
 }
--- a/src/standins/standinServer.ts
+++ b/src/standins/standinServer.ts
@@ -1,14 +1,29 @@
 /** HTTP listener of the stand-ins, with faults at the connection level. */
 import http from 'node:http';
 import type net from 'node:net';
-import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
-import type {Hono} from 'hono';
+import {createAdaptorServer} from '@hono/node-server';
+import type {Context, Hono} from 'hono';
 
 /** Hono environment that gives handlers Node's request and response. */
 export interface StandinEnv {
-  Bindings: HttpBindings;
+  Bindings: {incoming: http.IncomingMessage; outgoing: http.ServerResponse};
 }
 
+/** Connections that are kept open, but on which nothing more is sent. */
+export enum SilenceScope {
+  None = 'none',
+  /** Those that are open now; later ones work. */
+  Existing = 'existing',
+  /** Those that are open now, and later ones. */
+  All = 'all',
+}
+
+/** Interval of attempts to listen on the port again in milliseconds. */
+const reopenRetryMs = 100;
+
+/** Methods of a socket that send, close, or close when idle. */
+const silencedMethods = ['write', 'end', 'destroySoon', 'setTimeout'] as const;
+
 export interface StandinServerOptions {
   host: string;
   /** 0 lets the operating system choose; `port` returns the choice. */
@@ -18,11 +33,14 @@
 
 /** Listens on one address; it can close and reopen the same port. */
 export class StandinServer {
-  /** Port that is listened on; the same after `open` is called again. */
+  /** Port that is listened on; it stays the same. */
   port: number;
   private readonly server: http.Server;
   private readonly sockets = new Set<net.Socket>();
+  private readonly exempt = new WeakSet<net.Socket>();
+  private silencesNew = false;
   private stopped = false;
+  private reopenTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: StandinServerOptions) {
     this.port = options.port;
@@ -45,8 +63,41 @@
     return `http://${this.options.host}:${this.port}`;
   }
 
-  /** Listens again after `refuse`; does nothing after `stop`. */
-  async open(): Promise<void> {
+  /**
+   * Refuses connections for a time, then listens on the same port again.
+   *
+   * @param resume - called when connections are accepted again
+   */
+  async refuseFor(ms: number, resume: () => void): Promise<void> {
+    await this.refuse();
+    if (this.stopped) return;
+    this.reopenTimer = setTimeout(() => void this.tryOpen(resume), ms);
+  }
+
+  /** Refuses connections for good. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    clearTimeout(this.reopenTimer);
+    await this.refuse();
+  }
+
+  /**
+   * Sends nothing more on the connections of a scope. A connection that was
+   * silenced stays so.
+   */
+  setSilence(scope: SilenceScope): void {
+    this.silencesNew = scope === SilenceScope.All;
+    if (scope === SilenceScope.None) return;
+    for (const socket of this.sockets) this.holdOutput(socket);
+  }
+
+  /** Never silences the connection of a control request. */
+  allowControl(socket: net.Socket): void {
+    this.exempt.add(socket);
+    for (const name of silencedMethods) Reflect.deleteProperty(socket, name);
+  }
+
+  private async open(): Promise<void> {
     if (this.stopped || this.server.listening) return;
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
@@ -58,8 +109,20 @@
     this.port = (this.server.address() as net.AddressInfo).port;
   }
 
+  private async tryOpen(resume: () => void): Promise<void> {
+    try {
+      await this.open();
+    } catch {
+      // Another process may hold the port for a moment.
+      const retry = () => void this.tryOpen(resume);
+      this.reopenTimer = setTimeout(retry, reopenRetryMs);
+      return;
+    }
+    resume();
+  }
+
   /** Destroys all connections and refuses new ones. */
-  async refuse(): Promise<void> {
+  private async refuse(): Promise<void> {
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
     );
@@ -67,14 +130,29 @@
     await closed;
   }
 
-  /** Refuses connections for good. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await this.refuse();
-  }
-
   private addSocket(socket: net.Socket): void {
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
+    if (this.silencesNew) this.holdOutput(socket);
   }
+
+  /** Replaces the sending methods; reading goes on. */
+  private holdOutput(socket: net.Socket): void {
+    if (this.exempt.has(socket)) return;
+    const acceptAndDrop = (...values: unknown[]): boolean => {
+      const callback = values.at(-1);
+      if (typeof callback === 'function') process.nextTick(callback);
+      return true;
+    };
+    for (const name of silencedMethods) {
+      Object.assign(socket, {[name]: acceptAndDrop});
+    }
+    // Node answers the client's end by `end`, which does nothing now.
+    socket.once('end', () => socket.destroy());
+  }
+}
+
+/** Reads a JSON body; undefined when it is malformed. */
+export async function readJson(context: Context): Promise<unknown> {
+  return context.req.json().catch(() => undefined);
 }
--- /dev/null
+++ b/tests/standins/modelEngineFaults.test.ts
@@ -0,0 +1,159 @@
+import {expect} from 'chai';
+import type {EngineState} from '../../src/protocol/engineApi.js';
+import {computeExpectedText} from '../../src/standins/answerText.js';
+import {CrossedPart} from '../../src/standins/engineFaults.js';
+import {FencingMode} from '../../src/standins/engineOptions.js';
+import {ModelEngine} from '../../src/standins/modelEngine.js';
+import {SilenceScope} from '../../src/standins/standinServer.js';
+import {messages, readStream, waitUntil} from './streamClient.js';
+
+describe('faults of the model engine stand-in', () => {
+  let engine: ModelEngine;
+  const fast = {stepMs: 1, prefillMs: 1};
+  const long = {body: {standin_tokens: 100_000}};
+
+  afterEach(() => engine.stop());
+
+  const control = (body: object) =>
+    fetch(`${engine.url}/control`, {
+      method: 'POST',
+      body: JSON.stringify(body),
+    });
+
+  // Guards against crash tests in which the engine remembers its requests.
+  it('should lose its requests and models in a crash, and return', async () => {
+    engine = await ModelEngine.start({...fast, models: ['m'], restartMs: 1});
+    const {port} = engine;
+    const broken = readStream(engine.url, long).then(
+      () => 'ended',
+      () => 'broken',
+    );
+    await waitUntil(() => engine.getCounters().tokensGenerated > 0);
+    await control({crash: true});
+    expect(await broken).to.equal('broken');
+    await waitUntil(() => engine.isListening);
+    expect(engine.port).to.equal(port);
+    expect(engine.getCounters()).to.include({crashes: 1});
+    expect((await readStream(engine.url)).status).to.equal(404);
+  });
+
+  // Guards against a poison request that is served like any other.
+  it('should crash some time after a poison request starts', async () => {
+    engine = await ModelEngine.start(fast);
+    engine.setFaults({poisonText: 'empty?', poisonDelayMs: 5});
+    await readStream(engine.url, long).catch(() => undefined);
+    expect(engine.getCounters()).to.include({crashes: 1, tokensWasted: 0});
+  });
+
+  // Guards against silence that a client can tell from a closed connection.
+  it('should send nothing more on existing connections only', async () => {
+    engine = await ModelEngine.start(fast);
+    const controller = new AbortController();
+    let received = 0;
+    const silent = readStream(engine.url, {
+      ...long,
+      signal: controller.signal,
+      observe: () => (received += 1),
+    }).catch(() => 'aborted');
+    await waitUntil(() => received > 0);
+    engine.setFaults({silence: SilenceScope.Existing});
+    const {tokensGenerated} = engine.getCounters();
+    const fresh = await readStream(engine.url, {id: 'r2'});
+    expect(fresh.isDone).to.equal(true);
+    // Chunks that were on their way have arrived before a whole new answer.
+    const receivedBefore = received;
+    await waitUntil(
+      () => engine.getCounters().tokensGenerated > tokensGenerated + 100,
+    );
+    expect(received).to.equal(receivedBefore);
+    controller.abort();
+    expect(await silent).to.equal('aborted');
+    await waitUntil(() => engine.getCounters().tokensWasted > 0);
+  });
+
+  // Guards against a silent engine that can't be brought back.
+  it('should answer control requests while all else is silent', async () => {
+    engine = await ModelEngine.start(fast);
+    await control({silence: 'all'});
+    let isAnswered = false;
+    const controller = new AbortController();
+    const {signal} = controller;
+    const silent = fetch(`${engine.url}/load`, {
+      signal,
+      headers: {connection: 'close'},
+    }).then(
+      () => (isAnswered = true),
+      () => undefined,
+    );
+    expect((await control({silence: 'none'})).status).to.equal(200);
+    expect((await readStream(engine.url)).isDone).to.equal(true);
+    expect(isAnswered).to.equal(false);
+    controller.abort();
+    await silent;
+  });
+
+  // Guards against crossed answers that no client can notice.
+  for (const crossedPart of Object.values(CrossedPart)) {
+    it(`should cross the ${crossedPart} of two requests`, async () => {
+      engine = await ModelEngine.start(fast);
+      engine.setFaults({crossNextPairs: 1, crossedPart});
+      const body = (content: string) => ({
+        standin_tokens: 40,
+        messages: [{role: 'user', content}],
+      });
+      const [one, two] = await Promise.all([
+        readStream(engine.url, {id: 'r1', body: body('one')}),
+        readStream(engine.url, {id: 'r2', body: body('two')}),
+      ]);
+      expect(one.chunks.at(-1)?.id).to.equal('r2');
+      expect(two.chunks.at(-1)?.id).to.equal('r1');
+    });
+  }
+
+  // Guards against broken streams that look complete.
+  it('should cut a stream without [DONE] and send chunks twice', async () => {
+    engine = await ModelEngine.start(fast);
+    engine.setFaults({cutNextStreams: 1, duplicateNextStreams: 1});
+    const body = {standin_tokens: 9};
+    const broken = await readStream(engine.url, {body});
+    expect(broken.isDone).to.equal(false);
+    const indices = broken.chunks.map(chunk => chunk.token_index);
+    expect(indices).to.deep.equal([0, 0, 1, 1, 2, 2]);
+    const next = await readStream(engine.url, {body});
+    const request = {model: 'm', messages, ...body};
+    expect(next.text).to.equal(computeExpectedText(request, engine.options));
+  });
+
+  // Guards against orders of a deposed owner that take effect.
+  for (const [fencing, status] of [
+    [FencingMode.Honoured, 409],
+    [FencingMode.Ignored, 202],
+  ] as const) {
+    it(`should answer an old order by ${status} when ${fencing}`, async () => {
+      const orderKey = 'secret';
+      const options = {verifiesSender: true, orderKey, loadMs: 0, fencing};
+      engine = await ModelEngine.start({...fast, ...options, models: []});
+      const send = (key: string, fencingNumber: number, model: string) =>
+        fetch(`${engine.url}/orders`, {
+          method: 'POST',
+          headers: {authorization: `Bearer ${key}`},
+          body: JSON.stringify({
+            models: [{model, version: '1', adapters: []}],
+            role: 'mixed',
+            fencingNumber,
+          }),
+        });
+      const hasModel = (model: string) =>
+        engine.getState().models.some(loaded => loaded.model === model);
+      expect((await send('wrong', 8, 'x')).status).to.equal(401);
+      expect((await send(orderKey, 8, 'new')).status).to.equal(202);
+      await waitUntil(() => hasModel('new'));
+      expect((await send(orderKey, 7, 'old')).status).to.equal(status);
+      const isObeyed = fencing === FencingMode.Ignored;
+      await waitUntil(() => hasModel('old') === isObeyed);
+      const response = await fetch(`${engine.url}/state`);
+      const state = (await response.json()) as EngineState;
+      expect(state.fencingNumber).to.equal(isObeyed ? 7 : 8);
+    });
+  }
+});
--- a/tests/standins/streamClient.ts
+++ b/tests/standins/streamClient.ts
@@ -59,7 +59,16 @@
   return {status: response.status, chunks, text, isDone};
 }
 
-/** Waits until a condition holds; the test's timeout is the limit. */
+/** Longest wait for a condition in nanoseconds, below the tests' timeout. */
+const maxWaitNs = 10_000_000_000n;
+
+/** Waits until a condition holds; the clock may be a paused one. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise(resolve => setImmediate(resolve));
+  const startedAt = process.hrtime.bigint();
+  while (!condition()) {
+    if (process.hrtime.bigint() - startedAt > maxWaitNs) {
+      throw new Error(`waited in vain until ${String(condition)}`);
+    }
+    await new Promise(resolve => setImmediate(resolve));
+  }
 }
