Add faults to the plain service and platform stand-ins

Cause: outcomes of lost calls, outages, stale reads and late VM lists need a fault that can be set from a test. Ruled out: one "status 500" fault, which hides whether the request ran; each such fault exists before and after the run. A stale watch that answers at once, which would make followers spin; it waits for a number above `after`. Change: faults and POST /control of both, configuration service in a class of its own, VM list history, tests with a paused clock for times and budgets.

--- a/src/bin/standinEngine.ts
+++ b/src/bin/standinEngine.ts
@@ -15,6 +15,13 @@
       meanTokens: 'Mean number of tokens of an answer',
       longJobShare: 'Share of requests with 20 times more tokens',
       loadLagMs: 'Age of the load reports in milliseconds',
+      seed: 'Seed of the random choices',
+      fencing: 'What an order with an old number gets: honoured or ignored',
+      orderKey: 'Key that orders need with --verifiesSender',
+      verifiesSender: 'Check who sends an order',
+      loadMs: 'Milliseconds to load a model',
+      weightStoreUrl: 'Base URL of the weight store',
+      restartMs: 'Milliseconds without connections after a crash',
       models: 'Models that are loaded at the start, with commas between them',
     },
     start: ({models, ...options}: {models?: unknown}) =>
--- a/src/standins/configHistory.ts
+++ b/src/standins/configHistory.ts
@@ -31,12 +31,16 @@
 
   /** Number and digest of the newest document. */
   getHead(): ConfigHead {
-    return this.getNewest().head;
+    return this.getDocument().head;
   }
 
-  /** Returns a document; the newest one without a number. */
-  getDocument(number?: number): Required<ConfigDocument> | undefined {
-    if (number === undefined) return this.getNewest();
+  /** Returns the newest document. */
+  getDocument(): Required<ConfigDocument> {
+    return this.documents[this.documents.length - 1];
+  }
+
+  /** Returns the document with a number while it is kept. */
+  findDocument(number: number): Required<ConfigDocument> | undefined {
     return this.documents.find(({head}) => head.number === number);
   }
 
@@ -57,7 +61,7 @@
     baseNumber: number,
     operations: ConfigChange['operations'],
   ): Result<ConfigChange, StalePatchError | PatchError> {
-    const {head, document} = this.getNewest();
+    const {head, document} = this.getDocument();
     if (baseNumber !== head.number) {
       return err(new StalePatchError(baseNumber, head.number));
     }
@@ -76,10 +80,6 @@
     if (this.changes.length > this.keptChanges) this.changes.shift();
     return ok(change);
   }
-
-  private getNewest(): Required<ConfigDocument> {
-    return this.documents[this.documents.length - 1];
-  }
 }
 
 /** Applies operations to a copy of a document. */
--- /dev/null
+++ b/src/standins/outageAnswers.ts
@@ -0,0 +1,38 @@
+/** Answers of a part of the platform stand-in that is down or overloaded. */
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import type {Context} from 'hono';
+import {Outage} from './platformFaults.js';
+import type {ReadBudget} from './readBudget.js';
+import type {StandinEnv} from './standinServer.js';
+
+/** Answers in the way of an outage; undefined when there is none. */
+export async function answerOutage(
+  context: Context<StandinEnv>,
+  outage: Outage,
+): Promise<Response | undefined> {
+  switch (outage) {
+    case Outage.None:
+      return undefined;
+    case Outage.Status503:
+      return context.json({error: 'outage'}, 503);
+    case Outage.Dropped:
+      context.env.incoming.socket.destroy();
+      return RESPONSE_ALREADY_SENT;
+    case Outage.Silent:
+      await waitForClose(context);
+      return RESPONSE_ALREADY_SENT;
+  }
+}
+
+/** Refuses a read above the budget. */
+export function refuseRead(context: Context, budget: ReadBudget): Response {
+  const retryAfterMs = budget.getWaitMs();
+  context.header('retry-after', String(Math.ceil(retryAfterMs / 1000)));
+  return context.json({error: 'read budget is spent', retryAfterMs}, 429);
+}
+
+async function waitForClose(context: Context<StandinEnv>): Promise<void> {
+  const {outgoing} = context.env;
+  if (outgoing.destroyed) return;
+  await new Promise<void>(resolve => outgoing.once('close', resolve));
+}
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -1,12 +1,26 @@
 /** Stand-in of a plain service, such as a catalogue or a parts portal. */
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {z} from 'zod';
 import {CallerHeader} from '../protocol/callerApi.js';
+import {waitFor} from './delay.js';
 import {addOne} from './engineCounters.js';
 import {LoadHistory} from './loadHistory.js';
 import {listenOptions, millisecondsSchema, shareSchema} from './options.js';
 import {SeededRandom} from './seededRandom.js';
-import {StandinServer, type StandinEnv} from './standinServer.js';
+import {
+  serviceControlSchema,
+  ServiceFaultKind,
+  ServiceFaults,
+  type ServiceFault,
+  type ServiceFaultInput,
+} from './serviceFaults.js';
+import {
+  readJson,
+  SilenceScope,
+  StandinServer,
+  type StandinEnv,
+} from './standinServer.js';
 
 export const serviceOptionsSchema = z.strictObject({
   ...listenOptions,
@@ -31,6 +45,8 @@
   /** Runs by `x-request-id`. */
   runsByRequest: Record<string, number>;
   runs: number;
+  /** Requests that are held back by a freeze now. */
+  frozen: number;
 }
 
 /** Body of an answer. */
@@ -56,7 +72,11 @@
     runsByOperationKey: {},
     runsByRequest: {},
     runs: 0,
+    frozen: 0,
   };
+  private readonly faults = new ServiceFaults();
+  private slowFactor = 1;
+  private stopped = false;
 
   private constructor(readonly options: ServiceOptions) {
     this.random = new SeededRandom(options.seed);
@@ -88,6 +108,8 @@
 
   /** Destroys all connections and refuses new ones. */
   async stop(): Promise<void> {
+    this.stopped = true;
+    this.setFaults([]);
     await this.server.stop();
   }
 
@@ -96,9 +118,33 @@
     return structuredClone(this.counters);
   }
 
+  /**
+   * Replaces all faults, and resumes the requests that were held back.
+   *
+   * @example
+   * service.setFaults([{kind: ServiceFaultKind.DropAfterRun, requests: 1}]);
+   */
+  setFaults(faults: readonly ServiceFaultInput[]): void {
+    this.faults.replace(faults);
+  }
+
+  /** Multiplies the service time. */
+  setSlowFactor(factor: number): void {
+    this.slowFactor = factor;
+  }
+
+  /** Sends nothing more on the connections of a scope. */
+  setSilence(scope: SilenceScope): void {
+    this.server.setSilence(scope);
+  }
+
   private buildApp(): Hono<StandinEnv> {
     const app = new Hono<StandinEnv>();
-    app.get('/control', context => context.json(this.counters));
+    app.get('/control', context => {
+      this.server.allowControl(context.env.incoming.socket);
+      return context.json(this.counters);
+    });
+    app.post('/control', context => this.acceptControl(context));
     app.get('/load', context => context.json(this.load.report()));
     app.all('*', context => this.acceptCall(context));
     return app;
@@ -108,16 +154,67 @@
     await context.req.text();
     const requestId = context.req.header(CallerHeader.RequestId);
     if (requestId) addOne(this.counters.requestsSeen, requestId);
+    const fault = this.faults.take();
+    if (fault?.kind === ServiceFaultKind.Freeze) await this.holdWhileFrozen();
+    if (this.stopped) return dropConnection(context);
+    switch (fault?.kind) {
+      case ServiceFaultKind.DropBeforeRun:
+        return dropConnection(context);
+      case ServiceFaultKind.Status500BeforeRun:
+        return context.json({error: 'fault before the run'}, 500);
+      default:
+        break;
+    }
     await this.acquireSlot();
     try {
       const answer = this.run(context);
       await this.waitForWork();
-      return context.json(answer);
+      return await this.answer(context, answer, fault);
     } finally {
       this.releaseSlot();
     }
   }
 
+  private async holdWhileFrozen(): Promise<void> {
+    this.counters.frozen += 1;
+    await this.faults.waitForReplacement();
+    this.counters.frozen -= 1;
+  }
+
+  /** Answers a request that ran. */
+  private async answer(
+    context: Context<StandinEnv>,
+    answer: ServiceAnswer,
+    fault: ServiceFault | undefined,
+  ): Promise<Response> {
+    switch (fault?.kind) {
+      case ServiceFaultKind.DropAfterRun:
+        return dropConnection(context);
+      case ServiceFaultKind.Status500AfterRun:
+        return context.json({error: 'fault after the run'}, 500);
+      case ServiceFaultKind.DelayAnswer:
+        await waitFor(fault.delayMs, context.req.raw.signal);
+        break;
+      default:
+        break;
+    }
+    if (answer.requestId !== null) {
+      context.header(CallerHeader.RequestId, answer.requestId);
+    }
+    return context.json(answer);
+  }
+
+  private async acceptControl(context: Context<StandinEnv>): Promise<Response> {
+    this.server.allowControl(context.env.incoming.socket);
+    const body = serviceControlSchema.safeParse(await readJson(context));
+    if (!body.success) return context.json({error: body.error.message}, 400);
+    const {faults, slowFactor, silence} = body.data;
+    if (faults !== undefined) this.setFaults(faults);
+    if (slowFactor !== undefined) this.setSlowFactor(slowFactor);
+    if (silence !== undefined) this.setSilence(silence);
+    return context.json({faults: this.faults.list()});
+  }
+
   private run(context: Context<StandinEnv>): ServiceAnswer {
     const requestId = context.req.header(CallerHeader.RequestId) ?? null;
     const operationKey = context.req.header(CallerHeader.OperationKey) ?? null;
@@ -140,8 +237,7 @@
   private async waitForWork(): Promise<void> {
     const {serviceMs, serviceSpread} = this.options;
     const deviation = (2 * this.random.draw() - 1) * serviceSpread;
-    const timeMs = serviceMs * (1 + deviation);
-    await new Promise(resolve => setTimeout(resolve, timeMs));
+    await waitFor(serviceMs * (1 + deviation) * this.slowFactor);
   }
 
   private async acquireSlot(): Promise<void> {
@@ -157,3 +253,8 @@
     this.queue.shift()?.();
   }
 }
+
+function dropConnection(context: Context<StandinEnv>): Response {
+  context.env.incoming.socket.destroy();
+  return RESPONSE_ALREADY_SENT;
+}
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -1,36 +1,29 @@
 /** Stand-in of the platform: configuration service, VM list, weight store. */
 import {Hono, type Context} from 'hono';
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
-import {StalePatchError, type PatchError} from '../protocol/errors.js';
+import type {PatchError, StalePatchError} from '../protocol/errors.js';
 import {
-  patchOperationSchema,
   vmListSchema,
   type ConfigChange,
   type ConfigHead,
   type VmList,
 } from '../protocol/platformApi.js';
-import {ConfigHistory} from './configHistory.js';
+import {ConfigService} from './configService.js';
+import {waitFor} from './delay.js';
+import {answerOutage, refuseRead} from './outageAnswers.js';
+import {
+  buildPlatformFaults,
+  platformControlSchema,
+  type PlatformFaults,
+} from './platformFaults.js';
 import {
   platformOptionsSchema,
   type PlatformOptions,
   type PlatformOptionsInput,
 } from './platformOptions.js';
 import {ReadBudget} from './readBudget.js';
-import {StandinServer, type StandinEnv} from './standinServer.js';
-
-/** Longest wait of a watch in milliseconds. */
-const maxWatchWaitMs = 60_000;
-
-const patchBodySchema = z.object({
-  baseNumber: z.number().int().nonnegative(),
-  operations: z.array(patchOperationSchema).min(1),
-});
-
-const watchQuerySchema = z.object({
-  after: z.coerce.number().int().nonnegative(),
-  waitMs: z.coerce.number().nonnegative().max(maxWatchWaitMs).default(0),
-});
+import {readJson, StandinServer, type StandinEnv} from './standinServer.js';
+import {VmListHistory} from './vmListHistory.js';
 
 /** Answer to `GET /control`. */
 export interface PlatformCounters {
@@ -47,19 +40,16 @@
 /** The read side that the system uses, and the platform's own write side. */
 export class Platform {
   private server!: StandinServer;
-  private readonly history: ConfigHistory;
-  private readonly configBudget: ReadBudget;
+  private readonly faults: PlatformFaults = buildPlatformFaults();
+  private readonly config: ConfigService;
   private readonly weightBudget: ReadBudget;
-  private readonly watchers = new Set<() => void>();
-  private vms: VmList;
+  private readonly vms: VmListHistory;
   private vmListReads = 0;
 
   private constructor(readonly options: PlatformOptions) {
-    const {document, firstNumber, keptChanges} = options;
-    this.history = new ConfigHistory(document, firstNumber, keptChanges);
-    this.configBudget = new ReadBudget(options.readsPerSecond);
+    this.config = new ConfigService(options, this.faults);
     this.weightBudget = new ReadBudget(options.weightReadsPerSecond);
-    this.vms = options.vms;
+    this.vms = new VmListHistory(options.vms);
   }
 
   /**
@@ -87,13 +77,12 @@
 
   /** Destroys all connections and refuses new ones. */
   async stop(): Promise<void> {
-    this.wakeWatchers();
     await this.server.stop();
   }
 
   /** Number and digest in force. */
   getHead(): ConfigHead {
-    return this.history.getHead();
+    return this.config.history.getHead();
   }
 
   /**
@@ -106,23 +95,41 @@
     baseNumber: number,
     operations: ConfigChange['operations'],
   ): Result<ConfigChange, StalePatchError | PatchError> {
-    const result = this.history.applyPatch(baseNumber, operations);
-    if (result.isOk()) this.wakeWatchers();
-    return result;
+    return this.config.writePatch(baseNumber, operations);
   }
 
   /** Replaces the VM list. */
   setVms(vms: VmList): void {
-    this.vms = vms;
+    this.vms.add(vms);
+  }
+
+  /**
+   * Sets faults; the others stay as they are.
+   *
+   * @throws RangeError when the document of `staleNumber` is not kept
+   *
+   * @example
+   * platform.setFaults({configOutage: Outage.Silent});
+   */
+  setFaults(changes: Partial<PlatformFaults>): void {
+    const {staleNumber} = changes;
+    const isKept =
+      typeof staleNumber !== 'number' ||
+      this.config.history.findDocument(staleNumber) !== undefined;
+    if (!isKept) {
+      throw new RangeError(`document ${staleNumber} is not kept`);
+    }
+    Object.assign(this.faults, changes);
+    this.config.wakeWatches();
   }
 
   /** Returns what was counted. */
   getCounters(): PlatformCounters {
     return {
-      configReads: this.configBudget.allowed,
-      configReadsRefused: this.configBudget.refused,
-      configReadsPeakPerSecond: this.configBudget.peakPerSecond,
-      waitingWatches: this.watchers.size,
+      configReads: this.config.budget.allowed,
+      configReadsRefused: this.config.budget.refused,
+      configReadsPeakPerSecond: this.config.budget.peakPerSecond,
+      waitingWatches: this.config.waitingWatches,
       vmListReads: this.vmListReads,
       weightReads: this.weightBudget.allowed,
       weightReadsRefused: this.weightBudget.refused,
@@ -132,108 +139,42 @@
   private buildApp(): Hono<StandinEnv> {
     const app = new Hono<StandinEnv>();
     app.get('/control', context => context.json(this.getCounters()));
-    this.addConfigRoutes(app);
-    this.addWriteRoutes(app);
-    app.get('/v1/vms', context => {
+    app.post('/control', context => this.acceptControl(context));
+    this.config.addRoutes(app);
+    app.get('/v1/vms', async context => {
       this.vmListReads += 1;
-      return context.json(this.vms);
+      const {vmListOutage, vmListLagMs, missingVms} = this.faults;
+      const refusal = await answerOutage(context, vmListOutage);
+      return refusal ?? context.json(this.vms.get(vmListLagMs, missingVms));
+    });
+    app.put('/write/vms', async context => {
+      const body = vmListSchema.safeParse(await readJson(context));
+      if (!body.success) return context.json({error: body.error.message}, 400);
+      this.setVms(body.data);
+      return context.json({}, 200);
     });
     app.get('/v1/weights/:model', async context => {
       if (!this.weightBudget.acquire()) {
         return refuseRead(context, this.weightBudget);
       }
-      await new Promise(resolve =>
-        setTimeout(resolve, this.options.weightReadMs),
-      );
+      const {weightStoreOutage} = this.faults;
+      const refusal = await answerOutage(context, weightStoreOutage);
+      if (refusal !== undefined) return refusal;
+      await waitFor(this.options.weightReadMs);
       return context.json({model: context.req.param('model')});
     });
     return app;
   }
 
-  private addConfigRoutes(app: Hono<StandinEnv>): void {
-    app.use('/v1/config/*', async (context, next) => {
-      if (!this.configBudget.acquire()) {
-        return refuseRead(context, this.configBudget);
-      }
-      return next();
-    });
-    app.get('/v1/config/head', context => context.json(this.history.getHead()));
-    app.get('/v1/config/document', context =>
-      context.json(this.history.getDocument()),
-    );
-    app.get('/v1/config/changes', context => {
-      const query = watchQuerySchema.safeParse(context.req.query());
-      if (!query.success)
-        return context.json({error: query.error.message}, 400);
-      const head = this.history.getHead();
-      return context.json(
-        this.history.listChangesAfter(query.data.after, head),
-      );
-    });
-    app.get('/v1/config/watch', async context => {
-      const query = watchQuerySchema.safeParse(context.req.query());
-      if (!query.success)
-        return context.json({error: query.error.message}, 400);
-      const {after, waitMs} = query.data;
-      await this.waitForNumberAbove(after, waitMs, context.req.raw.signal);
-      return context.json(this.history.getHead());
-    });
-  }
-
-  private addWriteRoutes(app: Hono<StandinEnv>): void {
-    app.post('/write/patch', async context => {
-      const json: unknown = await context.req.json().catch(() => undefined);
-      const body = patchBodySchema.safeParse(json);
-      if (!body.success) return context.json({error: body.error.message}, 400);
-      const {baseNumber, operations} = body.data;
-      return this.writePatch(baseNumber, operations).match(
-        change => context.json(change, 200),
-        error => {
-          const {number} = this.getHead();
-          const status = error instanceof StalePatchError ? 409 : 422;
-          return context.json({error: error.message, number}, status);
-        },
-      );
-    });
-    app.put('/write/vms', async context => {
-      const json: unknown = await context.req.json().catch(() => undefined);
-      const body = vmListSchema.safeParse(json);
-      if (!body.success) return context.json({error: body.error.message}, 400);
-      this.setVms(body.data);
-      return context.json({}, 200);
-    });
-  }
-
-  /** Resolves when the head is above a number, or the time has passed. */
-  private async waitForNumberAbove(
-    after: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    if (this.history.getHead().number > after || signal.aborted) return;
-    await new Promise<void>(resolve => {
-      const finish = () => {
-        clearTimeout(timer);
-        this.watchers.delete(finish);
-        signal.removeEventListener('abort', finish);
-        resolve();
-      };
-      const timer = setTimeout(finish, waitMs);
-      this.watchers.add(finish);
-      signal.addEventListener('abort', finish);
-    });
+  private async acceptControl(context: Context<StandinEnv>): Promise<Response> {
+    const body = platformControlSchema.safeParse(await readJson(context));
+    if (!body.success) return context.json({error: body.error.message}, 400);
+    const {reset, ...changes} = body.data;
+    try {
+      this.setFaults({...(reset ? buildPlatformFaults() : {}), ...changes});
+    } catch (error) {
+      return context.json({error: String(error)}, 400);
+    }
+    return context.json(this.faults);
   }
-
-  private wakeWatchers(): void {
-    for (const finish of [...this.watchers]) finish();
-  }
-}
-
-function refuseRead(context: Context, budget: ReadBudget): Response {
-  const waitMs = budget.getWaitMs();
-  context.header('retry-after', String(Math.ceil(waitMs / 1000)));
-  return context.json(
-    {error: 'read budget is spent', retryAfterMs: waitMs},
-    429,
-  );
 }
--- /dev/null
+++ b/tests/standins/plainServiceFaults.test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {PlainService} from '../../src/standins/plainService.js';
+import {ServiceFaultKind} from '../../src/standins/serviceFaults.js';
+import {waitUntil} from './streamClient.js';
+
+describe('faults of the plain service stand-in', () => {
+  let service: PlainService;
+
+  beforeEach(async () => {
+    service = await PlainService.start({serviceMs: 1});
+  });
+
+  afterEach(() => service.stop());
+
+  const call = (signal?: AbortSignal) =>
+    fetch(`${service.url}/orders`, {
+      method: 'POST',
+      headers: {'x-anvilstall-operation-key': 'p.k'},
+      signal,
+    }).then(
+      response => response.status,
+      () => 'broken',
+    );
+
+  // Guards against outcome tests that can't tell "not run" from "may have run".
+  for (const [kind, answer, runs] of [
+    [ServiceFaultKind.DropBeforeRun, 'broken', 0],
+    [ServiceFaultKind.DropAfterRun, 'broken', 1],
+    [ServiceFaultKind.Status500BeforeRun, 500, 0],
+    [ServiceFaultKind.Status500AfterRun, 500, 1],
+  ] as const) {
+    it(`should affect the next request only by ${kind}`, async () => {
+      await fetch(`${service.url}/control`, {
+        method: 'POST',
+        body: JSON.stringify({faults: [{kind, requests: 1}]}),
+      });
+      expect(await call()).to.equal(answer);
+      expect(service.getCounters().runs).to.equal(runs);
+      expect(await call()).to.equal(200);
+      expect(service.getCounters().runs).to.equal(runs + 1);
+    });
+  }
+
+  // Guards against the belief that an operation whose caller left never runs.
+  it('should run a frozen request late, even without its client', async () => {
+    service.setFaults([{kind: ServiceFaultKind.Freeze}]);
+    const controller = new AbortController();
+    const frozen = call(controller.signal);
+    await waitUntil(() => service.getCounters().frozen === 1);
+    controller.abort();
+    expect(await frozen).to.equal('broken');
+    expect(service.getCounters().runs).to.equal(0);
+    service.setFaults([]);
+    await waitUntil(() => service.getCounters().runs === 1);
+  });
+});
--- a/tests/standins/platform.test.ts
+++ b/tests/standins/platform.test.ts
@@ -1,5 +1,9 @@
+import FakeTimers from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {computeConfigDigest} from '../../src/protocol/configDigest.js';
+import {ConfigStore} from '../../src/node/configStore.js';
+import {Log} from '../../src/node/log.js';
+import {PlatformClient} from '../../src/node/platformClient.js';
 import {Platform} from '../../src/standins/platform.js';
 import {waitUntil} from './streamClient.js';
 
@@ -49,12 +53,36 @@
   });
 
   // Guards against a fleet that reads more than the platform allows.
-  it('should answer 429 above the read budget', async () => {
-    platform = await Platform.start({readsPerSecond: 2});
-    const statuses = [];
-    for (let index = 0; index < 3; index += 1) {
-      statuses.push((await fetch(`${platform.url}/v1/config/head`)).status);
+  it('should answer 429 above the read budget of a second', async () => {
+    const clock = FakeTimers.install({toFake: ['Date']});
+    try {
+      platform = await Platform.start({readsPerSecond: 2});
+      const statuses = [];
+      for (const waitMs of [0, 0, 0, 999, 1]) {
+        clock.tick(waitMs);
+        statuses.push((await fetch(`${platform.url}/v1/config/head`)).status);
+      }
+      expect(statuses).to.deep.equal([200, 200, 429, 429, 200]);
+    } finally {
+      clock.uninstall();
     }
-    expect(statuses).to.deep.equal([200, 200, 429]);
+  });
+
+  // Guards against a read side that differs from what the system reads.
+  it('should serve what the platform client and the store accept', async () => {
+    platform = await Platform.start({document: {a: 1}});
+    const {signal} = new AbortController();
+    const client = new PlatformClient(platform.url, platform.url);
+    const store = new ConfigStore(new Log({}));
+    const first = await client.readDocument(signal);
+    expect(store.applyDocument(first._unsafeUnwrap())).to.equal('applied');
+    await patch(1, 2);
+    await patch(2, 3);
+    const {changes} = (await client.readChanges(1, signal))._unsafeUnwrap();
+    const results = changes.map(change => store.applyChange(change));
+    expect(results).to.deep.equal(['applied', 'applied']);
+    const head = await client.watchHead(2, 1_000, signal);
+    expect(store.getHead()).to.deep.equal(head._unsafeUnwrap());
+    expect((await client.readVmList(signal)).isOk()).to.equal(true);
   });
 });
