Keep members of a stand-in's option file that no flag sets

Cause: sade lists options that are not given as undefined, and these hid the members of the file: an engine started with a model list in the file served any model. Change: undefined flags are dropped; tests run the binaries, and cover late answers and reads of the weight store.

--- a/src/standins/standinCommand.ts
+++ b/src/standins/standinCommand.ts
@@ -58,8 +58,9 @@
 
 /** Merges the configuration file and the flags. */
 function readOptions(flags: Record<string, unknown>): object {
+  // sade lists the options that are not given as undefined.
   const given = Object.entries(flags).filter(
-    ([name]) => !commonFlags.has(name),
+    ([name, value]) => !commonFlags.has(name) && value !== undefined,
   );
   const {config} = flags;
   const file: unknown =
--- a/tests/standins/modelEngineFaults.test.ts
+++ b/tests/standins/modelEngineFaults.test.ts
@@ -4,6 +4,8 @@
 import {CrossedPart} from '../../src/standins/engineFaults.js';
 import {FencingMode} from '../../src/standins/engineOptions.js';
 import {ModelEngine} from '../../src/standins/modelEngine.js';
+import {Platform} from '../../src/standins/platform.js';
+import {Outage} from '../../src/standins/platformFaults.js';
 import {SilenceScope} from '../../src/standins/standinServer.js';
 import {messages, readStream, waitUntil} from './streamClient.js';
 
@@ -124,6 +126,53 @@
     expect(next.text).to.equal(computeExpectedText(request, engine.options));
   });
 
+  // Guards against late answers that lose or reorder their tokens.
+  it('should hold back all events of a stream', async () => {
+    engine = await ModelEngine.start(fast);
+    engine.setFaults({answerDelayMs: 60_000});
+    let received = 0;
+    const body = {standin_tokens: 9};
+    const late = readStream(engine.url, {
+      body,
+      observe: () => (received += 1),
+    }).catch(() => 'broken');
+    await waitUntil(() => engine.getCounters().tokensGenerated === 9);
+    expect(received).to.equal(0);
+    engine.kill(0);
+    expect(await late).to.equal('broken');
+    await waitUntil(() => engine.isListening);
+    engine.setFaults({answerDelayMs: 5});
+    const request = {model: 'm', messages, ...body};
+    const {text, isDone} = await readStream(engine.url, {body});
+    expect(text).to.equal(computeExpectedText(request, engine.options));
+    expect(isDone).to.equal(true);
+  });
+
+  // Guards against loads that take no share of the weight store's rate.
+  it('should read the weight store until it answers', async () => {
+    const platform = await Platform.start({weightReadMs: 1});
+    try {
+      platform.setFaults({weightStoreOutage: Outage.Status503});
+      engine = await ModelEngine.start({
+        models: [],
+        loadMs: 0,
+        weightStoreUrl: platform.url,
+      });
+      const models = [{model: 'm', version: '1', adapters: []}];
+      await fetch(`${engine.url}/orders`, {
+        method: 'POST',
+        body: JSON.stringify({models, role: 'mixed', fencingNumber: 1}),
+      });
+      await waitUntil(() => platform.getCounters().weightReads === 1);
+      expect(engine.getState().models).to.deep.equal([]);
+      platform.setFaults({weightStoreOutage: Outage.None});
+      await waitUntil(() => engine.getState().models.length === 1);
+      expect(platform.getCounters().weightReads).to.equal(2);
+    } finally {
+      await platform.stop();
+    }
+  });
+
   // Guards against orders of a deposed owner that take effect.
   for (const [fencing, status] of [
     [FencingMode.Honoured, 409],
