Eject slow and unreachable backend servers, and probe them

Cause: a slowed server kept its share of the work, and a dead one drew work in by failing it quickly.

Ruled out: to count ratios as they are. One request at a thousand times the median would eject a good server, so ratios are capped at 10. To wait for probes only: gateways avoid an ejected server, so that none may come.

Change: ServerHealth (mean ratio, connect failures in a row, probes), EjectionBoard (announcements of all dispatchers, ordered by time; ignored above a third of the servers with the same work), EjectionGate (both, for one server). LeaseUse takes what is learned from releases out of BackendServerQueue.

Conclusion: ejection is decided by the owner and known to all members.

--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -1,12 +1,7 @@
 /** Queue and slot leases of one backend server. */
-import {
-  BackendServerKind,
-  type BackendServer,
-  type Configuration,
-} from '../config/configuration.js';
+import type {BackendServer, Configuration} from '../config/configuration.js';
 import type {LoadReport} from '../protocol/engineApi.js';
 import {
-  LeaseEnd,
   LeaseEventKind,
   LeaseRefusal,
   type Acquire,
@@ -14,17 +9,12 @@
   type LeaseEvent,
   type Release,
 } from '../protocol/leaseMessages.js';
-import type {ScheduledPick} from './classScheduler.js';
-import {
-  computePriority,
-  type HeldLease,
-  type RenewedLease,
-} from './heldLease.js';
+import type {EjectionBoard} from './ejectionBoard.js';
+import {EjectionGate} from './ejectionGate.js';
+import {computePriority, type RenewedLease} from './heldLease.js';
 import {LeaseTable} from './leaseTable.js';
-import {GraceLimit} from './graceLimit.js';
-import {OverGrantTimer} from './overGrantTimer.js';
-import {ServiceTimes} from './serviceTimes.js';
-import {SlotCounter} from './slotCounter.js';
+import {LeaseUse} from './leaseUse.js';
+import {SlotGate} from './slotGate.js';
 import type {StreamLengths} from './streamLengths.js';
 import {WaitingEntry} from './waitingEntry.js';
 import {WaitingQueue} from './waitingQueue.js';
@@ -32,16 +22,16 @@
 /** State that all queues of a dispatcher share. */
 export interface SharedState {
   lengths: StreamLengths;
+  ejections: EjectionBoard;
 }
 
 /** Grants the slots of one backend server. */
 export class BackendServerQueue {
   private readonly leases = new LeaseTable();
-  private readonly slots: SlotCounter;
+  private readonly gate: SlotGate;
   private readonly waiting: WaitingQueue;
-  private readonly serviceTimes = new ServiceTimes();
-  private readonly overGrants = new OverGrantTimer();
-  private readonly grace = new GraceLimit();
+  private readonly use: LeaseUse;
+  private readonly health: EjectionGate;
   private owned = false;
   private leaving = false;
 
@@ -49,13 +39,15 @@
     readonly id: string,
     private server: BackendServer,
     private configuration: Configuration,
-    private readonly shared: SharedState,
+    shared: SharedState,
   ) {
-    this.slots = new SlotCounter(this.leases, server.slots);
+    this.gate = new SlotGate(this.leases, server);
+    this.health = new EjectionGate(id, shared.ejections, this.leases);
+    this.use = new LeaseUse(shared.lengths);
     this.waiting = new WaitingQueue({
       classes: configuration.classes,
-      serviceTimes: this.serviceTimes,
-      countSlots: () => this.slots.countNormalSlots(),
+      serviceTimes: this.use.serviceTimes,
+      countSlots: () => this.gate.countNormalSlots(),
       getView: () => this.getView(),
     });
   }
@@ -64,7 +56,7 @@
   update(server: BackendServer, configuration: Configuration): void {
     this.server = server;
     this.configuration = configuration;
-    this.slots.setSlots(server.slots);
+    this.gate.update(server);
     this.waiting.update(configuration.classes);
     this.advance();
   }
@@ -77,8 +69,12 @@
     if (owned === this.owned) return;
     this.owned = owned;
     this.leases.drop();
-    if (owned) this.grace.start(Date.now());
-    else this.waiting.refuseAll(LeaseRefusal.Moved);
+    if (!owned) {
+      this.waiting.refuseAll(LeaseRefusal.Moved);
+      return;
+    }
+    this.gate.startGrace();
+    this.health.reset();
   }
 
   /** Marks the server as leaving or not; a leaving server gets no lease. */
@@ -94,15 +90,15 @@
    */
   resetAfterPause(): void {
     if (!this.owned) return;
-    const nowMs = Date.now();
-    this.grace.start(nowMs);
-    this.leases.requireRenewal(nowMs);
+    this.gate.startGrace();
+    this.leases.requireRenewal(Date.now());
     this.waiting.refuseAll(LeaseRefusal.Moved);
   }
 
   /** Takes the server's newest load report. */
   applyLoadReport(report: LoadReport): void {
-    this.grace.applyReport(report);
+    this.gate.applyReport(report);
+    this.health.recordAnswer();
     this.advance();
   }
 
@@ -112,7 +108,7 @@
       backendServer: this.id,
       freeSlots: this.countFree(),
       queueLength: this.waiting.length,
-      ejected: false,
+      ejected: this.health.isAnnounced(),
     };
   }
 
@@ -146,7 +142,8 @@
     if (entry) this.cancel(entry);
     const lease = this.leases.release(release.leaseId);
     if (!lease) return;
-    this.recordUse(lease, release);
+    this.use.recordRelease(lease, release);
+    this.health.recordRelease(lease, release);
     this.advance();
   }
 
@@ -159,13 +156,14 @@
     const tier = this.waiting.getTier(renewed.className);
     const lease = this.leases.renew(gateway, renewed, tier);
     if (!lease) return undefined;
-    if (!lease.demoted && this.isLong(lease)) this.demote(lease);
+    if (this.use.demoteLong(lease)) this.advance();
     return lease.demoted ? computePriority(lease) : undefined;
   }
 
   /** Drops the leases that weren't renewed in time, and serves the queue. */
   expireLeases(nowMs: number): void {
     this.leases.expire(nowMs);
+    if (this.owned) this.health.advance(nowMs);
     this.advance();
   }
 
@@ -183,7 +181,8 @@
     return {
       ...this.getView(),
       classes: this.waiting.describe(),
-      serviceTimes: this.serviceTimes.describe(),
+      serviceTimes: this.use.serviceTimes.describe(),
+      ejection: this.health.getEjection(),
       leases: this.leases.list(),
     };
   }
@@ -194,9 +193,17 @@
       this.waiting.refuse(entry, refusal);
       return;
     }
+    const restricted = this.isRestricted();
     this.waiting.push(entry);
     this.grantWaiting();
+    if (restricted && entry.isGranted) {
+      this.health.startProbe(entry.acquire.leaseId);
+    }
     if (entry.isSettled) return;
+    if (restricted) {
+      this.waiting.refuse(entry, LeaseRefusal.Ejected);
+      return;
+    }
     if (entry.acquire.immediate) {
       this.waiting.refuse(entry, LeaseRefusal.Busy);
       return;
@@ -212,14 +219,19 @@
     if (this.leaving) return LeaseRefusal.Leaving;
     // The gateway has given up already, or has used the id before.
     const used = this.leases.has(leaseId) || this.waiting.find(leaseId);
-    return used ? LeaseRefusal.DeadlineExceeded : undefined;
+    if (used) return LeaseRefusal.DeadlineExceeded;
+    if (!this.isRestricted() || this.health.isProbeDue()) return undefined;
+    return LeaseRefusal.Ejected;
   }
 
   private countFree(): number {
     if (!this.owned || this.leaving) return 0;
-    const free = this.slots.countFree();
-    if (!this.grace.isActive(Date.now())) return free;
-    return Math.min(free, this.grace.countFree(this.leases.list()));
+    return this.gate.countFree();
+  }
+
+  /** True while only probes are granted, one at a time. */
+  private isRestricted(): boolean {
+    return this.health.isRestricted(this.server, this.configuration);
   }
 
   private getQueueLimit(): number {
@@ -230,39 +242,25 @@
 
   /** Serves the queue after a change of leases, slots or time. */
   private advance(): void {
+    if (this.waiting.length > 0 && this.isRestricted()) {
+      this.waiting.refuseAll(LeaseRefusal.Ejected);
+    }
     this.grantWaiting();
     this.waiting.refuseUnreachable();
   }
 
   private grantWaiting(): void {
     for (;;) {
-      const pick = this.pickGrantable();
-      if (!pick) return;
-      this.waiting.take(pick.entry);
-      this.grant(pick.entry);
+      const entry = this.pickGrantable();
+      if (!entry) return;
+      this.waiting.take(entry);
+      this.grant(entry);
     }
   }
 
-  private pickGrantable(): ScheduledPick<WaitingEntry> | undefined {
-    const nowMs = Date.now();
-    const excess = -this.slots.countFree();
-    const mayOverGrant =
-      this.overGrants.allow(excess, nowMs) && !this.grace.isActive(nowMs);
-    if (this.waiting.length === 0) return undefined;
+  private pickGrantable(): WaitingEntry | undefined {
     if (!this.owned || this.leaving) return undefined;
-    const next = this.waiting.pickNext(() => true);
-    if (!next || this.countFree() > 0) return next;
-    if (!mayOverGrant || !this.isPreemptive()) return undefined;
-    const canOverGrant = (entry: WaitingEntry) =>
-      this.slots.allowOverGrant(this.waiting.getTier(entry.className));
-    // A class whose minimum share is due must not be overtaken by excess work.
-    if (next.due) return canOverGrant(next.entry) ? next : undefined;
-    return this.waiting.pickNext(canOverGrant);
-  }
-
-  /** Only engines pause work of a lower priority; plain services don't. */
-  private isPreemptive(): boolean {
-    return this.server.kind === BackendServerKind.ModelEngine;
+    return this.gate.pick(this.waiting, () => true);
   }
 
   private grant(entry: WaitingEntry): void {
@@ -276,17 +274,6 @@
     });
   }
 
-  private isLong({className, customer, tokens}: HeldLease): boolean {
-    return this.shared.lengths.isLong(className, customer, tokens);
-  }
-
-  /** Lets a long stream run behind the others and frees its slot. */
-  private demote(lease: HeldLease): void {
-    lease.demoted = true;
-    this.serviceTimes.record(lease.className, Date.now() - lease.grantedAtMs);
-    this.advance();
-  }
-
   private expire(entry: WaitingEntry): void {
     const expired = Date.now() >= entry.deadlineAtMs;
     this.waiting.refuse(
@@ -303,14 +290,4 @@
     this.leases.release(entry.acquire.leaseId);
     this.advance();
   }
-
-  private recordUse(lease: HeldLease, {end, tokens}: Release): void {
-    if (end === LeaseEnd.Unused || end === LeaseEnd.ConnectFailed) return;
-    if (end === LeaseEnd.Completed && tokens > 0) {
-      this.shared.lengths.record(lease.className, lease.customer, tokens);
-    }
-    // The time until a demotion was recorded then.
-    if (lease.demoted) return;
-    this.serviceTimes.record(lease.className, Date.now() - lease.grantedAtMs);
-  }
 }
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -20,6 +20,7 @@
 import type {DispatcherHandlers} from '../protocol/peerRouter.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
 import {BackendServerQueue, type SharedState} from './backendServerQueue.js';
+import {EjectionBoard} from './ejectionBoard.js';
 import {PauseDetector} from './pauseDetector.js';
 import {StreamLengths} from './streamLengths.js';
 
@@ -29,17 +30,27 @@
 /** Parts of a member that the service uses. */
 export type LeaseServiceNode = Pick<
   DaemonNode,
-  'config' | 'membership' | 'ownership' | 'vmListFollower' | 'log'
+  | 'broadcaster'
+  | 'config'
+  | 'log'
+  | 'members'
+  | 'membership'
+  | 'ownership'
+  | 'vmListFollower'
 >;
 
 /** Grants leases on the backend servers that this dispatcher owns. */
 export class LeaseService implements DispatcherHandlers {
   private readonly queues = new Map<string, BackendServerQueue>();
-  private readonly shared: SharedState = {lengths: new StreamLengths()};
+  private readonly shared: SharedState;
   private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
   constructor(private readonly node: LeaseServiceNode) {
+    this.shared = {
+      lengths: new StreamLengths(),
+      ejections: new EjectionBoard(node.broadcaster, node.members),
+    };
     node.config.subscribe(configuration => this.applyConfig(configuration));
     node.ownership.subscribe(() => this.refreshOwnership());
     node.membership.subscribe(() => this.dropDeadGateways());
--- a/src/dispatcher/leaseTable.ts
+++ b/src/dispatcher/leaseTable.ts
@@ -27,6 +27,11 @@
     return this.leases.has(leaseId) || this.released.has(leaseId);
   }
 
+  /** True while the lease is held. */
+  isHeld(leaseId: string): boolean {
+    return this.leases.has(leaseId);
+  }
+
   /** Lists all leases. */
   list(): HeldLease[] {
     return [...this.leases.values()];
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -7,7 +7,10 @@
   type Configuration,
 } from '../../src/config/configuration.js';
 import type {SharedState} from '../../src/dispatcher/backendServerQueue.js';
+import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
 import {StreamLengths} from '../../src/dispatcher/streamLengths.js';
+import {Broadcaster} from '../../src/node/broadcaster.js';
+import type {BroadcastItem} from '../../src/protocol/memberMessages.js';
 import {
   LeaseEnd,
   LeaseEventKind,
@@ -85,7 +88,15 @@
 
 /** Builds the state that the queues of a dispatcher share. */
 export function buildSharedState(): SharedState {
-  return {lengths: new StreamLengths()};
+  const broadcaster = new Broadcaster(() => 1);
+  const members = {
+    publish: (key: string, item: BroadcastItem) =>
+      void broadcaster.publish(key, item),
+  };
+  return {
+    lengths: new StreamLengths(),
+    ejections: new EjectionBoard(broadcaster, members),
+  };
 }
 
 let nextId = 0;
--- /dev/null
+++ b/tests/dispatcher/serverHealth.test.ts
@@ -0,0 +1,193 @@
+import FakeTimers from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
+import {graceMs} from '../../src/dispatcher/graceLimit.js';
+import {LeaseService} from '../../src/dispatcher/leaseService.js';
+import {
+  probeIntervalMs,
+  probeRequestMs,
+} from '../../src/dispatcher/serverHealth.js';
+import {
+  LeaseEnd,
+  LeaseEventKind,
+  LeaseRefusal,
+  type Release,
+} from '../../src/protocol/leaseMessages.js';
+import {BroadcastKind} from '../../src/protocol/memberMessages.js';
+import {FakeNode} from './fakeNode.js';
+import {
+  buildAcquire,
+  buildConfiguration,
+  buildRelease,
+  Caller,
+  settlePromises,
+} from './fixtures.js';
+
+const slow: Partial<Release> = {slowness: 10};
+const normal: Partial<Release> = {slowness: 1};
+const unreachable: Partial<Release> = {end: LeaseEnd.ConnectFailed};
+
+describe('health of backend servers', () => {
+  let clock: FakeTimers.Clock;
+  let node: FakeNode;
+  let service: LeaseService;
+  let stop: AbortController;
+  let running: Promise<void>;
+
+  beforeEach(async () => {
+    clock = FakeTimers.install({
+      now: 1_000_000,
+      toFake: ['Date', 'setTimeout', 'clearTimeout'],
+    });
+    node = new FakeNode();
+    service = new LeaseService(node as never);
+    node.applyConfig(
+      buildConfiguration({c: {tier: 0}}, {slots: 2, engines: 3}),
+    );
+    stop = new AbortController();
+    running = service.run(stop.signal);
+    await clock.tickAsync(graceMs);
+  });
+
+  afterEach(async () => {
+    stop.abort();
+    await running;
+    clock.uninstall();
+  });
+
+  /** Acquires at once and releases as told; returns the result. */
+  async function runOnce(
+    release: Partial<Release>,
+    backendServer = 'engine-1',
+  ): Promise<string | undefined> {
+    const acquire = buildAcquire('c', {immediate: true, backendServer});
+    const caller = new Caller(service, acquire);
+    await settlePromises();
+    if (caller.getResult() === LeaseEventKind.Granted) {
+      await service.release(
+        buildRelease(acquire.leaseId, {...release, backendServer}),
+      );
+    }
+    return caller.getResult();
+  }
+
+  async function runTimes(
+    count: number,
+    release: Partial<Release>,
+    backendServer?: string,
+  ): Promise<void> {
+    for (let i = 0; i < count; i++) await runOnce(release, backendServer);
+  }
+
+  function isEjected(): boolean {
+    return service.listOwned()[0].getView().ejected;
+  }
+
+  function listAnnounced(): boolean[] {
+    return node.published.flatMap(item =>
+      item.kind === BroadcastKind.BackendServerHealth ? [item.ejected] : [],
+    );
+  }
+
+  // Guards against slowed servers that keep their share of the work.
+  it('should eject a slow server, and not after a single sample', async () => {
+    await runTimes(10, normal);
+    await runOnce({slowness: 1_000});
+    expect(isEjected()).to.equal(false);
+    const waiting = [1, 2, 3].map(() => new Caller(service, buildAcquire('c')));
+    await settlePromises();
+    await service.release(buildRelease(waiting[0].acquire.leaseId, slow));
+    await service.release(buildRelease(waiting[1].acquire.leaseId, slow));
+    await settlePromises();
+    expect(isEjected()).to.equal(true);
+    expect(listAnnounced()).to.deep.equal([true]);
+    expect(await runOnce(normal)).to.equal(LeaseRefusal.Ejected);
+  });
+
+  // Guards against ejection by too few samples.
+  it('should not judge before five samples', async () => {
+    await runTimes(4, slow);
+    expect(isEjected()).to.equal(false);
+    await runOnce({end: LeaseEnd.Silent});
+    expect(isEjected()).to.equal(true);
+  });
+
+  // Guards against a server that is ejected for ever, or comes back too soon.
+  it('should reinstate after three good probes, one at a time', async () => {
+    await runTimes(5, slow);
+    const results: Array<string | undefined> = [];
+    for (const release of [normal, slow, normal, normal, normal]) {
+      await clock.tickAsync(probeIntervalMs);
+      expect(isEjected()).to.equal(true);
+      results.push(await runOnce(release));
+      results.push(await runOnce(release));
+    }
+    const {Granted} = LeaseEventKind;
+    const {Ejected} = LeaseRefusal;
+    const pair = [Granted, Ejected];
+    expect(results).to.deep.equal(
+      [pair, pair, pair, pair, [Granted, Granted]].flat(),
+    );
+    expect(listAnnounced()).to.deep.equal([true, false]);
+  });
+
+  // Guards against a probe that hangs while more work is sent after it.
+  it('should have no second probe in flight', async () => {
+    await runTimes(5, slow);
+    await clock.tickAsync(probeIntervalMs);
+    const probe = new Caller(service, buildAcquire('c'));
+    await settlePromises();
+    expect(probe.getResult()).to.equal(LeaseEventKind.Granted);
+    await service.renew({
+      gateway: 'gateway-1',
+      leases: [{...probe.acquire, tokens: 1}],
+    });
+    await clock.tickAsync(2 * probeIntervalMs);
+    expect(await runOnce(normal)).to.equal(LeaseRefusal.Ejected);
+  });
+
+  // Guards against a dead server that attracts work by failing it quickly.
+  it('should eject at once when connects fail, until one works', async () => {
+    await runTimes(2, normal);
+    await runTimes(2, unreachable);
+    await runOnce(normal);
+    await runTimes(2, unreachable);
+    expect(isEjected()).to.equal(false);
+    await runOnce(unreachable);
+    expect(isEjected()).to.equal(true);
+    await clock.tickAsync(probeIntervalMs);
+    await runOnce(normal);
+    expect(isEjected()).to.equal(false);
+  });
+
+  // Guards against a server that no gateway ever probes.
+  it('should ask gateways for probes when none comes', async () => {
+    await runTimes(5, slow);
+    await clock.tickAsync(probeRequestMs);
+    expect(isEjected()).to.equal(false);
+    expect(await runOnce(slow)).to.equal(LeaseEventKind.Granted);
+    expect(isEjected()).to.equal(true);
+    expect(listAnnounced()).to.deep.equal([true, false, true]);
+  });
+
+  // Guards against an outage made of ejections.
+  it('should ignore ejections of more than a third of the servers', async () => {
+    await runTimes(5, slow, 'engine-1');
+    expect(await runOnce(slow)).to.equal(LeaseRefusal.Ejected);
+    await runTimes(5, slow, 'engine-2');
+    expect(await runOnce(slow)).to.equal(LeaseEventKind.Granted);
+    expect(isEjected()).to.equal(true);
+    await runTimes(5, unreachable, 'engine-3');
+    expect(await runOnce(normal, 'engine-3')).to.equal(LeaseRefusal.Ejected);
+  });
+
+  // Guards against late announcements that undo newer ones.
+  it('should order the announcements of one server by time', () => {
+    const board = new EjectionBoard(node.broadcaster, node.members);
+    const kind = BroadcastKind.BackendServerHealth;
+    const base = {kind, backendServer: 'e'} as const;
+    node.broadcaster.publish('1', {...base, ejected: false, atMs: 20});
+    node.broadcaster.publish('2', {...base, ejected: true, atMs: 10});
+    expect(board.isEjected('e')).to.equal(false);
+  });
+});
