Queue at several backend servers and take the first grant

Cause: the lease client asked all servers one after the other, immediately and then queued at one at a time; a request behind one long queue waited there although others were free, and owner changes, silent dispatchers and departed callers left queue places and slots behind. Ruled out: queueing at all servers at once. It costs as many messages as the model has servers for each request; two queues first, doubled every 100 ms up to 16, are enough for a short wait. Ruled out, too: refusing a request whose target for the first token has passed. Targets are for attainment, deadlines bind; the latest useful start is then that of the deadline. Change: LeaseAcquisition (late binding), LeaseRequest (one server: moved, leaving, silent or failed links, owner changes), CandidateChooser (power of two choices on cached views), RefusalSummary (one truthful refusal, smallest retry-after), HeldLeases (renewal every 500 ms and at once with a new owner; release to the owner of the moment and to the one that granted, repeated once). A released id is always sent to the dispatcher that was asked. New optional member of the acquire message: ignoreEjection, set when more than a third of the model's servers are ejected. Tests fail when any of these is taken out: release of unused ids, owner change, widening, asking again, answer timeout, limit for unreachable owners, caller's signal, leaving mark, renewal with a new owner.

--- /dev/null
+++ b/src/gateway/candidateLists.ts
@@ -0,0 +1,46 @@
+/** Backend servers that can serve a target. */
+import {
+  BackendServerKind,
+  type Configuration,
+} from '../config/configuration.js';
+import {matchTarget, type LeaseTarget} from './lease.js';
+
+/** Lists candidates; each list is made once for a configuration. */
+export class CandidateLists {
+  private readonly lists = new WeakMap<
+    Configuration,
+    Map<string, readonly string[]>
+  >();
+
+  /** Returns the ids of the servers that aren't marked as leaving. */
+  list(configuration: Configuration, target: LeaseTarget): readonly string[] {
+    const lists = this.getLists(configuration);
+    const key = buildKey(target);
+    const existing = lists.get(key);
+    if (existing) return existing;
+    const list = Object.entries(configuration.backendServers)
+      .filter(([, server]) => matchTarget(server, target))
+      .map(([id]) => id);
+    lists.set(key, list);
+    return list;
+  }
+
+  private getLists(
+    configuration: Configuration,
+  ): Map<string, readonly string[]> {
+    const existing = this.lists.get(configuration);
+    if (existing) return existing;
+    const lists = new Map<string, readonly string[]>();
+    this.lists.set(configuration, lists);
+    return lists;
+  }
+}
+
+function buildKey(target: LeaseTarget): string {
+  switch (target.kind) {
+    case BackendServerKind.ModelEngine:
+      return `${target.kind} ${target.model}`;
+    case BackendServerKind.PlainService:
+      return `${target.kind} ${target.service}`;
+  }
+}
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -9,6 +9,7 @@
 import {AddressAnswers} from './addressAnswers.js';
 import {CallerServer} from './callerServer.js';
 import {ChatService} from './chatService.js';
+import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {LeaseClient} from './leaseClient.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {OperationService} from './operationService.js';
@@ -30,7 +31,10 @@
   private constructor(settings: Settings) {
     this.node = new DaemonNode(settings, MemberRole.Gateway);
     const sealer = new PrefixSealer(settings.keys.peer);
-    this.leases = new LeaseClient(this.node);
+    this.leases = new LeaseClient(
+      this.node,
+      new PeerDispatcherCalls(this.node.links),
+    );
     const services = new ServiceDispatcher(this.leases);
     this.operations = new OperationService(this.node, sealer, services);
     this.callers = new CallerServer(this.node, {
--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -1,204 +1,203 @@
 /** Gets slot leases from the dispatchers that own the backend servers. */
-import crypto from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import type {DaemonNode} from '../node/daemonNode.js';
-import {
-  LeaseEventKind,
-  type LeaseEvent,
-  type Release,
-} from '../protocol/leaseMessages.js';
+import type {Configuration} from '../config/configuration.js';
+import {waitFor} from '../node/delay.js';
+import type {Acquire} from '../protocol/leaseMessages.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {waitFor} from '../node/delay.js';
-import {
-  matchTarget,
-  type Lease,
-  type LeaseReport,
-  type LeaseSource,
-  type LeaseTarget,
+import {CandidateChooser} from './candidateChooser.js';
+import {CandidateLists} from './candidateLists.js';
+import type {DispatcherCalls} from './dispatcherCalls.js';
+import {HeldLeases} from './heldLeases.js';
+import type {
+  AcquireOptions,
+  Lease,
+  LeaseReport,
+  LeaseSource,
+  LeaseTarget,
 } from './lease.js';
+import {LeaseAcquisition} from './leaseAcquisition.js';
+import type {LeaseNode} from './leaseNode.js';
+import type {Grant} from './leaseRequest.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
+import {ServerViews} from './serverViews.js';
+
+export type {Lease, LeaseReport, LeaseTarget} from './lease.js';
 
 const renewIntervalMs = 500;
-const renewDeadlineMs = 1_000;
-const releaseDeadlineMs = 1_000;
+/** A tick that is late by this much shows that the process was paused. */
+const pauseThresholdMs = 2_000;
+/** Shortest time sent as what is left, because a message needs one. */
+const minRemainingMs = 1;
 
-export type {Lease, LeaseReport, LeaseTarget} from './lease.js';
+export interface LeaseClientOptions {
+  /** Learned time from grant to first token of a class, in milliseconds. */
+  estimateFirstTokenMs?: (className: string) => number;
+  /** Uniform in [0, 1). */
+  random?: () => number;
+}
 
 /** Acquires, renews and releases leases. */
 export class LeaseClient implements LeaseSource {
-  private readonly held = new Map<string, Lease>();
+  private readonly held: HeldLeases;
+  private readonly views = new ServerViews();
+  private readonly lists = new CandidateLists();
+  private readonly estimateFirstTokenMs: (className: string) => number;
+  private readonly random: () => number;
 
-  constructor(private readonly node: DaemonNode) {}
+  constructor(
+    private readonly node: LeaseNode,
+    private readonly dispatchers: DispatcherCalls,
+    options: LeaseClientOptions = {},
+  ) {
+    this.held = new HeldLeases(node, dispatchers);
+    this.estimateFirstTokenMs = options.estimateFirstTokenMs ?? (() => 0);
+    this.random = options.random ?? Math.random;
+  }
 
   /** Renews the held leases until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await waitFor(renewIntervalMs, signal);
-      this.renewAll();
+    const unsubscribe = this.node.ownership.subscribe(() =>
+      this.held.renewMoved(),
+    );
+    try {
+      while (!signal.aborted) {
+        const startedAtMs = performance.now();
+        await waitFor(renewIntervalMs, signal);
+        const lateMs = performance.now() - startedAtMs - renewIntervalMs;
+        // What dispatchers said before a pause is no longer true.
+        if (lateMs > pauseThresholdMs) this.views.forget();
+        this.held.renewAll();
+      }
+    } finally {
+      unsubscribe();
     }
   }
 
-  /** Waits for a slot of one of the target's backend servers. */
   async acquire(
     context: RequestContext,
     target: LeaseTarget,
+    options: AcquireOptions = {},
   ): Promise<Result<Lease, Refusal>> {
-    const candidates = shuffle(this.listCandidates(target));
-    if (candidates.length === 0) return err(buildNoServerRefusal());
-    for (const candidate of candidates) {
-      const lease = await this.acquireFrom(context, candidate, true);
-      if (lease) return ok(lease);
-    }
-    for (const candidate of candidates) {
-      const lease = await this.acquireFrom(context, candidate, false);
-      if (lease) return ok(lease);
-    }
-    return err(buildNoServerRefusal());
+    const configuration = this.node.config.getConfiguration();
+    if (!configuration) return err(buildNotReadyRefusal());
+    const chooser = this.createChooser(configuration, target, options);
+    const acquisition = new LeaseAcquisition({
+      dispatchers: this.dispatchers,
+      views: this.views,
+      context,
+      chooser,
+      immediateOnly: options.immediateOnly ?? false,
+      signal: options.signal,
+      findOwner: id => this.node.ownership.findOwner(id),
+      subscribeToOwners: listener => this.node.ownership.subscribe(listener),
+      buildAcquire: (leaseId, backendServer, immediate) =>
+        this.buildAcquire(context, options, chooser.ignoresEjections, {
+          leaseId,
+          backendServer,
+          immediate,
+        }),
+    });
+    const granted = await acquisition.run();
+    if (granted.isErr()) return err(granted.error);
+    return ok(this.hold(context, options, granted.value));
   }
 
-  /** Gives a slot back. */
   release(lease: Lease, report: LeaseReport): void {
-    this.held.delete(lease.leaseId);
-    const owner = this.node.ownership.findOwner(lease.backendServer);
-    if (!owner) return;
-    const release: Release = {
-      leaseId: lease.leaseId,
-      backendServer: lease.backendServer,
-      heldMs: performance.now() - lease.grantedAtMs,
-      ...report,
-    };
-    void this.node.links.callDispatcher(
-      owner.peerAddress,
-      releaseDeadlineMs,
-      (client, signal) => client.leases.release.mutate(release, {signal}),
-    );
+    this.views.noteRelease(lease.backendServer);
+    this.held.release(lease, report);
   }
 
   /** Number of requests that hold a slot. */
   countHeld(): number {
-    return this.held.size;
+    return this.held.count();
   }
 
-  private listCandidates(target: LeaseTarget): string[] {
-    const configuration = this.node.config.getConfiguration();
-    if (!configuration) return [];
-    return Object.entries(configuration.backendServers)
-      .filter(([, server]) => matchTarget(server, target))
-      .map(([id]) => id);
+  private createChooser(
+    configuration: Configuration,
+    target: LeaseTarget,
+    options: AcquireOptions,
+  ): CandidateChooser {
+    const avoid = options.avoid ?? new Set();
+    const all = this.lists.list(configuration, target);
+    return new CandidateChooser({
+      configuration,
+      views: this.views,
+      servers: options.immediateOnly ? all.filter(id => !avoid.has(id)) : all,
+      avoid,
+      first: options.prefer,
+      random: this.random,
+    });
   }
 
-  private async acquireFrom(
+  private buildAcquire(
     context: RequestContext,
-    backendServer: string,
-    immediate: boolean,
-  ): Promise<Lease | undefined> {
-    const owner = this.node.ownership.findOwner(backendServer);
-    const deadlineMs = computeRemainingMs(context);
-    if (!owner || deadlineMs === 0) return undefined;
-    const leaseId = crypto.randomUUID();
-    const client = this.node.links.getDispatcher(owner.peerAddress);
-    const event = await new Promise<LeaseEvent | undefined>(resolve => {
-      const timer = setTimeout(() => finish(undefined), deadlineMs);
-      const finish = (result: LeaseEvent | undefined) => {
-        clearTimeout(timer);
-        // Before unsubscribe, which calls onComplete at once.
-        resolve(result);
-        subscription.unsubscribe();
-      };
-      const subscription = client.leases.acquire.subscribe(
-        {
-          leaseId,
-          requestId: context.requestId,
-          gateway: this.node.membership.getSelf().incarnation,
-          backendServer,
-          className: context.className,
-          customer: context.customerId,
-          immediate,
-          deadlineMs,
-          latestStartMs: deadlineMs,
-          suspectCount: 0,
-          configNumber: this.node.config.getNumberInForce(),
-        },
-        {
-          onData: next => {
-            if (next.kind !== LeaseEventKind.Queued) finish(next);
-          },
-          onError: () => finish(undefined),
-          onComplete: () => finish(undefined),
-        },
-      );
-    });
-    if (event?.kind !== LeaseEventKind.Granted) return undefined;
+    options: AcquireOptions,
+    ignoreEjection: boolean,
+    ask: Pick<Acquire, 'leaseId' | 'backendServer' | 'immediate'>,
+  ): Acquire {
+    const {fingerprint, prefixDigest, suspectCount} = options;
+    const deadlineMs = Math.max(minRemainingMs, computeRemainingMs(context));
+    return {
+      ...ask,
+      requestId: context.requestId,
+      gateway: this.node.membership.getSelf().incarnation,
+      className: context.className,
+      customer: context.customerId,
+      deadlineMs,
+      latestStartMs: this.computeLatestStartMs(context, options, deadlineMs),
+      ...(fingerprint === undefined ? {} : {fingerprint}),
+      ...(prefixDigest === undefined ? {} : {prefixDigest}),
+      ...(ignoreEjection ? {ignoreEjection} : {}),
+      suspectCount: suspectCount ?? 0,
+      configNumber: this.node.config.getNumberInForce(),
+    };
+  }
+
+  /**
+   * Time until the last start that still meets the target. When the target
+   * can't be met any more, or the answer has begun, only the deadline binds:
+   * a late answer is worth more to the caller than none.
+   */
+  private computeLatestStartMs(
+    context: RequestContext,
+    {resumed}: AcquireOptions,
+    deadlineMs: number,
+  ): number {
+    const firstTokenMs = this.estimateFirstTokenMs(context.className);
+    const {arrivedAtMs, requestClass} = context;
+    const targetAtMs = arrivedAtMs + requestClass.firstTokenMs;
+    const targetLeftMs = targetAtMs - performance.now() - firstTokenMs;
+    if (!resumed && targetLeftMs > 0) return Math.min(targetLeftMs, deadlineMs);
+    return Math.max(minRemainingMs, deadlineMs - firstTokenMs);
+  }
+
+  private hold(
+    context: RequestContext,
+    options: AcquireOptions,
+    {leaseId, backendServer, owner, event}: Grant,
+  ): Lease {
     const lease: Lease = {
       leaseId,
       backendServer,
       address: event.address,
       priority: event.priority,
       tokens: 0,
-      suspectCount: 0,
       context,
       grantedAtMs: performance.now(),
+      suspectCount: options.suspectCount ?? 0,
+      ...(options.fingerprint ? {fingerprint: options.fingerprint} : {}),
     };
-    this.held.set(leaseId, lease);
+    this.held.add(lease, owner);
     return lease;
   }
-
-  private renewAll(): void {
-    const byOwner = new Map<string, Lease[]>();
-    for (const lease of this.held.values()) {
-      const owner = this.node.ownership.findOwner(lease.backendServer);
-      if (!owner) continue;
-      const leases = byOwner.get(owner.peerAddress) ?? [];
-      leases.push(lease);
-      byOwner.set(owner.peerAddress, leases);
-    }
-    for (const [address, leases] of byOwner) void this.renew(address, leases);
-  }
-
-  private async renew(address: string, leases: Lease[]): Promise<void> {
-    const result = await this.node.links.callDispatcher(
-      address,
-      renewDeadlineMs,
-      (client, signal) =>
-        client.leases.renew.mutate(
-          {
-            gateway: this.node.membership.getSelf().incarnation,
-            leases: leases.map(lease => ({
-              leaseId: lease.leaseId,
-              backendServer: lease.backendServer,
-              requestId: lease.context.requestId,
-              className: lease.context.className,
-              customer: lease.context.customerId,
-              tokens: lease.tokens,
-              suspectCount: 0,
-            })),
-          },
-          {signal},
-        ),
-    );
-    if (result.isErr()) return;
-    for (const {leaseId, priority} of result.value.priorities) {
-      const lease = this.held.get(leaseId);
-      if (lease) lease.priority = priority;
-    }
-  }
 }
 
-function buildNoServerRefusal(): Refusal {
+function buildNotReadyRefusal(): Refusal {
   return new Refusal(
-    RefusalReason.NoBackendServer,
+    RefusalReason.NotReady,
     Outcome.NotRun,
-    'no backend server could take the request',
-    {retryAfterMs: 1_000},
+    'no configuration is in force yet',
+    {retryAfterMs: 500},
   );
 }
-
-function shuffle<T>(items: readonly T[]): T[] {
-  const result = [...items];
-  for (let i = result.length - 1; i > 0; i--) {
-    const j = Math.floor(Math.random() * (i + 1));
-    [result[i], result[j]] = [result[j], result[i]];
-  }
-  return result;
-}
--- /dev/null
+++ b/src/gateway/leaseNode.ts
@@ -0,0 +1,11 @@
+/** What lease clients need of the process that they run in. */
+import type {ConfigStore} from '../node/configStore.js';
+import type {Membership} from '../node/membership.js';
+import type {BackendServerOwnership} from '../node/ownership.js';
+
+/** The parts of a member of the fleet that lease clients use. */
+export interface LeaseNode {
+  readonly config: Pick<ConfigStore, 'getConfiguration' | 'getNumberInForce'>;
+  readonly ownership: Pick<BackendServerOwnership, 'findOwner' | 'subscribe'>;
+  readonly membership: Pick<Membership, 'getSelf'>;
+}
--- a/src/protocol/leaseMessages.ts
+++ b/src/protocol/leaseMessages.ts
@@ -27,6 +27,8 @@
   latestStartMs: z.number(),
   fingerprint: z.string().optional(),
   prefixDigest: z.string().optional(),
+  /** True: the gateway sees so many ejections that it ignores this one. */
+  ignoreEjection: z.boolean().optional(),
   /** Crashes at which the request was in flight, as the gateway knows them. */
   suspectCount: z.number().int().nonnegative(),
   /** Number of the configuration that the gateway has in force. */
--- /dev/null
+++ b/tests/gateway/leaseClient.test.ts
@@ -0,0 +1,349 @@
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import type {Result} from 'neverthrow';
+import {BackendServerKind} from '../../src/config/configuration.js';
+import type {AcquireOptions, Lease} from '../../src/gateway/lease.js';
+import {LeaseClient} from '../../src/gateway/leaseClient.js';
+import {LeaseEnd, LeaseRefusal} from '../../src/protocol/leaseMessages.js';
+import {Outcome} from '../../src/protocol/outcome.js';
+import {RefusalReason, type Refusal} from '../../src/protocol/refusal.js';
+import {
+  buildDispatcher,
+  FakeDispatchers,
+  FakeNode,
+  type Ask,
+} from '../support/fakeDispatchers.js';
+import {buildContext, type ContextOptions} from '../support/gatewayFixtures.js';
+
+describe('lease client', () => {
+  let clock: Clock;
+  let node: FakeNode;
+  let dispatchers: FakeDispatchers;
+  let client: LeaseClient;
+  let result: Result<Lease, Refusal> | undefined;
+
+  function startClient(servers: readonly string[]): void {
+    node = new FakeNode(servers);
+    dispatchers = new FakeDispatchers();
+    client = new LeaseClient(node, dispatchers, {
+      estimateFirstTokenMs: () => 100,
+      random: () => 0,
+    });
+    result = undefined;
+  }
+
+  function forgetResult(): void {
+    result = undefined;
+  }
+
+  async function acquire(
+    context: ContextOptions = {},
+    options: AcquireOptions = {},
+  ): Promise<void> {
+    const target = {kind: BackendServerKind.ModelEngine, model: 'm'} as const;
+    void client
+      .acquire(buildContext(context), target, options)
+      .then(value => (result = value));
+    await clock.tickAsync(0);
+  }
+
+  /** Refuses immediate asks and queues the others. */
+  function enqueueAll(ask: Ask): void {
+    if (ask.acquire.immediate) ask.refuse(LeaseRefusal.Busy);
+    else ask.enqueue();
+  }
+
+  function refuseAll(refusal: LeaseRefusal, retryAfterMs?: number) {
+    return (ask: Ask) => {
+      if (ask.acquire.immediate) ask.refuse(LeaseRefusal.Busy);
+      else ask.refuse(refusal, retryAfterMs);
+    };
+  }
+
+  function listQueued(): Ask[] {
+    return dispatchers.asks.filter(
+      ask => !ask.acquire.immediate && !ask.isEnded,
+    );
+  }
+
+  beforeEach(() => {
+    clock = install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'],
+    });
+  });
+
+  afterEach(() => {
+    clock.uninstall();
+    // No acquisition may leave its listener behind.
+    expect(node.listeners.size).to.equal(0);
+  });
+
+  // Guards against a queue place taken while a slot is free.
+  it('should take a free slot with one ask', async () => {
+    startClient(['a', 'b', 'c']);
+    await acquire();
+    expect(result?.isOk()).to.equal(true);
+    expect(dispatchers.asks).to.have.length(1);
+    expect(dispatchers.asks[0].acquire.immediate).to.equal(true);
+    expect(dispatchers.asks[0].acquire.configNumber).to.equal(7);
+    expect(client.countHeld()).to.equal(1);
+  });
+
+  // Guards against slots that stay taken by grants that came second.
+  it('should take the first grant and release the others as unused', async () => {
+    startClient(['a', 'b', 'c']);
+    dispatchers.script = enqueueAll;
+    await acquire();
+    const [first, second] = listQueued();
+    second.grant();
+    first.grant();
+    await clock.tickAsync(0);
+    const lease = result?._unsafeUnwrap();
+    expect(lease?.leaseId).to.equal(second.acquire.leaseId);
+    expect(dispatchers.releases).to.have.length(1);
+    expect(dispatchers.releases[0]).to.include({
+      leaseId: first.acquire.leaseId,
+      end: LeaseEnd.Unused,
+      address: 'd1:1',
+    });
+    expect(first.isEnded).to.equal(true);
+  });
+
+  // Guards against a long wait at two busy servers beside free ones, and
+  // against a herd that queues everywhere at once.
+  it('should queue at two servers first and at more while it waits', async () => {
+    startClient(['a', 'b', 'c', 'd', 'e', 'f']);
+    dispatchers.script = enqueueAll;
+    await acquire();
+    expect(listQueued()).to.have.length(2);
+    await clock.tickAsync(100);
+    expect(listQueued()).to.have.length(4);
+    await clock.tickAsync(100);
+    expect(listQueued()).to.have.length(6);
+    const servers = listQueued().map(ask => ask.acquire.backendServer);
+    expect(new Set(servers).size).to.equal(6);
+    listQueued()[5].grant();
+    await clock.tickAsync(0);
+    expect(result?.isOk()).to.equal(true);
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against a refusal while a server of the model was never asked.
+  it('should ask all of up to 16 servers before it gives up', async () => {
+    const servers = Array.from({length: 16}, (_, i) => `s${i}`);
+    startClient(servers);
+    let refusals = 0;
+    dispatchers.script = ask => {
+      if (ask.acquire.immediate) ask.refuse(LeaseRefusal.Busy);
+      else ask.refuse(LeaseRefusal.QueueFull, 3_000 - 100 * refusals++);
+    };
+    await acquire();
+    const refusal = result?._unsafeUnwrapErr();
+    expect(refusal?.reason).to.equal(RefusalReason.QueueFull);
+    expect(refusal?.outcome).to.equal(Outcome.NotRun);
+    expect(refusal?.retryAfterMs).to.equal(1_500);
+    const queueAsks = dispatchers.asks.filter(ask => !ask.acquire.immediate);
+    expect(
+      new Set(queueAsks.map(ask => ask.acquire.backendServer)),
+    ).to.deep.equal(new Set(servers));
+  });
+
+  // Guards against one request that burdens hundreds of dispatchers.
+  it('should ask 16 of more servers before it gives up', async () => {
+    startClient(Array.from({length: 40}, (_, i) => `s${i}`));
+    dispatchers.script = refuseAll(LeaseRefusal.TargetUnreachable, 700);
+    await acquire();
+    const refusal = result?._unsafeUnwrapErr();
+    expect(refusal?.reason).to.equal(RefusalReason.TargetUnreachable);
+    expect(dispatchers.asks).to.have.length(1 + 16);
+  });
+
+  // Guards against places and slots that a departed caller keeps.
+  it('should free all queue places when the caller is gone', async () => {
+    startClient(['a', 'b', 'c']);
+    dispatchers.script = enqueueAll;
+    const caller = new AbortController();
+    await acquire({signal: caller.signal});
+    caller.abort();
+    await clock.tickAsync(0);
+    expect(result?._unsafeUnwrapErr().reason).to.equal(
+      RefusalReason.CallerGone,
+    );
+    expect(dispatchers.releases).to.have.length(2);
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against requests that wait on after their deadline.
+  it('should refuse at the deadline', async () => {
+    startClient(['a', 'b']);
+    dispatchers.script = enqueueAll;
+    await acquire({deadlineMs: 300});
+    await clock.tickAsync(300);
+    const refusal = result?._unsafeUnwrapErr();
+    expect(refusal?.reason).to.equal(RefusalReason.DeadlineExceeded);
+    expect(refusal?.outcome).to.equal(Outcome.NotRun);
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against requests that stay queued at a dispatcher that is gone.
+  it('should queue at the new owner when the owner changes', async () => {
+    startClient(['a']);
+    dispatchers.script = enqueueAll;
+    await acquire();
+    const [old] = listQueued();
+    node.moveServers(['a'], buildDispatcher('d2'));
+    await clock.tickAsync(0);
+    expect(old.isEnded).to.equal(true);
+    expect(dispatchers.releases[0].address).to.equal('d1:1');
+    const [next] = listQueued();
+    expect(next.address).to.equal('d2:1');
+    expect(next.acquire.leaseId).not.to.equal(old.acquire.leaseId);
+    next.grant();
+    await clock.tickAsync(0);
+    expect(result?.isOk()).to.equal(true);
+  });
+
+  // Guards against a refusal because gateway and dispatcher disagree for a
+  // moment about the owner.
+  it('should ask again when a dispatcher says "moved"', async () => {
+    startClient(['a']);
+    dispatchers.script = ask => {
+      if (ask.acquire.immediate) ask.refuse(LeaseRefusal.Busy);
+      else if (ask.address === 'd1:1') ask.refuse(LeaseRefusal.Moved);
+      else ask.grant();
+    };
+    await acquire();
+    expect(result).to.equal(undefined);
+    node.setOwner(['a'], buildDispatcher('d2'));
+    await clock.tickAsync(25);
+    expect(result?.isOk()).to.equal(true);
+  });
+
+  // Guards against requests that are sent again and again to a leaving server.
+  it('should leave a leaving server out for a while', async () => {
+    startClient(['a', 'b']);
+    dispatchers.script = ask => {
+      if (ask.acquire.backendServer === 'b') ask.grant();
+      else ask.refuse(LeaseRefusal.Leaving);
+    };
+    await acquire({}, {prefer: 'a'});
+    expect(result?.isOk()).to.equal(true);
+    forgetResult();
+    await acquire({}, {prefer: 'a'});
+    expect(result?._unsafeUnwrap().backendServer).to.equal('b');
+    expect(dispatchers.listAsks('a')).to.have.length(1);
+  });
+
+  // Guards against requests that hang on a dispatcher that says nothing.
+  it('should ask other servers when a dispatcher is silent', async () => {
+    startClient(['a', 'b', 'c']);
+    dispatchers.script = ask => {
+      if (ask.acquire.backendServer === 'c') ask.grant();
+    };
+    await acquire({}, {prefer: 'a'});
+    await clock.tickAsync(600);
+    expect(result?._unsafeUnwrap().backendServer).to.equal('c');
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against a lost queue place after a link failure.
+  it('should queue again after a link failure', async () => {
+    startClient(['a']);
+    dispatchers.script = enqueueAll;
+    await acquire();
+    listQueued()[0].fail();
+    await clock.tickAsync(25);
+    expect(listQueued()).to.have.length(1);
+    listQueued()[0].grant();
+    await clock.tickAsync(0);
+    expect(result?.isOk()).to.equal(true);
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against a caller that waits for owners that never come back.
+  it('should refuse when no owner can be reached for long', async () => {
+    startClient(['a', 'b']);
+    dispatchers.script = () => undefined;
+    await acquire({deadlineMs: 60_000});
+    await clock.tickAsync(9_000);
+    const refusal = result?._unsafeUnwrapErr();
+    expect(refusal?.reason).to.equal(RefusalReason.NoBackendServer);
+    expect(dispatchers.listLeaked()).to.deep.equal([]);
+  });
+
+  // Guards against refusals for a target that the deadline outlasts.
+  it('should let only the deadline bind after the target has passed', async () => {
+    startClient(['a']);
+    await acquire({firstTokenMs: 500, deadlineMs: 5_000});
+    await acquire({firstTokenMs: 50, deadlineMs: 5_000});
+    await acquire({firstTokenMs: 500, deadlineMs: 5_000}, {resumed: true});
+    const latest = dispatchers.asks.map(ask => ask.acquire.latestStartMs);
+    expect(latest).to.deep.equal([400, 4_900, 4_900]);
+  });
+
+  // Guards against a fleet that goes unused because most servers look slow.
+  it('should ignore ejections of more than a third of the servers', async () => {
+    startClient(['a', 'b', 'c', 'd']);
+    dispatchers.script = ask => {
+      if (ask.acquire.ignoreEjection) ask.grant();
+      else if (['a', 'b'].includes(ask.acquire.backendServer)) {
+        ask.refuse(LeaseRefusal.Ejected, 500, {ejected: true});
+      } else ask.refuse(LeaseRefusal.QueueFull, 500);
+    };
+    await acquire();
+    expect(result?.isErr()).to.equal(true);
+    await acquire();
+    expect(result?.isOk()).to.equal(true);
+  });
+
+  // Guards against leases that a new owner takes for free slots.
+  it('should renew with a new owner at once and then at an interval', async () => {
+    startClient(['a']);
+    const stopping = new AbortController();
+    const running = client.run(stopping.signal);
+    await acquire();
+    const lease = result?._unsafeUnwrap() as Lease;
+    lease.tokens = 5;
+    await clock.tickAsync(500);
+    expect(dispatchers.renewals).to.have.length(1);
+    expect(dispatchers.renewals[0].leases[0].tokens).to.equal(5);
+    node.moveServers(['a'], buildDispatcher('d2'));
+    expect(dispatchers.renewals[1].address).to.equal('d2:1');
+    await clock.tickAsync(0);
+    client.release(lease, {end: LeaseEnd.Completed, tokens: 5});
+    await clock.tickAsync(0);
+    expect(dispatchers.releases.map(({address}) => address)).to.deep.equal([
+      'd2:1',
+    ]);
+    stopping.abort();
+    await running;
+  });
+
+  // Guards against a slot that a lost release keeps for ten seconds.
+  it('should repeat a release that failed', async () => {
+    startClient(['a']);
+    await acquire();
+    dispatchers.failingReleases = 1;
+    const lease = result?._unsafeUnwrap() as Lease;
+    client.release(lease, {end: LeaseEnd.Completed, tokens: 0});
+    await clock.tickAsync(200);
+    expect(dispatchers.releases).to.have.length(2);
+  });
+
+  // Guards against priorities of renewals that never reach the stream.
+  it('should tell the lease of a new priority', async () => {
+    startClient(['a']);
+    const stopping = new AbortController();
+    const running = client.run(stopping.signal);
+    await acquire();
+    const lease = result?._unsafeUnwrap() as Lease;
+    const priorities: number[] = [];
+    lease.onPriority = priority => priorities.push(priority);
+    const {leaseId} = lease;
+    dispatchers.renewAnswer = {moved: [], priorities: [{leaseId, priority: 9}]};
+    await clock.tickAsync(1_000);
+    expect(priorities).to.deep.equal([9]);
+    stopping.abort();
+    await running;
+  });
+});
--- /dev/null
+++ b/tests/support/fakeDispatchers.ts
@@ -0,0 +1,213 @@
+/** Dispatchers of the lease client's tests, and the node around the client. */
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {
+  BackendServerKind,
+  BackendServerState,
+  Fencing,
+  type Configuration,
+} from '../../src/config/configuration.js';
+import type {
+  AcquireListener,
+  DispatcherCalls,
+} from '../../src/gateway/dispatcherCalls.js';
+import type {LeaseNode} from '../../src/gateway/leaseNode.js';
+import {EngineRole} from '../../src/protocol/engineApi.js';
+import {PeerError} from '../../src/protocol/errors.js';
+import {
+  LeaseEventKind,
+  LeaseRefusal,
+  type Acquire,
+  type BackendServerView,
+  type Release,
+  type Renew,
+  type RenewAnswer,
+} from '../../src/protocol/leaseMessages.js';
+import {
+  MemberRole,
+  MemberState,
+  type Member,
+} from '../../src/protocol/memberMessages.js';
+
+/** One acquisition that a dispatcher received. */
+export class Ask {
+  isEnded = false;
+
+  constructor(
+    readonly address: string,
+    readonly acquire: Acquire,
+    private readonly listener: AcquireListener,
+  ) {}
+
+  grant(): void {
+    this.listener.onEvent({
+      kind: LeaseEventKind.Granted,
+      address: `10.0.0.1:${this.acquire.backendServer.length}`,
+      priority: 2,
+      view: this.buildView(),
+    });
+  }
+
+  enqueue(): void {
+    this.listener.onEvent({
+      kind: LeaseEventKind.Queued,
+      position: 1,
+      expectedWaitMs: 10,
+      view: this.buildView({freeSlots: 0, queueLength: 1}),
+    });
+  }
+
+  refuse(
+    refusal: LeaseRefusal,
+    retryAfterMs?: number,
+    view: Partial<BackendServerView> = {},
+  ): void {
+    this.listener.onEvent({
+      kind: LeaseEventKind.Refused,
+      refusal,
+      ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+      view: this.buildView(view),
+    });
+  }
+
+  fail(): void {
+    this.listener.onEnd();
+  }
+
+  private buildView(view: Partial<BackendServerView> = {}): BackendServerView {
+    const {backendServer} = this.acquire;
+    return {
+      backendServer,
+      freeSlots: 1,
+      queueLength: 0,
+      ejected: false,
+      ...view,
+    };
+  }
+}
+
+/** Records the calls; the script answers the asks. */
+export class FakeDispatchers implements DispatcherCalls {
+  readonly asks: Ask[] = [];
+  readonly releases: Array<Release & {address: string}> = [];
+  readonly renewals: Array<Renew & {address: string}> = [];
+  renewAnswer: RenewAnswer = {moved: [], priorities: []};
+  /** Number of releases that fail. */
+  failingReleases = 0;
+
+  constructor(public script: (ask: Ask) => void = ask => ask.grant()) {}
+
+  acquire(
+    address: string,
+    acquire: Acquire,
+    listener: AcquireListener,
+  ): () => void {
+    const ask = new Ask(address, acquire, listener);
+    this.asks.push(ask);
+    // As over a link: an answer never comes before the call returns.
+    queueMicrotask(() => this.script(ask));
+    return () => (ask.isEnded = true);
+  }
+
+  release(address: string, release: Release): ResultAsync<void, PeerError> {
+    this.releases.push({...release, address});
+    if (this.failingReleases === 0) return okAsync(undefined);
+    this.failingReleases -= 1;
+    return errAsync(new PeerError(address, 'no answer'));
+  }
+
+  renew(address: string, renew: Renew): ResultAsync<RenewAnswer, PeerError> {
+    this.renewals.push({...renew, address});
+    return okAsync(this.renewAnswer);
+  }
+
+  /** Asks at a server, the oldest first. */
+  listAsks(backendServer: string): Ask[] {
+    return this.asks.filter(ask => ask.acquire.backendServer === backendServer);
+  }
+
+  /** Lease ids that were asked for and neither ended nor released. */
+  listLeaked(): string[] {
+    const released = new Set(this.releases.map(({leaseId}) => leaseId));
+    return this.asks
+      .filter(ask => !ask.isEnded)
+      .map(({acquire}) => acquire.leaseId)
+      .filter(leaseId => !released.has(leaseId));
+  }
+}
+
+/** A node whose owners the test sets. */
+export class FakeNode implements LeaseNode {
+  readonly listeners = new Set<() => void>();
+  private readonly owners = new Map<string, Member>();
+  private configuration: Configuration;
+
+  constructor(servers: readonly string[], owner = buildDispatcher('d1')) {
+    this.configuration = buildConfiguration(servers);
+    for (const id of servers) this.owners.set(id, owner);
+  }
+
+  readonly config = {
+    getConfiguration: () => this.configuration,
+    getNumberInForce: () => 7,
+  };
+  readonly ownership = {
+    findOwner: (id: string) => this.owners.get(id),
+    subscribe: (listener: () => void) => {
+      this.listeners.add(listener);
+      return () => this.listeners.delete(listener);
+    },
+  };
+  readonly membership = {getSelf: () => buildDispatcher('g1')};
+
+  /** Sets the owner of servers and announces the change. */
+  moveServers(servers: readonly string[], owner: Member): void {
+    this.setOwner(servers, owner);
+    for (const listener of [...this.listeners]) listener();
+  }
+
+  /** Sets the owner of servers; the listeners hear nothing yet. */
+  setOwner(servers: readonly string[], owner: Member): void {
+    for (const id of servers) this.owners.set(id, owner);
+  }
+}
+
+export function buildDispatcher(incarnation: string): Member {
+  return {
+    incarnation,
+    role: MemberRole.Dispatcher,
+    vm: `vm-${incarnation}`,
+    zone: 'z1',
+    peerAddress: `${incarnation}:1`,
+    state: MemberState.Alive,
+    sequence: 0,
+    load: 0,
+  };
+}
+
+function buildConfiguration(servers: readonly string[]): Configuration {
+  return {
+    region: 'test',
+    zones: {z1: {}},
+    classes: {},
+    customers: {},
+    models: {m: {version: '1', adapters: []}},
+    backendServers: Object.fromEntries(
+      servers.map((id, index) => [
+        id,
+        {
+          kind: BackendServerKind.ModelEngine,
+          address: `10.0.0.${index + 1}:80`,
+          zone: 'z1',
+          slots: 4,
+          state: BackendServerState.Active,
+          models: ['m'],
+          role: EngineRole.Mixed,
+          fencing: Fencing.Honoured,
+          verifiesSender: false,
+        },
+      ]),
+    ),
+    weightStoreLoadsPerSecond: 1,
+    maxQueueLength: 10,
+  };
+}
