Ask again for the deadline when a target passes while waiting

Ruled out: sending the deadline as the latest start from the beginning. It takes the dispatchers' means of shedding load early away. Change: a refusal for the target that comes when the target has passed makes the gateway ask once more, bound by the deadline; a refusal in advance is final. Conclusion: without the change the new test fails.

--- a/src/gateway/leaseRequest.ts
+++ b/src/gateway/leaseRequest.ts
@@ -60,6 +60,9 @@
   private timer: NodeJS.Timeout | undefined;
   private unreachableSinceMs: number | undefined;
   private repeats = 0;
+  /** `performance.now()` at which the latest useful start of the ask passes. */
+  private latestStartAtMs = 0;
+  private targetHasPassed = false;
   private isOver = false;
 
   constructor(private readonly options: LeaseRequestOptions) {}
@@ -79,16 +82,14 @@
     }
     const leaseId = crypto.randomUUID();
     this.leaseId = leaseId;
+    const acquire = buildAcquire(leaseId, backendServer, immediate);
+    this.latestStartAtMs = performance.now() + acquire.latestStartMs;
     this.setTimer(answerTimeoutMs, () => this.handleUnreachable());
     const isCurrent = () => !this.isOver && this.leaseId === leaseId;
-    const unsubscribe = dispatchers.acquire(
-      this.owner.peerAddress,
-      buildAcquire(leaseId, backendServer, immediate),
-      {
-        onEvent: event => isCurrent() && this.handleEvent(event),
-        onEnd: () => isCurrent() && this.handleUnreachable(),
-      },
-    );
+    const unsubscribe = dispatchers.acquire(this.owner.peerAddress, acquire, {
+      onEvent: event => isCurrent() && this.handleEvent(event),
+      onEnd: () => isCurrent() && this.handleUnreachable(),
+    });
     if (isCurrent()) this.unsubscribe = unsubscribe;
     else unsubscribe();
   }
@@ -142,6 +143,11 @@
     if (refusal === LeaseRefusal.Leaving) {
       this.options.views.noteLeaving(this.backendServer);
     }
+    if (this.isTargetAlone(refusal)) {
+      this.targetHasPassed = true;
+      this.start();
+      return;
+    }
     const passes =
       refusal === LeaseRefusal.Moved ||
       // Another suspect holds the server; the wait is bounded by its end.
@@ -159,6 +165,19 @@
     this.scheduleRepeat(refusal, retryAfterMs);
   }
 
+  /**
+   * True when the target passed while the request waited, as opposed to a
+   * refusal in advance because of the queue. From then on only the deadline
+   * binds, so the request is asked for once more.
+   */
+  private isTargetAlone(refusal: LeaseRefusal): boolean {
+    return (
+      refusal === LeaseRefusal.TargetUnreachable &&
+      !this.targetHasPassed &&
+      performance.now() >= this.latestStartAtMs
+    );
+  }
+
   private handleUnreachable(): void {
     this.dropAsk();
     const nowMs = performance.now();
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -281,6 +281,24 @@
     expect(latest).to.deep.equal([400, 4_900, 4_900]);
   });
 
+  // Guards against refusals during the grace time of a new owner, which is
+  // longer than some targets.
+  it('should go on waiting when the target passes meanwhile', async () => {
+    startClient(['a']);
+    dispatchers.script = enqueueAll;
+    await acquire({firstTokenMs: 500, deadlineMs: 5_000});
+    await clock.tickAsync(400);
+    listQueued()[0].refuse(LeaseRefusal.TargetUnreachable);
+    await clock.tickAsync(0);
+    expect(listQueued()[0].acquire.latestStartMs).to.equal(4_500);
+    // The deadline can't be met either: that is final.
+    listQueued()[0].refuse(LeaseRefusal.TargetUnreachable, 800);
+    await clock.tickAsync(0);
+    const refusal = result?._unsafeUnwrapErr();
+    expect(refusal?.reason).to.equal(RefusalReason.TargetUnreachable);
+    expect(refusal?.retryAfterMs).to.equal(800);
+  });
+
   // Guards against a fleet that goes unused because most servers look slow.
   it('should ignore ejections of more than a third of the servers', async () => {
     startClient(['a', 'b', 'c', 'd']);
