Prefer servers with a cached prefix and pass over slow ones

Cause: requests with the same prompt prefix were spread over all engines, and a slowed engine got its share of requests until the dispatchers' reports came. Ruled out: the exact bound of 1.25 times the mean at low load. With one request in flight in a fleet it excludes the server that has the prefix, so up to a quarter of the slots is always accepted. Ruled out, too: medians over all samples. A slow server's samples would raise them, so each server counts once.

--- a/src/gateway/candidateChooser.ts
+++ b/src/gateway/candidateChooser.ts
@@ -2,8 +2,8 @@
 import type {Configuration} from '../config/configuration.js';
 import type {ServerViews} from './serverViews.js';
 
-/** Ejections of more than this part of the servers are ignored. */
-const maxEjectedPart = 1 / 3;
+/** Marks on more than this part of the servers are ignored. */
+const maxMarkedPart = 1 / 3;
 
 export interface ChooserOptions {
   configuration: Configuration;
@@ -12,8 +12,8 @@
   servers: readonly string[];
   /** Servers to use only when no other is left. */
   avoid: ReadonlySet<string>;
-  /** Server to ask first. */
-  first?: string;
+  /** True for servers that this gateway itself measures as slow. */
+  isSlow: (backendServer: string) => boolean;
   /** Uniform in [0, 1). */
   random: () => number;
 }
@@ -31,15 +31,32 @@
   readonly ignoresEjections: boolean;
   private readonly remaining: string[];
   private readonly lastChoice: string[];
+  private readonly ignoresMarks: boolean;
   private first: string | undefined;
 
   constructor(private readonly options: ChooserOptions) {
-    const {servers, avoid, first, views} = options;
+    const {servers, avoid, views} = options;
     const present = servers.filter(id => !views.isLeaving(id));
     this.remaining = present.filter(id => !avoid.has(id));
     this.lastChoice = present.filter(id => avoid.has(id));
-    this.ignoresEjections = this.computeIgnoresEjections();
-    this.first = first;
+    const maxMarked = servers.length * maxMarkedPart;
+    const ejected = servers.filter(id => views.find(id)?.ejected);
+    this.ignoresEjections = ejected.length > maxMarked;
+    this.ignoresMarks = this.countMarked() > maxMarked;
+  }
+
+  /** Sets the candidate to hand out first, if it is there. */
+  putFirst(id: string): void {
+    this.first = id;
+  }
+
+  /**
+   * True for servers that are slow, as far as is known. What this gateway
+   * measures counts before the dispatchers' reports, which are later.
+   */
+  isMarked(id: string): boolean {
+    if (this.ignoresMarks) return false;
+    return this.hasMark(id);
   }
 
   /** Returns the next candidate; undefined when all were handed out. */
@@ -69,28 +86,26 @@
   }
 
   private isBetter(one: string, other: string): boolean {
-    const oneEjected = this.isEjected(one);
-    if (oneEjected !== this.isEjected(other)) return !oneEjected;
+    const oneIsMarked = this.isMarked(one);
+    if (oneIsMarked !== this.isMarked(other)) return !oneIsMarked;
     return this.computeLoad(one) < this.computeLoad(other);
   }
 
-  private isEjected(id: string): boolean {
-    if (this.ignoresEjections) return false;
+  private hasMark(id: string): boolean {
+    if (this.options.isSlow(id)) return true;
     return this.options.views.find(id)?.ejected ?? false;
   }
 
+  private countMarked(): number {
+    return this.options.servers.filter(id => this.hasMark(id)).length;
+  }
+
   /** Work per slot; an unknown server counts as idle, so that it is asked. */
   private computeLoad(id: string): number {
     const {configuration, views} = this.options;
     return computeServerLoad(configuration, views, id) ?? 0;
   }
 
-  private computeIgnoresEjections(): boolean {
-    const {servers, views} = this.options;
-    const ejected = servers.filter(id => views.find(id)?.ejected).length;
-    return ejected > servers.length * maxEjectedPart;
-  }
-
   private removeAt(pool: string[], index: number): string {
     const id = pool[index];
     const last = pool.pop();
--- a/src/gateway/candidateLists.ts
+++ b/src/gateway/candidateLists.ts
@@ -1,9 +1,6 @@
 /** Backend servers that can serve a target. */
-import {
-  BackendServerKind,
-  type Configuration,
-} from '../config/configuration.js';
-import {matchTarget, type LeaseTarget} from './lease.js';
+import type {Configuration} from '../config/configuration.js';
+import {getTargetName, matchTarget, type LeaseTarget} from './lease.js';
 
 /** Lists candidates; each list is made once for a configuration. */
 export class CandidateLists {
@@ -15,7 +12,7 @@
   /** Returns the ids of the servers that aren't marked as leaving. */
   list(configuration: Configuration, target: LeaseTarget): readonly string[] {
     const lists = this.getLists(configuration);
-    const key = buildKey(target);
+    const key = `${target.kind} ${getTargetName(target)}`;
     const existing = lists.get(key);
     if (existing) return existing;
     const list = Object.entries(configuration.backendServers)
@@ -35,12 +32,3 @@
     return lists;
   }
 }
-
-function buildKey(target: LeaseTarget): string {
-  switch (target.kind) {
-    case BackendServerKind.ModelEngine:
-      return `${target.kind} ${target.model}`;
-    case BackendServerKind.PlainService:
-      return `${target.kind} ${target.service}`;
-  }
-}
--- a/src/gateway/latencyEstimates.ts
+++ b/src/gateway/latencyEstimates.ts
@@ -21,6 +21,14 @@
   betweenTokensMs?: number;
 }
 
+/** Medians over all servers of a model are computed at most this often. */
+const medianLifeMs = 100;
+
+interface ModelMedian {
+  median: number | undefined;
+  computedAtMs: number;
+}
+
 interface ServerLatencies {
   firstToken: DecayingMedian;
   betweenTokens: DecayingMedian;
@@ -33,6 +41,7 @@
 export class LatencyEstimates {
   private readonly models = new Map<string, Map<string, ServerLatencies>>();
   private readonly classes = new Map<string, DecayingMedian>();
+  private readonly modelMedians = new Map<string, ModelMedian>();
 
   /** Adds a measurement of a backend server. */
   add(model: string, backendServer: string, sample: LatencySample): void {
@@ -72,9 +81,7 @@
       'betweenTokens',
       betweenTokensMs,
     );
-    return (
-      betweenRatio ?? this.computeRatio(model, 'firstToken', firstTokenMs)
-    );
+    return betweenRatio ?? this.computeRatio(model, 'firstToken', firstTokenMs);
   }
 
   /** True while this gateway sees that the server is slow. */
@@ -113,10 +120,22 @@
     value: number | undefined,
   ): number | undefined {
     if (value === undefined) return undefined;
-    const median = this.computeModelMedian(model, metric);
+    const median = this.getModelMedian(model, metric);
     return median === undefined || median <= 0 ? undefined : value / median;
   }
 
+  private getModelMedian(model: string, metric: Metric): number | undefined {
+    const key = `${metric} ${model}`;
+    const nowMs = performance.now();
+    const cached = this.modelMedians.get(key);
+    if (cached && nowMs - cached.computedAtMs < medianLifeMs) {
+      return cached.median;
+    }
+    const median = this.computeModelMedian(model, metric);
+    this.modelMedians.set(key, {median, computedAtMs: nowMs});
+    return median;
+  }
+
   /** Median of the servers' medians: a busy server counts no more than others. */
   private computeModelMedian(
     model: string,
--- a/src/gateway/lease.ts
+++ b/src/gateway/lease.ts
@@ -84,3 +84,13 @@
       return target.kind === server.kind && server.service === target.service;
   }
 }
+
+/** Name of the model or service. */
+export function getTargetName(target: LeaseTarget): string {
+  switch (target.kind) {
+    case BackendServerKind.ModelEngine:
+      return target.model;
+    case BackendServerKind.PlainService:
+      return target.service;
+  }
+}
--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -9,16 +9,19 @@
 import {CandidateLists} from './candidateLists.js';
 import type {DispatcherCalls} from './dispatcherCalls.js';
 import {HeldLeases} from './heldLeases.js';
-import type {
-  AcquireOptions,
-  Lease,
-  LeaseReport,
-  LeaseSource,
-  LeaseTarget,
+import {
+  getTargetName,
+  type AcquireOptions,
+  type Lease,
+  type LeaseReport,
+  type LeaseSource,
+  type LeaseTarget,
 } from './lease.js';
+import {LatencyEstimates} from './latencyEstimates.js';
 import {LeaseAcquisition} from './leaseAcquisition.js';
 import type {LeaseNode} from './leaseNode.js';
 import type {Grant} from './leaseRequest.js';
+import {PrefixAffinity} from './prefixAffinity.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 import {ServerViews} from './serverViews.js';
 
@@ -31,8 +34,8 @@
 const minRemainingMs = 1;
 
 export interface LeaseClientOptions {
-  /** Learned time from grant to first token of a class, in milliseconds. */
-  estimateFirstTokenMs?: (className: string) => number;
+  /** What the gateway measures itself. */
+  latencies?: LatencyEstimates;
   /** Uniform in [0, 1). */
   random?: () => number;
 }
@@ -42,7 +45,8 @@
   private readonly held: HeldLeases;
   private readonly views = new ServerViews();
   private readonly lists = new CandidateLists();
-  private readonly estimateFirstTokenMs: (className: string) => number;
+  private readonly affinity = new PrefixAffinity();
+  private readonly latencies: LatencyEstimates;
   private readonly random: () => number;
 
   constructor(
@@ -51,7 +55,7 @@
     options: LeaseClientOptions = {},
   ) {
     this.held = new HeldLeases(node, dispatchers);
-    this.estimateFirstTokenMs = options.estimateFirstTokenMs ?? (() => 0);
+    this.latencies = options.latencies ?? new LatencyEstimates();
     this.random = options.random ?? Math.random;
   }
 
@@ -118,16 +122,34 @@
     target: LeaseTarget,
     options: AcquireOptions,
   ): CandidateChooser {
-    const avoid = options.avoid ?? new Set();
-    const all = this.lists.list(configuration, target);
-    return new CandidateChooser({
+    const {views} = this;
+    const {prefer, prefixDigest} = options;
+    const avoid = options.avoid ?? new Set<string>();
+    const servers = this.lists.list(configuration, target);
+    const model = getTargetName(target);
+    const chooser = new CandidateChooser({
       configuration,
-      views: this.views,
-      servers: options.immediateOnly ? all.filter(id => !avoid.has(id)) : all,
+      views,
+      servers: options.immediateOnly
+        ? servers.filter(id => !avoid.has(id))
+        : servers,
       avoid,
-      first: options.prefer,
+      isSlow: id => this.latencies.isSlow(model, id),
       random: this.random,
     });
+    const cached =
+      prefixDigest === undefined
+        ? undefined
+        : this.affinity.choose({
+            configuration,
+            views,
+            servers,
+            prefixDigest,
+            isAvoided: id => avoid.has(id) || chooser.isMarked(id),
+          });
+    const first = prefer ?? cached;
+    if (first !== undefined) chooser.putFirst(first);
+    return chooser;
   }
 
   private buildAcquire(
@@ -164,7 +186,7 @@
     {resumed}: AcquireOptions,
     deadlineMs: number,
   ): number {
-    const firstTokenMs = this.estimateFirstTokenMs(context.className);
+    const firstTokenMs = this.latencies.estimateFirstTokenMs(context.className);
     const {arrivedAtMs, requestClass} = context;
     const targetAtMs = arrivedAtMs + requestClass.firstTokenMs;
     const targetLeftMs = targetAtMs - performance.now() - firstTokenMs;
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -3,6 +3,7 @@
 import type {Result} from 'neverthrow';
 import {BackendServerKind} from '../../src/config/configuration.js';
 import type {AcquireOptions, Lease} from '../../src/gateway/lease.js';
+import {LatencyEstimates} from '../../src/gateway/latencyEstimates.js';
 import {LeaseClient} from '../../src/gateway/leaseClient.js';
 import {LeaseEnd, LeaseRefusal} from '../../src/protocol/leaseMessages.js';
 import {Outcome} from '../../src/protocol/outcome.js';
@@ -20,15 +21,15 @@
   let node: FakeNode;
   let dispatchers: FakeDispatchers;
   let client: LeaseClient;
+  let latencies: LatencyEstimates;
   let result: Result<Lease, Refusal> | undefined;
 
   function startClient(servers: readonly string[]): void {
     node = new FakeNode(servers);
     dispatchers = new FakeDispatchers();
-    client = new LeaseClient(node, dispatchers, {
-      estimateFirstTokenMs: () => 100,
-      random: () => 0,
-    });
+    latencies = new LatencyEstimates();
+    latencies.addFirstToken('ask', 100);
+    client = new LeaseClient(node, dispatchers, {latencies, random: () => 0});
     result = undefined;
   }
 
@@ -299,6 +300,67 @@
     expect(refusal?.retryAfterMs).to.equal(800);
   });
 
+  // Guards against a cache that is lost because requests are spread.
+  it('should ask the same server first for the same prefix', async () => {
+    const servers = Array.from({length: 12}, (_, i) => `s${i}`);
+    startClient(servers);
+    const firsts = new Set<string>();
+    for (let i = 0; i < 20; i++) {
+      await acquire({}, {prefixDigest: 'p1'});
+      firsts.add(result?._unsafeUnwrap().backendServer ?? '');
+    }
+    expect(firsts.size).to.equal(1);
+    const spread = new Set<string>();
+    for (let i = 0; i < 60; i++) {
+      await acquire({}, {prefixDigest: `p${i}`});
+      spread.add(result?._unsafeUnwrap().backendServer ?? '');
+    }
+    expect(spread.size).to.be.above(8);
+  });
+
+  // Guards against a popular prefix that overloads its server.
+  it('should pass over a server that is loaded above the others', async () => {
+    startClient(['a', 'b', 'c', 'd']);
+    let favourite = '';
+    dispatchers.script = ask => {
+      const isFavourite = ask.acquire.backendServer === favourite;
+      if (isFavourite) {
+        ask.refuse(LeaseRefusal.Busy, undefined, {
+          freeSlots: 0,
+          queueLength: 2,
+        });
+      } else ask.grant();
+    };
+    await acquire({}, {prefixDigest: 'p1'});
+    favourite = result?._unsafeUnwrap().backendServer ?? '';
+    await acquire({}, {prefixDigest: 'p1'});
+    const asked = dispatchers.listAsks(favourite).length;
+    await acquire({}, {prefixDigest: 'p1'});
+    expect(dispatchers.listAsks(favourite)).to.have.length(asked);
+    expect(result?._unsafeUnwrap().backendServer).not.to.equal(favourite);
+  });
+
+  // Guards against waiting for late reports about a server that the gateway
+  // itself sees to be slow.
+  it('should pass over a server that is measured as slow', async () => {
+    startClient(['a', 'b', 'c', 'd']);
+    for (let i = 0; i < 5; i++) {
+      for (const id of ['b', 'c', 'd']) {
+        latencies.add('m', id, {betweenTokensMs: 20});
+      }
+      latencies.add('m', 'a', {betweenTokensMs: 200});
+    }
+    for (let i = 0; i < 20; i++) {
+      await acquire({}, {prefixDigest: `p${i}`});
+      await acquire();
+    }
+    expect(dispatchers.listAsks('a')).to.have.length(0);
+    // Without new samples it is tried again.
+    await clock.tickAsync(10_001);
+    for (let i = 0; i < 20; i++) await acquire({}, {prefixDigest: `p${i}`});
+    expect(dispatchers.listAsks('a')).not.to.have.length(0);
+  });
+
   // Guards against a fleet that goes unused because most servers look slow.
   it('should ignore ejections of more than a third of the servers', async () => {
     startClient(['a', 'b', 'c', 'd']);
