Hold operation records with states, waiters and bounds

Cause: the issuer kept one promise per key for ever. A refused connection was final, another body got the first body's answer, a record had no life or memory bound, and a client library opened the connection and wrote in one step, so nothing could be checked in between. Ruled out: judging by error codes of the HTTP client whether a byte was written; a connection that was open proves nothing by its error. Change: OperationRecord holds the state and the waiters; one attempt at a time may ask tryDispatch, which is called on the open connection right before the first byte and rechecks seal, prefix expiry and deadlines. OperationRecords bounds count and bytes (half of each per customer), keeps records for 10 min past the prefix, and refuses new keys when full. ExpiryClock never goes back. serviceConnection opens, serviceExchange writes once and accepts only provably whole answers with the request's id. Conclusion: tests fail without the seal check (1), the attempt's identity (1), the expiry check (1), the deadline check (1), the finality of a dispatch (1), the joined waiters' outcome (2), the monotone clock (1), the length check (1) and the request id check (1).

--- a/src/gateway/addressAnswers.ts
+++ b/src/gateway/addressAnswers.ts
@@ -2,6 +2,7 @@
 import type {DaemonNode} from '../node/daemonNode.js';
 import type {AddressAnswer} from '../protocol/callerApi.js';
 import {MemberRole, type Member} from '../protocol/memberMessages.js';
+import type {ExpiryClock} from './expiryClock.js';
 import {prefixLifeMs, type PrefixSealer} from './operationPrefix.js';
 
 /** Callers keep an answer for this time. */
@@ -15,6 +16,7 @@
   constructor(
     private readonly node: DaemonNode,
     private readonly sealer: PrefixSealer,
+    private readonly clock: ExpiryClock,
   ) {}
 
   /** Lists gateways near a zone, with an operation prefix of this process. */
@@ -26,7 +28,7 @@
       .slice(0, maxAddresses)
       .map(({member}) => ({url: member.callerUrl ?? '', zone: member.zone}));
     const self = this.node.membership.getSelf();
-    const expiresAtMs = Date.now() + prefixLifeMs;
+    const expiresAtMs = this.clock.getNowMs() + prefixLifeMs;
     return {
       addresses: gateways,
       ttlSeconds,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -9,6 +9,7 @@
 import {AddressAnswers} from './addressAnswers.js';
 import {CallerServer} from './callerServer.js';
 import {ChatService} from './chatService.js';
+import {ExpiryClock} from './expiryClock.js';
 import {LeaseClient} from './leaseClient.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {OperationService} from './operationService.js';
@@ -31,10 +32,11 @@
     this.node = new DaemonNode(settings, MemberRole.Gateway);
     const sealer = new PrefixSealer(settings.keys.peer);
     this.leases = new LeaseClient(this.node);
+    const clock = new ExpiryClock();
     const services = new ServiceDispatcher(this.leases);
-    this.operations = new OperationService(this.node, sealer, services);
+    this.operations = new OperationService(this.node, sealer, services, clock);
     this.callers = new CallerServer(this.node, {
-      addresses: new AddressAnswers(this.node, sealer),
+      addresses: new AddressAnswers(this.node, sealer, clock),
       chat: new ChatService(this.leases),
       services,
       operations: this.operations,
--- a/src/gateway/operationPrefix.ts
+++ b/src/gateway/operationPrefix.ts
@@ -57,11 +57,14 @@
     const sealed =
       shown.length === expected.length && timingSafeEqual(shown, expected);
     if (!sealed) return err(buildInvalidKeyRefusal());
-    const payload = prefixPayloadSchema.parse(
+    // The seal proves that a gateway of this fleet wrote the payload.
+    const payload = prefixPayloadSchema.safeParse(
       JSON.parse(Buffer.from(text, 'base64url').toString()),
     );
-    if (payload.customerId !== customerId) return err(buildInvalidKeyRefusal());
-    return ok({...payload, text: key});
+    if (!payload.success || payload.data.customerId !== customerId) {
+      return err(buildInvalidKeyRefusal());
+    }
+    return ok({...payload.data, text: key});
   }
 
   private sign(text: string): Buffer {
--- a/src/gateway/operationService.ts
+++ b/src/gateway/operationService.ts
@@ -12,22 +12,26 @@
 import {Outcome} from '../protocol/outcome.js';
 import type {GatewayHandlers} from '../protocol/peerRouter.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import type {PrefixSealer} from './operationPrefix.js';
+import type {ExpiryClock} from './expiryClock.js';
+import {OperationExecutor, type OperationSender} from './operationExecutor.js';
+import type {OperationKey, PrefixSealer} from './operationPrefix.js';
+import {OperationRecords} from './operationRecords.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
-import type {ServiceDispatcher} from './serviceDispatcher.js';
 
 /** Holds the records of the operations that this process issued prefixes for. */
 export class OperationService implements GatewayHandlers {
-  private readonly records = new Map<
-    string,
-    Promise<Result<ServiceAnswer, Refusal>>
-  >();
+  readonly records: OperationRecords;
+  private readonly executor: OperationExecutor;
 
   constructor(
     private readonly node: DaemonNode,
     private readonly sealer: PrefixSealer,
-    private readonly dispatcher: ServiceDispatcher,
-  ) {}
+    sender: OperationSender,
+    clock: ExpiryClock,
+  ) {
+    this.records = new OperationRecords(clock);
+    this.executor = new OperationExecutor(this.records, sender);
+  }
 
   /** Runs an operation here or at the issuer of its key. */
   async execute(
@@ -39,7 +43,7 @@
     if (parsed.isErr()) return err(parsed.error);
     const {issuer, peerAddress} = parsed.value;
     if (issuer === this.node.membership.getSelf().incarnation) {
-      return this.executeHere(context, call, operationKey);
+      return this.executeHere(context, call, parsed.value);
     }
     const deadlineMs = computeRemainingMs(context);
     const forwarded = await this.node.links.callGateway(
@@ -83,8 +87,14 @@
       signal: new AbortController().signal,
       log: this.node.log.with({requestId: request.requestId}),
     };
-    const {call, operationKey} = request;
-    return buildResult(await this.executeHere(context, call, operationKey));
+    const key = this.sealer.parse(request.operationKey, request.customer);
+    if (key.isErr()) return buildResult(err(key.error));
+    if (key.value.issuer !== request.issuer) {
+      return buildResult(err(buildIssuerRefusal()));
+    }
+    return buildResult(
+      await this.executeHere(context, request.call, key.value),
+    );
   }
 
   async takeOver(_takeOver: TakeOver): Promise<void> {
@@ -98,13 +108,14 @@
   private executeHere(
     context: RequestContext,
     call: ServiceCall,
-    operationKey: string,
+    {text, issuer, customerId, expiresAtMs}: OperationKey,
   ): Promise<Result<ServiceAnswer, Refusal>> {
-    const known = this.records.get(operationKey);
-    if (known) return known;
-    const run = this.dispatcher.dispatch(context, call, operationKey);
-    this.records.set(operationKey, run);
-    return run;
+    return this.executor.execute(context, call, {
+      operationKey: text,
+      issuer,
+      customerId,
+      expiresAtMs,
+    });
   }
 }
 
--- /dev/null
+++ b/tests/gateway/rawServer.ts
@@ -0,0 +1,57 @@
+/** A TCP server whose answers and cuts a test scripts byte by byte. */
+import net from 'node:net';
+import type {AddressInfo} from 'node:net';
+
+export type ConnectionScript = (socket: net.Socket, request: string) => void;
+
+/** Calls the script once for each whole request that arrives. */
+export class RawServer {
+  /** Requests that arrived whole, in order. */
+  readonly requests: string[] = [];
+  private readonly sockets = new Set<net.Socket>();
+
+  private constructor(private readonly server: net.Server) {}
+
+  /** Listens on a free loopback port. */
+  static async start(script: ConnectionScript): Promise<RawServer> {
+    const server = net.createServer();
+    const raw = new RawServer(server);
+    server.on('connection', socket => raw.serveConnection(socket, script));
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    return raw;
+  }
+
+  /** `ip:port` of the server. */
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Closes all connections; later ones are refused. */
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private serveConnection(socket: net.Socket, script: ConnectionScript): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    let text = '';
+    socket.on('data', data => {
+      text += data.toString('latin1');
+      const headEnd = text.indexOf('\r\n\r\n');
+      if (headEnd < 0) return;
+      const length = /content-length: (\d+)/i.exec(text)?.[1] ?? '0';
+      if (text.length < headEnd + 4 + Number(length)) return;
+      this.requests.push(text);
+      script(socket, text);
+      text = '';
+    });
+  }
+}
+
+/** Formats a whole answer with a length. */
+export function formatAnswer(body: string, headers = ''): string {
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n${headers}\r\n${body}`;
+}
