--- a/tests/support/configurations.ts
+++ b/tests/support/configurations.ts
@@ -1,6 +1,6 @@
 /** Configuration documents and changes for tests. */
 import jsonPatch from 'fast-json-patch';
-import {computeConfigDigest} from '../../src/config/configDigest.js';
+import {computeConfigDigest} from '../../src/protocol/configDigest.js';
 import type {
   ConfigChange,
   ConfigDocument,
