--- /dev/null
+++ b/tools/bench/load/buildProbes.ts
@@ -0,0 +1,29 @@
+/** Probes of the router's own time. */
+import {ClassKind} from '../../../src/config/configuration.js';
+import type {LoadPlan} from './loadPlan.js';
+import type {DueRequest} from './loadRun.js';
+import {RequestRoute} from './requestRecord.js';
+
+const probeCustomerId = 'customer-1';
+const probePromptCharacters = 100;
+
+/** Lists probes at even distances, by turns through the router and directly. */
+export function buildProbes({probe, durationMs}: LoadPlan): DueRequest[] {
+  if (!probe) return [];
+  const count = Math.floor((durationMs / 1_000) * probe.ratePerSecond * 2);
+  const intervalMs = durationMs / count;
+  return Array.from({length: count}, (_, index) => ({
+    route:
+      index % 2 === 0 ? RequestRoute.ProbeRouter : RequestRoute.ProbeDirect,
+    arrival: {
+      id: `probe-${index}`,
+      atMs: (index + 0.5) * intervalMs,
+      className: probe.className,
+      kind: ClassKind.Model,
+      customerId: probeCustomerId,
+      tokens: probe.tokens,
+      isLong: false,
+      promptCharacters: probePromptCharacters,
+    },
+  }));
+}
--- /dev/null
+++ b/tools/bench/load/loadRun.ts
@@ -0,0 +1,208 @@
+/** One worker's part of a run. */
+import {Agent} from 'undici';
+import {ClassKind} from '../../../src/config/configuration.js';
+import {SeededRandom} from '../../../src/standins/seededRandom.js';
+import {buildArrivals, type Arrival} from './arrivals.js';
+import {buildProbes} from './buildProbes.js';
+import {CallerAddresses} from './callerAddresses.js';
+import {ChatSender, describeError, type SendResult} from './chatSender.js';
+import {computeSeed} from './computeSeed.js';
+import type {WorkerTask} from './loadPlan.js';
+import {RequestEnd, RequestRoute, type RequestRecord} from './requestRecord.js';
+import {sendServiceCall} from './sendServiceCall.js';
+
+/** A request of this worker, with the way that it takes. */
+export interface DueRequest {
+  arrival: Arrival;
+  route: RequestRoute;
+}
+
+/** Sends every request at its time, whatever the answers do. */
+export class LoadRun {
+  private readonly client = new Agent({
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: 10_000,
+  });
+  private readonly random: SeededRandom;
+  private readonly records: RequestRecord[] = [];
+  private readonly open = new Set<Promise<void>>();
+  private readonly controllers = new Set<AbortController>();
+  private readonly callers = new Map<string, CallerAddresses>();
+  private startedAtMs = 0;
+
+  constructor(private readonly task: WorkerTask) {
+    const {plan, workerIndex} = task;
+    this.random = new SeededRandom(
+      computeSeed(plan.seed, 'driver', workerIndex),
+    );
+  }
+
+  /** Runs to the end and returns the records of all requests. */
+  async run(): Promise<RequestRecord[]> {
+    const {plan, startAtMs} = this.task;
+    const requests = this.listDueRequests();
+    this.startedAtMs = startAtMs - performance.timeOrigin;
+    await this.sendAll(requests);
+    await this.waitForEnd(plan.durationMs + plan.drainMs);
+    await this.client.destroy();
+    return this.records;
+  }
+
+  private listDueRequests(): DueRequest[] {
+    const {plan, workerIndex, workerCount} = this.task;
+    const load = buildArrivals(plan.seed, plan.streams, plan.durationMs)
+      .filter((_, index) => index % workerCount === workerIndex)
+      .flatMap(arrival => this.addDuplicate(arrival));
+    // Both ways of a pair have the same driver.
+    const probes = buildProbes(plan).filter(
+      (_, index) => Math.floor(index / 2) % workerCount === workerIndex,
+    );
+    return [...load, ...probes].sort((a, b) => a.arrival.atMs - b.arrival.atMs);
+  }
+
+  /** Orders that the caller sends again are what at-most-once is about. */
+  private addDuplicate(arrival: Arrival): DueRequest[] {
+    const first = {arrival, route: RequestRoute.Load};
+    const isTwice =
+      arrival.kind === ClassKind.Service &&
+      !this.isRepeatable(arrival.className) &&
+      this.random.draw() < this.task.plan.duplicateShare;
+    return isTwice
+      ? [first, {arrival, route: RequestRoute.Duplicate}]
+      : [first];
+  }
+
+  private isRepeatable(className: string): boolean {
+    return !this.task.plan.nonRepeatable.includes(className);
+  }
+
+  private async sendAll(requests: DueRequest[]): Promise<void> {
+    for (const request of requests) {
+      const waitMs =
+        this.startedAtMs + request.arrival.atMs - performance.now();
+      if (waitMs > 0) await new Promise(resolve => setTimeout(resolve, waitMs));
+      const sending: Promise<void> = this.send(request).finally(() =>
+        this.open.delete(sending),
+      );
+      this.open.add(sending);
+    }
+  }
+
+  private async waitForEnd(endMs: number): Promise<void> {
+    const leftMs = this.startedAtMs + endMs - performance.now();
+    const timer = setTimeout(
+      () => {
+        for (const controller of this.controllers) {
+          controller.abort(RequestEnd.Unfinished);
+        }
+      },
+      Math.max(0, leftMs),
+    );
+    await Promise.all(this.open);
+    clearTimeout(timer);
+  }
+
+  private async send(request: DueRequest): Promise<void> {
+    const {arrival, route} = request;
+    const latenessMs = Math.max(
+      0,
+      performance.now() - this.startedAtMs - arrival.atMs,
+    );
+    const controller = new AbortController();
+    this.controllers.add(controller);
+    const timer = setTimeout(
+      () => controller.abort(RequestEnd.GaveUp),
+      this.getDeadlineMs(arrival),
+    );
+    const result = await this.sendByRoute(request, controller.signal);
+    clearTimeout(timer);
+    this.controllers.delete(controller);
+    const {id, className, kind, customerId, isLong, atMs} = arrival;
+    this.records.push({
+      ...{id, route, className, kind, customerId, isLong, dueMs: atMs},
+      ...this.buildOperationId(arrival),
+      ...result,
+      latenessMs,
+      // A caller's wait begins when the request is due.
+      totalMs: result.totalMs + latenessMs,
+      ...(result.firstTokenMs === undefined
+        ? {}
+        : {firstTokenMs: result.firstTokenMs + latenessMs}),
+    });
+  }
+
+  private async sendByRoute(
+    {arrival, route}: DueRequest,
+    signal: AbortSignal,
+  ): Promise<SendResult> {
+    const {model, probe} = this.task.plan;
+    switch (route) {
+      case RequestRoute.ProbeDirect: {
+        const target = {url: probe!.engineUrl, model: probe!.model};
+        return new ChatSender(this.client, arrival, target).send(signal);
+      }
+      case RequestRoute.ProbeRouter:
+        return this.sendThroughRouter(arrival, probe!.model, signal);
+      case RequestRoute.Load:
+      case RequestRoute.Duplicate:
+        return this.sendThroughRouter(arrival, model, signal);
+    }
+  }
+
+  private async sendThroughRouter(
+    arrival: Arrival,
+    model: string,
+    signal: AbortSignal,
+  ): Promise<SendResult> {
+    const startedAtMs = performance.now();
+    const {plan} = this.task;
+    const {className} = arrival;
+    const deadlineMs = this.getDeadlineMs(arrival);
+    try {
+      const caller = this.getCaller(arrival.customerId);
+      const answer = await caller.fetchAnswer();
+      const url = caller.pickUrl(answer);
+      if (arrival.kind === ClassKind.Model) {
+        const target = {url, model, className, deadlineMs};
+        return await new ChatSender(this.client, arrival, target).send(signal);
+      }
+      const {operationId} = this.buildOperationId(arrival);
+      const {prefix} = answer.operationPrefix;
+      const target = {
+        ...{url, service: plan.service, deadlineMs},
+        ...(operationId ? {operationKey: `${prefix}.${operationId}`} : {}),
+      };
+      return await sendServiceCall(this.client, arrival, target, signal);
+    } catch (error) {
+      return {
+        end: RequestEnd.Broken,
+        reason: `addresses: ${describeError(error)}`,
+        totalMs: performance.now() - startedAtMs,
+        tokens: 0,
+        gapsMs: [],
+      };
+    }
+  }
+
+  private buildOperationId({className, id}: Arrival): {operationId?: string} {
+    if (this.isRepeatable(className)) return {};
+    return {operationId: `${this.task.plan.name}-${id}`};
+  }
+
+  private getDeadlineMs({className}: Arrival): number {
+    return this.task.plan.deadlines[className];
+  }
+
+  private getCaller(customerId: string): CallerAddresses {
+    const known = this.callers.get(customerId);
+    if (known) return known;
+    const {entryUrls, zones} = this.task.plan;
+    const zone = zones[this.callers.size % zones.length];
+    const options = {customerId, zone, entryUrls};
+    const caller = new CallerAddresses(this.client, this.random, options);
+    this.callers.set(customerId, caller);
+    return caller;
+  }
+}
--- a/tools/managedProcess.ts
+++ b/tools/managedProcess.ts
@@ -25,11 +25,16 @@
 
   /** Starts `dist/src/bin/<binary>.js`. */
   static start(binary: string, args: string[]): ManagedProcess {
-    const file = new URL(`../src/bin/${binary}.js`, import.meta.url).pathname;
-    const child = spawn(process.execPath, [file, ...args], {
+    const file = new URL(`../src/bin/${binary}.js`, import.meta.url);
+    return ManagedProcess.startScript(binary, file, args);
+  }
+
+  /** Starts a built script of a development tool. */
+  static startScript(name: string, file: URL, args: string[]): ManagedProcess {
+    const child = spawn(process.execPath, [file.pathname, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
-    return new ManagedProcess(`${binary} ${args.join(' ')}`, child);
+    return new ManagedProcess(`${name} ${args.join(' ')}`, child);
   }
 
   /** Process id. */
