Add experiments, targets and capacity slopes to the bench

Ruled out: measuring the router's own time on the loaded engines, whose steps of 15 ms spread the first token more than the target of 1 ms; an engine of a model of its own with steps of 1 ms takes the probes instead.

Change: npm run bench starts the fleet, measures the engines' capacity, drives each experiment against the router and both baselines, prints one table with targets and writes the same as JSON.

--- /dev/null
+++ b/tests/bench/measures.test.ts
@@ -0,0 +1,161 @@
+import {expect} from 'chai';
+import {ClassKind} from '../../src/config/configuration.js';
+import {Outcome} from '../../src/protocol/outcome.js';
+import {RefusalReason} from '../../src/protocol/refusal.js';
+import {WindowName, type Experiment} from '../../tools/bench/experiment.js';
+import {buildExperiments} from '../../tools/bench/experiment.js';
+import {
+  RequestEnd,
+  RequestRoute,
+  type RequestRecord,
+} from '../../tools/bench/load/requestRecord.js';
+import {
+  compareWithBaselines,
+  compareWithTarget,
+  Verdict,
+} from '../../tools/bench/report/reportRow.js';
+import {
+  computeOperations,
+  computeRunMeasures,
+  SystemName,
+} from '../../tools/bench/report/runMeasures.js';
+import {
+  computeWindowMeasures,
+  isAttained,
+} from '../../tools/bench/report/windowMeasures.js';
+import {
+  buildConfiguration,
+  deploymentShapes,
+  Region,
+} from '../../tools/sampleDeployments.js';
+
+const configuration = buildConfiguration(deploymentShapes[Region.Kaap], {
+  engines: [],
+  services: [],
+});
+const question = configuration.classes['question'];
+
+const record: RequestRecord = {
+  id: 'r1',
+  route: RequestRoute.Load,
+  className: 'question',
+  kind: ClassKind.Model,
+  customerId: 'customer-3',
+  isLong: false,
+  dueMs: 500,
+  latenessMs: 0.2,
+  end: RequestEnd.Complete,
+  firstTokenMs: 100,
+  totalMs: 160,
+  tokens: 3,
+  gapsMs: [20, 40],
+};
+
+describe('measures of the bench', () => {
+  // Guards against late or partial answers that count as attained.
+  it('should count a request as attained only within all targets', () => {
+    const isMet = (change: Partial<RequestRecord>) =>
+      isAttained({...record, ...change}, question);
+    expect(isMet({})).to.equal(true);
+    expect(isMet({firstTokenMs: question.firstTokenMs + 1})).to.equal(false);
+    expect(isMet({gapsMs: [10, 150]})).to.equal(false);
+    expect(isMet({firstTokenMs: undefined})).to.equal(false);
+    for (const end of Object.values(RequestEnd)) {
+      expect(isMet({end})).to.equal(end === RequestEnd.Complete);
+    }
+  });
+
+  // Guards against goodput and attainment that count requests of other times.
+  it('should select requests by due time and goodput by end', () => {
+    const window = {name: WindowName.Crest, fromMs: 1_000, toMs: 2_000};
+    const records = [
+      {...record, dueMs: 900, totalMs: 150},
+      {...record, dueMs: 1_100, end: RequestEnd.GaveUp},
+      {...record, dueMs: 1_950},
+      {...record, dueMs: 1_500, route: RequestRoute.Duplicate},
+    ];
+    const measures = computeWindowMeasures(window, records, configuration);
+    expect(measures.model).to.deep.equal({
+      requests: 2,
+      attained: 1,
+      share: 0.5,
+    });
+    expect(measures.goodput.answersPerSecond).to.equal(1);
+    expect(measures.goodput.tokensPerSecond).to.equal(3);
+  });
+
+  // Guards against refusals that are lost from the report.
+  it('should count refusals by reason and outcome', () => {
+    const refused = {
+      ...record,
+      end: RequestEnd.Refused,
+      reason: RefusalReason.QueueFull,
+      outcome: Outcome.NotRun,
+    };
+    const window = {name: WindowName.Whole, fromMs: 0, toMs: 1_000};
+    const {refusals} = computeWindowMeasures(
+      window,
+      [record, refused, refused],
+      configuration,
+    );
+    expect(refusals).to.deep.equal({'queueFull notRun': 2});
+  });
+
+  // Guards against duplicated orders and untrue refusals that go unseen.
+  it('should find orders that ran twice or in spite of "not run"', () => {
+    const order = {...record, operationId: 'run-1'};
+    const refused = {
+      ...order,
+      end: RequestEnd.Refused,
+      outcome: Outcome.NotRun,
+    };
+    const runs = new Map([['prefix~seal.run-1', 2]]);
+    expect(computeOperations([refused], runs)).to.deep.include({
+      maxRuns: 2,
+      falseNotRun: 1,
+    });
+    // The other copy of the order has the answer.
+    expect(computeOperations([refused, order], runs).falseNotRun).to.equal(0);
+    expect(computeOperations([refused], new Map()).falseNotRun).to.equal(0);
+  });
+
+  // Guards against figures that show the driver's lateness as the router's.
+  it('should mark a run invalid when its driver was late', () => {
+    const [experiment] = buildExperiments(true) as [Experiment];
+    const measure = (latenessMs: number) =>
+      computeRunMeasures(
+        {
+          experiment,
+          system: SystemName.Router,
+          records: [{...record, latenessMs}],
+          tokensGenerated: 4,
+          operationRuns: new Map(),
+          queueWaits: [],
+        },
+        configuration,
+      );
+    expect(measure(4.9).isValid).to.equal(true);
+    expect(measure(5.5).isValid).to.equal(false);
+    expect(measure(1).wastedShare).to.equal(0.25);
+  });
+
+  // Guards against missing figures that look like met targets.
+  it('should not call a target met without a figure', () => {
+    const target = {atMost: 2};
+    expect(compareWithTarget(undefined, target)).to.equal(Verdict.NotMeasured);
+    expect(compareWithTarget(NaN, target)).to.equal(Verdict.NotMeasured);
+    expect(compareWithTarget(2.1, target)).to.equal(Verdict.Missed);
+    expect(compareWithTarget(2, target)).to.equal(Verdict.Met);
+  });
+
+  // Guards against a comparison with the weaker baseline only.
+  it('should be ahead only when it is ahead of both baselines', () => {
+    const figures = {router: 5, roundRobin: 4, leastLoad: 6};
+    expect(compareWithBaselines(figures, 'higher')).to.equal(Verdict.Missed);
+    expect(compareWithBaselines(figures, 'lower')).to.equal(Verdict.Missed);
+    expect(compareWithBaselines({...figures, leastLoad: 3}, 'higher')).to.equal(
+      Verdict.Met,
+    );
+    expect(compareWithBaselines({router: 5}, 'higher')).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/tools/bench/benchSession.ts
@@ -0,0 +1,153 @@
+/** All experiments of one region on the router and the baselines. */
+import type {DeploymentShape} from '../sampleDeployments.js';
+import {BaselineFleet} from './baseline/baselineFleet.js';
+import {BaselinePolicy} from './baseline/baselinePolicy.js';
+import {BenchFleet} from './benchFleet.js';
+import {engineFlags, probeModel} from './benchShape.js';
+import {measureEngineCapacity, type EngineCapacity} from './engineCapacity.js';
+import {smallBaselineExperiments, type Experiment} from './experiment.js';
+import {ExperimentRunner} from './experimentRunner.js';
+import {LoadDriver} from './load/loadDriver.js';
+import {SystemName, type RunMeasures} from './report/runMeasures.js';
+
+const baselinePolicies = {
+  [SystemName.RoundRobin]: BaselinePolicy.RoundRobin,
+  [SystemName.LeastLoad]: BaselinePolicy.LeastLoad,
+};
+
+export interface BenchSessionOptions {
+  shape: DeploymentShape;
+  isSmall: boolean;
+  seed: number;
+  experiments: Experiment[];
+  systems: SystemName[];
+  workers: number;
+  capacityMs: number;
+  /** Prints a line of progress. */
+  report: (line: string) => void;
+}
+
+/** An experiment that could not be run. */
+export interface RunFailure {
+  experiment: string;
+  system: SystemName;
+  error: string;
+}
+
+export interface SessionResult {
+  capacity: EngineCapacity;
+  runs: RunMeasures[];
+  failures: RunFailure[];
+}
+
+/** Runs one system after the other against the same stand-ins. */
+export class BenchSession {
+  private readonly runs: RunMeasures[] = [];
+  private readonly failures: RunFailure[] = [];
+
+  private constructor(
+    private readonly options: BenchSessionOptions,
+    private readonly fleet: BenchFleet,
+    private readonly runner: ExperimentRunner,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /** Starts all processes, runs all experiments and ends all processes. */
+  static async run(
+    options: BenchSessionOptions,
+    signal: AbortSignal,
+  ): Promise<SessionResult> {
+    const {shape, seed, workers, capacityMs, report} = options;
+    const driver = await LoadDriver.start(workers);
+    let fleet: BenchFleet | undefined;
+    try {
+      fleet = await BenchFleet.start(shape);
+      const urls = fleet.fleet.engines.map(({url}) => url);
+      const capacity = await measureEngineCapacity(
+        urls,
+        shape.model,
+        seed,
+        capacityMs,
+      );
+      const {slots, jobMs} = capacity;
+      report(
+        `capacity: ${slots} slots, a job takes ${jobMs.intercept.toFixed(1)} ms + ${jobMs.slope.toFixed(2)} ms a token (residual ${jobMs.residual.toFixed(1)} ms)`,
+      );
+      const runner = new ExperimentRunner({fleet, driver, capacity, seed});
+      const session = new BenchSession(options, fleet, runner, signal);
+      for (const system of options.systems) await session.runSystem(system);
+      return {capacity, runs: session.runs, failures: session.failures};
+    } finally {
+      await driver.stop();
+      await fleet?.stop();
+    }
+  }
+
+  private async runSystem(system: SystemName): Promise<void> {
+    switch (system) {
+      case SystemName.Router: {
+        const urls = this.fleet.fleet.vms.map(({callerUrl}) => callerUrl);
+        return this.runExperiments(system, urls);
+      }
+      case SystemName.RoundRobin:
+      case SystemName.LeastLoad: {
+        const {engines, vms} = this.fleet.fleet;
+        const baseline = await BaselineFleet.start({
+          policy: baselinePolicies[system],
+          seed: this.options.seed,
+          slots: engineFlags.slots,
+          engines: {
+            [this.options.shape.model]: engines.map(({url}) => url),
+            [probeModel]: [this.fleet.probeEngine.url],
+          },
+          vms,
+        });
+        try {
+          return await this.runExperiments(system, baseline.urls);
+        } finally {
+          await baseline.stop();
+        }
+      }
+    }
+  }
+
+  private async runExperiments(
+    system: SystemName,
+    entryUrls: string[],
+  ): Promise<void> {
+    for (const experiment of this.options.experiments) {
+      this.signal.throwIfAborted();
+      if (!this.isRunOn(experiment, system)) continue;
+      await this.runOne(experiment, system, entryUrls);
+    }
+  }
+
+  private async runOne(
+    experiment: Experiment,
+    system: SystemName,
+    entryUrls: string[],
+  ): Promise<void> {
+    const startedAtMs = performance.now();
+    try {
+      const run = await this.runner.run(experiment, system, entryUrls);
+      this.runs.push(run);
+      const seconds = ((performance.now() - startedAtMs) / 1_000).toFixed(1);
+      const validity = run.isValid ? 'valid' : 'INVALID';
+      this.options.report(
+        `${system} ${experiment.name}: ${run.requests} requests in ${seconds} s, driver late by ${run.lateness?.p99.toFixed(1)} ms at p99 (${validity})`,
+      );
+    } catch (error) {
+      this.failures.push({
+        ...{experiment: experiment.name, system, error: String(error)},
+      });
+      this.options.report(`${system} ${experiment.name}: ${String(error)}`);
+    }
+  }
+
+  private isRunOn({name, hasProbes}: Experiment, system: SystemName): boolean {
+    if (system === SystemName.Router) return true;
+    return this.options.isSmall
+      ? smallBaselineExperiments.includes(name)
+      : !hasProbes;
+  }
+}
--- /dev/null
+++ b/tools/bench/buildStreams.ts
@@ -0,0 +1,111 @@
+/** Turns loads relative to the capacity into streams of requests. */
+import {
+  ClassKind,
+  type Configuration,
+  type RequestClass,
+} from '../../src/config/configuration.js';
+import {serviceFlags} from './benchShape.js';
+import {computeJobsPerSecond, type EngineCapacity} from './engineCapacity.js';
+import type {Experiment} from './experiment.js';
+import {computeMeanTokens, type ArrivalStream} from './load/arrivals.js';
+
+/** Mean tokens of short answers. */
+const questionTokens = 8;
+const draftTokens = 12;
+/** The first two customers send this share of the load each. */
+const largeCustomers = 2;
+const largeCustomerShare = 0.3;
+/** Load of the plain services as a share of the load of the engines. */
+const serviceLoadShare = 0.6;
+/** Share of the calls of plain services that must not be repeated. */
+const nonRepeatableShare = 0.3;
+
+export interface StreamsOptions {
+  configuration: Configuration;
+  capacity: EngineCapacity;
+  services: number;
+  /** Baselines serve chat only. */
+  withServices: boolean;
+}
+
+/** Builds a stream for each class and customer. */
+export function buildStreams(
+  experiment: Experiment,
+  options: StreamsOptions,
+): ArrivalStream[] {
+  const {configuration, withServices} = options;
+  const customerIds = Object.keys(configuration.customers);
+  const streams: ArrivalStream[] = [];
+  for (const [className, requestClass] of Object.entries(
+    configuration.classes,
+  )) {
+    if (requestClass.kind === ClassKind.Service && !withServices) continue;
+    const lengths = getLengths(experiment, requestClass);
+    const classRate = computeClassRate(experiment, requestClass, options);
+    for (const [index, customerId] of customerIds.entries()) {
+      const isBurst = index === 0 && requestClass.kind === ClassKind.Model;
+      streams.push({
+        ...{className, customerId, lengths, kind: requestClass.kind},
+        ratePerSecond: classRate * getCustomerShare(index, customerIds.length),
+        profile:
+          (isBurst && experiment.largeCustomerProfile) || experiment.profile,
+        ...(experiment.withoutLong ? {withoutLong: true} : {}),
+      });
+    }
+  }
+  return streams;
+}
+
+/** Whether a customer sends a large share of the load. */
+export function isLargeCustomer(
+  customerId: string,
+  {customers}: Configuration,
+): boolean {
+  return Object.keys(customers).indexOf(customerId) < largeCustomers;
+}
+
+/** Requests per second of a class over all customers, at factor 1. */
+function computeClassRate(
+  experiment: Experiment,
+  requestClass: RequestClass,
+  options: StreamsOptions,
+): number {
+  const {configuration, capacity, services} = options;
+  const {highestTierLoad, otherLoad} = experiment;
+  const isAlike = (other: RequestClass) =>
+    other.kind === requestClass.kind &&
+    (requestClass.kind === ClassKind.Model
+      ? (other.tier === 0) === (requestClass.tier === 0)
+      : other.repeatable === requestClass.repeatable);
+  const alike = Object.values(configuration.classes).filter(isAlike).length;
+  switch (requestClass.kind) {
+    case ClassKind.Model: {
+      const load = requestClass.tier === 0 ? highestTierLoad : otherLoad;
+      const meanTokens = computeMeanTokens(
+        getLengths(experiment, requestClass),
+      );
+      return (load / alike) * computeJobsPerSecond(capacity, meanTokens);
+    }
+    case ClassKind.Service: {
+      const load = Math.min(1, highestTierLoad + otherLoad) * serviceLoadShare;
+      const share = requestClass.repeatable
+        ? 1 - nonRepeatableShare
+        : nonRepeatableShare;
+      const {slots, serviceMs} = serviceFlags;
+      return (load * (share / alike) * services * slots * 1_000) / serviceMs;
+    }
+  }
+}
+
+function getLengths(experiment: Experiment, {tier}: RequestClass) {
+  return {
+    meanTokens: tier === 0 ? questionTokens : draftTokens,
+    longShare: experiment.longShare,
+  };
+}
+
+function getCustomerShare(index: number, count: number): number {
+  if (index < largeCustomers) return largeCustomerShare;
+  const rest = 1 - largeCustomers * largeCustomerShare;
+  return rest / (count - largeCustomers);
+}
--- /dev/null
+++ b/tools/bench/report/buildRows.ts
@@ -0,0 +1,24 @@
+/** Builds the rows of the table from the measures of all runs. */
+import type {Experiment} from '../experiment.js';
+import {buildExperimentRows} from './buildExperimentRows.js';
+import {buildAddedTimeRows, buildRatioRows} from './buildRatioRows.js';
+import {buildKey, type Runs} from './buildRow.js';
+import type {ReportRow} from './reportRow.js';
+import type {RunMeasures} from './runMeasures.js';
+
+/** Builds all rows; invalid runs have no figures. */
+export function buildRows(
+  experiments: readonly Experiment[],
+  measures: readonly RunMeasures[],
+): ReportRow[] {
+  const runs: Runs = new Map(
+    measures
+      .filter(({isValid}) => isValid)
+      .map(run => [buildKey(run.experiment, run.system), run]),
+  );
+  return [
+    ...experiments.flatMap(experiment => buildExperimentRows(runs, experiment)),
+    ...buildRatioRows(runs),
+    ...buildAddedTimeRows(runs),
+  ];
+}
--- /dev/null
+++ b/tools/bench/report/formatTable.ts
@@ -0,0 +1,55 @@
+/** Prints the table. */
+import type {ReportRow} from './reportRow.js';
+import {SystemName} from './runMeasures.js';
+
+const columns = [
+  'experiment',
+  'measure',
+  'unit',
+  ...Object.values(SystemName),
+  'target',
+  'result',
+  'ahead',
+];
+const firstNumberColumn = 3;
+const lastNumberColumn = firstNumberColumn + Object.keys(SystemName).length - 1;
+
+/** Formats rows as a text table with aligned columns. */
+export function formatTable(rows: readonly ReportRow[]): string {
+  const lines = [columns, ...rows.map(formatCells)];
+  const widths = columns.map((_, index) =>
+    Math.max(...lines.map(cells => cells[index].length)),
+  );
+  return lines
+    .map(cells =>
+      cells
+        .map((cell, index) =>
+          index >= firstNumberColumn && index <= lastNumberColumn
+            ? cell.padStart(widths[index])
+            : cell.padEnd(widths[index]),
+        )
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
+
+/** Formats a figure with about three digits. */
+export function formatFigure(figure: number | undefined): string {
+  if (figure === undefined) return '-';
+  if (Number.isInteger(figure)) return String(figure);
+  if (Math.abs(figure) >= 1_000) return figure.toFixed(0);
+  return figure.toFixed(Math.abs(figure) >= 10 ? 1 : 2);
+}
+
+function formatCells(row: ReportRow): string[] {
+  return [
+    row.experiment,
+    row.measure,
+    row.unit,
+    ...Object.values(SystemName).map(name => formatFigure(row.figures[name])),
+    row.target?.text ?? '',
+    row.target?.verdict ?? '',
+    row.ahead ?? '',
+  ];
+}
--- /dev/null
+++ b/tools/bench/slopes/fleetCost.ts
@@ -0,0 +1,165 @@
+/** Costs of an idle fleet. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {z} from 'zod';
+import type {PlatformCounters} from '../../../src/standins/platform.js';
+import {LocalFleet, type LocalVm} from '../../localFleet.js';
+import type {DeploymentShape} from '../../sampleDeployments.js';
+import {findMembers} from '../findQueueWaits.js';
+
+const settleMs = 2_000;
+const patchDeadlineMs = 15_000;
+const patchPollMs = 25;
+const bytesPerMib = 2 ** 20;
+const roles = ['gateway', 'dispatcher'] as const;
+type Role = (typeof roles)[number];
+
+/** Totals of bytes sent to and received from peers since the start. */
+const peerTrafficSchema = z.record(z.string(), z.number());
+const peerTrafficName = /^peer_?(traffic|bytes)/i;
+
+/** Means over the daemons of a role; undefined: not measured. */
+export interface DaemonCost {
+  /** Percent of one core. */
+  cpuPercent: number;
+  memoryMib: number;
+  peerBytesPerSecond?: number;
+}
+
+export interface FleetCost {
+  gateway: DaemonCost;
+  dispatcher: DaemonCost;
+  /** Calls of the configuration service per second, over the whole fleet. */
+  configReadsPerSecond: number;
+  vmListReadsPerSecond: number;
+  /** Until a patch was in force in every process. */
+  patchMs: number;
+}
+
+/** One reading of a daemon. */
+interface DaemonReading {
+  cpuMicroseconds: number;
+  memoryBytes: number;
+  peerBytes?: number;
+}
+
+/** Starts an idle fleet, measures it over a window and ends it. */
+export async function measureFleetCost(
+  shape: DeploymentShape,
+  windowMs: number,
+): Promise<FleetCost> {
+  const fleet = await LocalFleet.start(shape);
+  try {
+    await sleep(settleMs);
+    const countersBefore = await readPlatform(fleet);
+    const before = await readDaemons(fleet);
+    const startedAtMs = performance.now();
+    await sleep(windowMs);
+    const after = await readDaemons(fleet);
+    const seconds = (performance.now() - startedAtMs) / 1_000;
+    const countersAfter = await readPlatform(fleet);
+    const perSecond = (name: 'configReads' | 'vmListReads') =>
+      (countersAfter[name] - countersBefore[name]) / seconds;
+    return {
+      gateway: computeCost(before.gateway, after.gateway, seconds),
+      dispatcher: computeCost(before.dispatcher, after.dispatcher, seconds),
+      configReadsPerSecond: perSecond('configReads'),
+      vmListReadsPerSecond: perSecond('vmListReads'),
+      patchMs: await measurePatch(fleet),
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function readPlatform(fleet: LocalFleet): Promise<PlatformCounters> {
+  return fleet.readCounters<PlatformCounters>(fleet.platform);
+}
+
+async function readDaemons(
+  fleet: LocalFleet,
+): Promise<Record<Role, DaemonReading[]>> {
+  const read = (role: Role) =>
+    Promise.all(fleet.vms.map(vm => readDaemon(fleet, vm, role)));
+  return {gateway: await read('gateway'), dispatcher: await read('dispatcher')};
+}
+
+async function readDaemon(
+  fleet: LocalFleet,
+  vm: LocalVm,
+  role: Role,
+): Promise<DaemonReading> {
+  const dump = await fleet.readDump(vm, role);
+  const {user, system} = dump.cpuMicroseconds as NodeJS.CpuUsage;
+  const [traffic] = findMembers(dump, peerTrafficName);
+  const peerBytes = readPeerBytes(traffic?.value);
+  return {
+    cpuMicroseconds: user + system,
+    memoryBytes: dump.memoryBytes,
+    ...(peerBytes === undefined ? {} : {peerBytes}),
+  };
+}
+
+/** Sums the byte counts of a dump's member about peer traffic. */
+export function readPeerBytes(value: unknown): number | undefined {
+  if (typeof value === 'number') return value;
+  const counts = peerTrafficSchema.safeParse(value);
+  if (!counts.success) return undefined;
+  const bytes = Object.entries(counts.data).filter(
+    ([name]) => !/messages|calls|count/i.test(name),
+  );
+  return bytes.reduce((sum, [, count]) => sum + count, 0);
+}
+
+function computeCost(
+  before: DaemonReading[],
+  after: DaemonReading[],
+  seconds: number,
+): DaemonCost {
+  const count = after.length;
+  const sum = (compute: (reading: DaemonReading, index: number) => number) =>
+    after.reduce((total, reading, index) => total + compute(reading, index), 0);
+  const cpuMicroseconds = sum(
+    (reading, index) => reading.cpuMicroseconds - before[index].cpuMicroseconds,
+  );
+  const hasTraffic = after.every(({peerBytes}) => peerBytes !== undefined);
+  const peerBytes = sum(
+    (reading, index) =>
+      (reading.peerBytes ?? 0) - (before[index].peerBytes ?? 0),
+  );
+  return {
+    cpuPercent: cpuMicroseconds / (seconds * 10_000 * count),
+    memoryMib: sum(({memoryBytes}) => memoryBytes) / count / bytesPerMib,
+    ...(hasTraffic ? {peerBytesPerSecond: peerBytes / seconds / count} : {}),
+  };
+}
+
+/** Writes a patch and waits until it is in force in every process. */
+async function measurePatch(fleet: LocalFleet): Promise<number> {
+  const {configuration} = await fleet.readDump(fleet.vms[0], 'gateway');
+  const next = configuration.number + 1;
+  const startedAtMs = performance.now();
+  const {status, body} = await fleet.writePatch(configuration.number, [
+    {op: 'replace', path: '/maxQueueLength', value: 199},
+  ]);
+  if (status !== 200) {
+    throw new Error(`patch refused: ${status} ${JSON.stringify(body)}`);
+  }
+  // Daemons are asked again only until they have it.
+  let missing = fleet.vms.flatMap(vm => roles.map(role => ({vm, role})));
+  while (missing.length > 0) {
+    if (performance.now() - startedAtMs > patchDeadlineMs) {
+      throw new Error(
+        `patch not in force in ${missing.length} daemons within ${patchDeadlineMs} ms`,
+      );
+    }
+    const numbers = await Promise.all(
+      missing.map(async ({vm, role}) => {
+        const dump = await fleet.readDump(vm, role);
+        return dump.configuration.numberInForce;
+      }),
+    );
+    missing = missing.filter((_, index) => numbers[index] < next);
+    if (missing.length > 0) await sleep(patchPollMs);
+  }
+  return performance.now() - startedAtMs;
+}
