Prove whole answers and single runs by scenarios over whole fleets

Cause: the claims on operations, streams and configuration had no proof over separate processes. Ruled out: waiting on a fixed engine; a new owner's grace time lets the first engine that is free take a whole burst, so the scenarios look for the busy one.

--- /dev/null
+++ b/tests/endToEnd/features.test.ts
@@ -0,0 +1,14 @@
+/** Scenarios over whole fleets; the texts are in tests/features. */
+import {registerFeature} from '../support/featureRunner.js';
+import {buildFleetSteps} from '../support/fleetSteps.js';
+import {FleetWorld} from '../support/fleetWorld.js';
+
+const featureFiles = [
+  'at-most-once.feature',
+  'configuration.feature',
+  'streams.feature',
+];
+
+for (const file of featureFiles) {
+  registerFeature(file, buildFleetSteps(), () => new FleetWorld());
+}
--- /dev/null
+++ b/tests/features/at-most-once.feature
@@ -0,0 +1,46 @@
+Feature: operations that may not be repeated
+
+  Background:
+    Given services that need 300 ms a call
+    And a fleet of 3 VMs, 1 engine and 2 services
+    And a prefix "shop" issued by VM 1
+
+  # Guards against a second run by the VM that the caller resends to.
+  Scenario: should run an order once that is sent through two VMs at the same time
+    When order "a" under "shop" starts as "first" through VM 1
+    And order "a" under "shop" starts as "second" through VM 2
+    Then the outcome of "first" is "ran"
+    And the outcome of "second" is "ran"
+    And answers "first" and "second" are equal
+    And order "a" has run 1 time
+
+  # Guards against a second run when the issuer wakes up with an old request.
+  Scenario: should not run an order elsewhere while its issuer is frozen
+    When order "a" under "shop" starts as "first" through VM 1
+    And order "a" starts to run
+    And the gateway of VM 1 is frozen
+    And order "a" under "shop" starts as "second" through VM 2
+    Then the outcome of "second" is "mayHaveRun" because of "issuerUnavailable"
+    When the gateway of VM 1 is resumed
+    And order "a" under "shop" starts as "third" through VM 2
+    Then the outcome of "third" is "ran"
+    And order "a" has run 1 time
+
+  # Guards against a new process at the same address that takes the key for new.
+  Scenario: should not run an order again after its issuer was replaced
+    When order "a" under "shop" starts as "first" through VM 1
+    And order "a" starts to run
+    And the gateway of VM 1 is replaced
+    And order "a" under "shop" starts as "second" through VM 1
+    And order "a" under "shop" starts as "third" through VM 3
+    Then the outcome of "second" is "mayHaveRun" because of "issuerUnavailable"
+    And the outcome of "third" is "mayHaveRun" because of "issuerUnavailable"
+    And order "a" has run 1 time
+
+  # Guards against the answer of one order being given for another.
+  Scenario: should refuse a key that comes again with another body
+    When order "a" under "shop" starts as "first" through VM 1
+    And answer "first" arrives
+    And order "a" under "shop" with another body starts as "second" through VM 2
+    Then the outcome of "second" is "notRun" because of "operationKeyReused"
+    And order "a" has run 1 time
--- /dev/null
+++ b/tests/support/fleetSteps.ts
@@ -0,0 +1,229 @@
+/** Steps of the scenarios about a whole fleet. */
+import {expect} from 'chai';
+import {StepRegistry} from './featureRunner.js';
+import type {FleetWorld} from './fleetWorld.js';
+
+type Role = 'gateway' | 'dispatcher';
+
+/** Longest time until an accepted configuration is in force, by the brief. */
+const configurationBoundMs = 5_000;
+
+/** Builds the steps that all fleet scenarios share. */
+export function buildFleetSteps(): StepRegistry<FleetWorld> {
+  const steps = new StepRegistry<FleetWorld>();
+  addFleetSteps(steps);
+  addProcessSteps(steps);
+  addRequestSteps(steps);
+  addAnswerSteps(steps);
+  addStandinSteps(steps);
+  return steps;
+}
+
+function addFleetSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add(
+    'a fleet of {int} VM(s), {int} engine(s) and {int} service(s)',
+    (world, vms: number, engines: number, services: number) =>
+      world.startFleet(vms, engines, services),
+  );
+  steps.add('engines that need {int} ms a token', (world, ms: number) => {
+    world.flags.engine.stepMs = ms;
+  });
+  steps.add('engines with {int} slot(s)', (world, slots: number) => {
+    world.flags.engine.slots = slots;
+    world.flags.edits.push(configuration => {
+      for (const server of Object.values(configuration.backendServers)) {
+        if (server.kind === 'modelEngine') server.slots = slots;
+      }
+    });
+  });
+  steps.add('services that need {int} ms a call', (world, ms: number) => {
+    world.flags.service.serviceMs = ms;
+  });
+}
+
+function addProcessSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add(
+    'the {word} of VM {int} is frozen',
+    (world, role: Role, vm: number) => {
+      world.getVm(vm)[role].signal('SIGSTOP');
+    },
+  );
+  steps.add(
+    'the {word} of VM {int} is resumed',
+    (world, role: Role, vm: number) => {
+      world.getVm(vm)[role].signal('SIGCONT');
+    },
+  );
+  steps.add(
+    'the {word} of VM {int} is killed',
+    (world, role: Role, vm: number) => world.getVm(vm)[role].kill(),
+  );
+  steps.add(
+    'the {word} of VM {int} is replaced',
+    async (world, role: Role, vm: number) => {
+      if (role === 'gateway') await world.fleet.restartGateway(world.getVm(vm));
+      else await world.fleet.restartDispatcher(world.getVm(vm));
+    },
+  );
+  steps.add(
+    'the {word} of VM {int} is told to leave',
+    (world, role: Role, vm: number) => {
+      world.getVm(vm)[role].signal('SIGTERM');
+    },
+  );
+  steps.add(
+    'the {word} of VM {int} has ended with code {int}',
+    async (world, role: Role, vm: number, code: number) => {
+      expect(await world.getVm(vm)[role].waitForExit()).to.equal(code);
+    },
+  );
+}
+
+function addRequestSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add('a prefix {string} issued by VM {int}', (world, name: string, vm) =>
+    world.fetchPrefix(name, world.getVm(vm)),
+  );
+  steps.add(
+    'order {string} under {string} starts as {string} through VM {int}',
+    (world, suffix: string, prefixName: string, name: string, vm: number) =>
+      world.startOrder(name, {suffix, prefixName, vm: world.getVm(vm)}),
+  );
+  steps.add(
+    'order {string} under {string} with another body starts as {string} through VM {int}',
+    (world, suffix: string, prefixName: string, name: string, vm: number) =>
+      world.startOrder(name, {
+        suffix,
+        prefixName,
+        vm: world.getVm(vm),
+        count: 51,
+      }),
+  );
+  steps.add(
+    '{int} requests of class {string} start as {string} through VM {int}',
+    (world, count: number, className: string, name: string, vm: number) => {
+      for (let i = 1; i <= count; i++) {
+        world.startChat(`${name} ${i}`, {className, vm: world.getVm(vm)});
+      }
+    },
+  );
+  steps.add(
+    'a request with the text {string} starts as {string} through VM {int}',
+    (world, content: string, name: string, vm: number) =>
+      world.startChat(name, {
+        className: 'question',
+        content,
+        vm: world.getVm(vm),
+      }),
+  );
+}
+
+function addAnswerSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add('answer {string} arrives', async (world, name: string) => {
+    await world.waitForAnswer(name);
+  });
+  steps.add(
+    'the outcome of {string} is {string}',
+    async (world, name: string, outcome: string) => {
+      const {outcome: stated, reason} = await world.readOutcome(name);
+      expect(stated, `${name}, reason ${reason}`).to.equal(outcome);
+    },
+  );
+  steps.add(
+    'the outcome of {string} is {string} because of {string}',
+    async (world, name: string, outcome: string, reason: string) => {
+      expect(await world.readOutcome(name)).to.deep.equal({outcome, reason});
+    },
+  );
+  steps.add(
+    'answers {string} and {string} are equal',
+    async (world, first: string, second: string) => {
+      const {body} = await world.waitForAnswer(first);
+      expect((await world.waitForAnswer(second)).body).to.equal(body);
+    },
+  );
+  steps.add(
+    'order {string} has run {int} time(s)',
+    async (world, suffix: string, runs: number) => {
+      expect(await world.countRuns(suffix)).to.equal(runs);
+    },
+  );
+  steps.add('order {string} starts to run', (world, suffix: string) =>
+    world.waitUntil(
+      `order ${suffix} runs`,
+      async () => (await world.countRuns(suffix)) > 0,
+    ),
+  );
+  steps.add('all answers {string} are whole', async (world, start: string) => {
+    const names = world.listNames(start);
+    expect(names).not.to.be.empty;
+    for (const name of names) await world.expectWholeAnswer(name);
+  });
+}
+
+function addStandinSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add('an engine has generated {int} tokens', (world, tokens: number) =>
+    world.findBusyEngine(tokens),
+  );
+  steps.add('the busy engine crashes', world =>
+    world.fleet.setFaults(world.getBusyEngine(), {crash: true}),
+  );
+  steps.add('the busy engine goes silent on open connections', world =>
+    world.fleet.setFaults(world.getBusyEngine(), {silence: 'existing'}),
+  );
+  steps.add(
+    'the engines crash on the text {string}',
+    async (world, text: string) => {
+      const faults = {poisonText: text};
+      for (const engine of world.fleet.engines) {
+        await world.fleet.setFaults(engine, faults);
+      }
+    },
+  );
+  steps.add(
+    'the engines have crashed at most {int} time(s)',
+    async (world, most: number) => {
+      expect(await world.countCrashes()).to.be.at.most(most);
+    },
+  );
+  steps.add(
+    'patch {string} of {string} is accepted against number {int}',
+    async (world, value: string, path: string, number: number) => {
+      const {status} = await world.fleet.writePatch(number, [
+        {op: 'replace', path, value: JSON.parse(value)},
+      ]);
+      expect(status).to.be.lessThan(300);
+    },
+  );
+  steps.add(
+    'patch {string} of {string} is refused against number {int}',
+    async (world, value: string, path: string, number: number) => {
+      const {status} = await world.fleet.writePatch(number, [
+        {op: 'replace', path, value: JSON.parse(value)},
+      ]);
+      expect(status).to.equal(409);
+    },
+  );
+  steps.add(
+    'number {int} is in force in every process within the bound',
+    async (world, number: number) => {
+      await world.waitUntil(
+        `number ${number} is in force`,
+        async () => (await readLowestNumber(world)) >= number,
+        configurationBoundMs,
+      );
+    },
+  );
+}
+
+/** Reads the lowest number in force over all running daemons. */
+async function readLowestNumber(world: FleetWorld): Promise<number> {
+  const numbers: number[] = [];
+  for (const vm of world.fleet.vms) {
+    for (const role of ['gateway', 'dispatcher'] as const) {
+      if (!vm[role].isRunning()) continue;
+      const dump = await world.fleet.readDump(vm, role);
+      numbers.push(dump.configuration.numberInForce);
+    }
+  }
+  return Math.min(...numbers);
+}
--- /dev/null
+++ b/tests/support/fleetWorld.ts
@@ -0,0 +1,298 @@
+/** What the scenarios work on: a fleet, its callers and their answers. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import type {Configuration} from '../../src/config/configuration.js';
+import type {AddressAnswer} from '../../src/protocol/callerApi.js';
+import {refusalBodySchema} from '../../src/protocol/refusal.js';
+import {computeExpectedText} from '../../src/standins/answerText.js';
+import type {EngineCounters} from '../../src/standins/engineCounters.js';
+import type {ServiceCounters} from '../../src/standins/plainService.js';
+import {
+  LocalFleet,
+  type LocalStandin,
+  type LocalVm,
+} from '../../tools/localFleet.js';
+import {Region} from '../../tools/sampleDeployments.js';
+import {CallerClient, type CallerAnswer} from './callerClient.js';
+import type {World} from './featureRunner.js';
+
+/** Mean tokens of the engines' answers; the expected texts depend on it. */
+const meanTokens = 32;
+
+/** A request whose answer may still be outstanding. */
+export interface Exchange {
+  answer: Promise<CallerAnswer>;
+  /** Set when the answer has arrived. */
+  arrived?: CallerAnswer;
+  /** Time from request to answer in milliseconds. */
+  elapsedMs?: number;
+}
+
+/** Flags of the fleet that a scenario sets before it starts it. */
+export interface FleetFlags {
+  engine: Record<string, string | number>;
+  service: Record<string, string | number>;
+  edits: Array<(configuration: Configuration) => void>;
+}
+
+/** One scenario's fleet. */
+export class FleetWorld implements World {
+  readonly flags: FleetFlags = {
+    engine: {stepMs: 5, prefillMs: 10, meanTokens},
+    service: {serviceMs: 5},
+    edits: [],
+  };
+  private busyEngine: LocalStandin | undefined;
+  private startedFleet: LocalFleet | undefined;
+  private readonly exchanges = new Map<string, Exchange>();
+  private readonly chatContents = new Map<string, string>();
+  private readonly addresses = new Map<string, AddressAnswer>();
+  private readonly keysByOrder = new Map<string, string>();
+
+  /** The fleet; a step must have started it. */
+  get fleet(): LocalFleet {
+    if (!this.startedFleet) throw new Error('no step has started a fleet');
+    return this.startedFleet;
+  }
+
+  async stop(): Promise<void> {
+    await this.startedFleet?.stop();
+  }
+
+  /** Starts a fleet in the shape of region kaap. */
+  async startFleet(
+    vms: number,
+    engines: number,
+    services: number,
+  ): Promise<void> {
+    this.startedFleet = await LocalFleet.start({
+      region: Region.Kaap,
+      zones: ['kaap-a', 'kaap-b'],
+      vms,
+      engines,
+      services,
+      engineFlags: this.flags.engine,
+      serviceFlags: this.flags.service,
+      editConfiguration: configuration => {
+        for (const edit of this.flags.edits) edit(configuration);
+      },
+    });
+  }
+
+  /** VM by its number, from 1. */
+  getVm(number: number): LocalVm {
+    const vm = this.fleet.vms[number - 1];
+    if (!vm) throw new Error(`there is no VM ${number}`);
+    return vm;
+  }
+
+  /** Engine by its number, from 1. */
+  getEngine(number: number): LocalStandin {
+    return this.fleet.engines[number - 1];
+  }
+
+  /** Waits for an engine that has generated so many tokens. */
+  async findBusyEngine(tokens: number): Promise<void> {
+    await this.waitUntil('an engine works', async () => {
+      for (const engine of this.fleet.engines) {
+        const {tokensGenerated} =
+          await this.fleet.readCounters<EngineCounters>(engine);
+        if (tokensGenerated < tokens) continue;
+        this.busyEngine = engine;
+        return true;
+      }
+      return false;
+    });
+  }
+
+  /** The engine that `findBusyEngine` found. */
+  getBusyEngine(): LocalStandin {
+    if (!this.busyEngine) throw new Error('no step has found a busy engine');
+    return this.busyEngine;
+  }
+
+  /** Plain service by its number, from 1. */
+  getService(number: number): LocalStandin {
+    return this.fleet.services[number - 1];
+  }
+
+  /** Gets an operation prefix issued by a VM, once a name. */
+  async fetchPrefix(name: string, vm: LocalVm): Promise<void> {
+    const caller = new CallerClient('customer-1');
+    this.addresses.set(name, await caller.fetchAddresses(vm.callerUrl));
+  }
+
+  /** Starts an order under a prefix; the answer is kept under a name. */
+  startOrder(
+    name: string,
+    order: {suffix: string; prefixName: string; vm: LocalVm; count?: number},
+    deadlineMs = 5_000,
+  ): void {
+    const prefix = this.addresses.get(order.prefixName)?.operationPrefix.prefix;
+    if (!prefix) throw new Error(`no prefix is named ${order.prefixName}`);
+    const operationKey = `${prefix}.${order.suffix}`;
+    this.keysByOrder.set(order.suffix, operationKey);
+    const caller = new CallerClient('customer-1');
+    this.track(
+      name,
+      caller.sendCall(order.vm.callerUrl, {
+        className: 'reorder',
+        service: 'catalogue',
+        path: '/orders',
+        operationKey,
+        body: {item: 'harbour', count: order.count ?? 50},
+        deadlineMs,
+      }),
+    );
+  }
+
+  /** Starts a chat request; the answer is kept under a name. */
+  startChat(
+    name: string,
+    chat: {
+      className: string;
+      vm: LocalVm;
+      customer?: string;
+      content?: string;
+      maxTokens?: number;
+      deadlineMs?: number;
+    },
+  ): void {
+    const content = chat.content ?? `Question ${name}`;
+    this.chatContents.set(name, content);
+    const caller = new CallerClient(chat.customer ?? 'customer-1');
+    this.track(
+      name,
+      caller.sendChat(chat.vm.callerUrl, {
+        className: chat.className,
+        model: this.fleet.shape.model,
+        content,
+        stream: true,
+        maxTokens: chat.maxTokens,
+        deadlineMs: chat.deadlineMs,
+      }),
+    );
+  }
+
+  /** Waits for an answer. */
+  async waitForAnswer(name: string): Promise<CallerAnswer> {
+    const exchange = this.exchanges.get(name);
+    if (!exchange) throw new Error(`no request is named ${name}`);
+    return exchange.answer;
+  }
+
+  /** Names of the requests that begin with a text. */
+  listNames(start: string): string[] {
+    return [...this.exchanges.keys()].filter(name => name.startsWith(start));
+  }
+
+  /** Exchange by name. */
+  getExchange(name: string): Exchange {
+    const exchange = this.exchanges.get(name);
+    if (!exchange) throw new Error(`no request is named ${name}`);
+    return exchange;
+  }
+
+  /** Asserts that a streamed answer is whole and has exactly its text. */
+  async expectWholeAnswer(name: string, maxTokens?: number): Promise<void> {
+    const answer = await this.waitForAnswer(name);
+    const events = splitEvents(answer.body);
+    const shown = `${name}: status ${answer.status}: ${answer.body.slice(-400)}`;
+    expect(events.at(-1), shown).to.equal('[DONE]');
+    const text = events
+      .slice(0, -1)
+      .map(event => JSON.parse(event).choices[0].delta.content ?? '')
+      .join('');
+    const expected = computeExpectedText(
+      {
+        model: this.fleet.shape.model,
+        messages: [{role: 'user', content: this.chatContents.get(name) ?? ''}],
+        ...(maxTokens ? {max_tokens: maxTokens} : {}),
+      },
+      {meanTokens, longJobShare: 0},
+    );
+    expect(text, name).to.equal(expected);
+  }
+
+  /** Reads the outcome that an answer states, from header or last event. */
+  async readOutcome(
+    name: string,
+  ): Promise<{outcome?: string; reason?: string}> {
+    const answer = await this.waitForAnswer(name);
+    const last = splitEvents(answer.body).at(-1) ?? answer.body;
+    const parsed = refusalBodySchema.safeParse(tryParseJson(last));
+    if (!parsed.success) return {outcome: answer.outcome};
+    const {outcome, reason} = parsed.data.error;
+    return {outcome, reason};
+  }
+
+  /** Counts the runs of an order over all plain services. */
+  async countRuns(suffix: string): Promise<number> {
+    const key = this.keysByOrder.get(suffix) ?? '';
+    const counters = await Promise.all(
+      this.fleet.services.map(service =>
+        this.fleet.readCounters<ServiceCounters>(service),
+      ),
+    );
+    return counters.reduce(
+      (sum, counter) => sum + (counter.runsByOperationKey[key] ?? 0),
+      0,
+    );
+  }
+
+  /** Counts the engines' crashes. */
+  async countCrashes(): Promise<number> {
+    const counters = await Promise.all(
+      this.fleet.engines.map(engine =>
+        this.fleet.readCounters<EngineCounters>(engine),
+      ),
+    );
+    return counters.reduce((sum, counter) => sum + counter.crashes, 0);
+  }
+
+  /** Polls until a condition holds. */
+  async waitUntil(
+    what: string,
+    condition: () => Promise<boolean>,
+    deadlineMs = 20_000,
+  ): Promise<void> {
+    const endMs = performance.now() + deadlineMs;
+    while (!(await condition())) {
+      if (performance.now() > endMs) {
+        throw new Error(`not within ${deadlineMs} ms: ${what}`);
+      }
+      await sleep(20);
+    }
+  }
+
+  private track(name: string, answer: Promise<CallerAnswer>): void {
+    const startedAtMs = performance.now();
+    const exchange: Exchange = {answer};
+    this.exchanges.set(name, exchange);
+    // A broken connection is an answer too: status 0 without an outcome.
+    exchange.answer = answer.catch((error: unknown) => ({
+      status: 0,
+      requestId: '',
+      body: String(error),
+    }));
+    void exchange.answer.then(arrived => {
+      exchange.arrived = arrived;
+      exchange.elapsedMs = performance.now() - startedAtMs;
+    });
+  }
+}
+
+function splitEvents(body: string): string[] {
+  return body
+    .split('\n')
+    .filter(line => line.startsWith('data: '))
+    .map(line => line.slice('data: '.length));
+}
+
+function tryParseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
