Count requests in flight and offer brief counters in the engine stand-in

Change: `inFlight`, `?brief=true`; tests of cancel and priority by id, of cached prefills with a paused clock, and of silent outages.

--- a/src/standins/engineCounters.ts
+++ b/src/standins/engineCounters.ts
@@ -1,6 +1,9 @@
 /** What the model engine stand-in counts, for tests and the bench. */
 
-/** Answer to `GET /control`. */
+/**
+ * Answer to `GET /control`; with `?brief=true` the counts by id and by
+ * fingerprint are left out, which grow with each request.
+ */
 export interface EngineCounters {
   /** Chat requests received, by `x-request-id`. */
   requestsSeen: Record<string, number>;
@@ -12,6 +15,8 @@
   /** Tokens generated for requests that were in flight at a crash. */
   tokensInCrashes: number;
   crashes: number;
+  /** Chat requests in the engine now, running and waiting. */
+  inFlight: number;
   ordersAccepted: number;
   /** Orders refused for their fencing number or their sender. */
   ordersRefused: number;
@@ -28,6 +33,7 @@
     tokensWasted: 0,
     tokensInCrashes: 0,
     crashes: 0,
+    inFlight: 0,
     ordersAccepted: 0,
     ordersRefused: 0,
     oldOrdersAccepted: 0,
--- a/src/standins/engineGenerator.ts
+++ b/src/standins/engineGenerator.ts
@@ -77,6 +77,11 @@
     this.applyFaults();
   }
 
+  /** Number of requests, running and waiting. */
+  get requestsInFlight(): number {
+    return this.scheduler.size;
+  }
+
   /** Starts to work on a request. */
   accept({request, requestId, plan, response}: AcceptedChat): void {
     const {faults} = this.context;
--- a/src/standins/modelEngine.ts
+++ b/src/standins/modelEngine.ts
@@ -105,7 +105,8 @@
 
   /** Returns a copy of the counters. */
   getCounters(): EngineCounters {
-    return structuredClone(this.context.counters);
+    const inFlight = this.generator.requestsInFlight;
+    return structuredClone({...this.context.counters, inFlight});
   }
 
   /**
@@ -145,7 +146,13 @@
     app.post('/orders', context => this.acceptOrder(context));
     app.get('/control', context => {
       this.server.allowControl(context.env.incoming.socket);
-      return context.json(this.context.counters);
+      const counters = this.getCounters();
+      if (context.req.query('brief') !== 'true') return context.json(counters);
+      return context.json({
+        ...counters,
+        requestsSeen: undefined,
+        runsByFingerprint: undefined,
+      });
     });
     app.post('/control', context => this.acceptControl(context));
     return app;
--- a/tests/standins/modelEngine.test.ts
+++ b/tests/standins/modelEngine.test.ts
@@ -1,3 +1,4 @@
+import FakeTimers from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {computeExpectedText} from '../../src/standins/answerText.js';
 import {ModelEngine} from '../../src/standins/modelEngine.js';
@@ -54,4 +55,53 @@
     const {tokensGenerated, tokensWasted} = engine.getCounters();
     expect(tokensWasted).to.equal(tokensGenerated);
   });
+
+  // Guards against commands to requests that have no effect on them.
+  it('should cancel and reprioritise a request by its id', async () => {
+    engine = await ModelEngine.start({...fast, slots: 1});
+    const call = async (method: string, route: string, body?: object) => {
+      const url = `${engine.url}/v1/requests/${route}`;
+      const init = {method, body: JSON.stringify(body)};
+      return (await fetch(url, init)).status;
+    };
+    const body = {standin_tokens: 100_000, priority: 1};
+    const first = readStream(engine.url, {id: 'r1', body});
+    await waitUntil(() => engine.getCounters().tokensGenerated > 0);
+    const last = {standin_tokens: 3, priority: 2};
+    const second = readStream(engine.url, {id: 'r2', body: last});
+    await waitUntil(() => engine.getCounters().inFlight === 2);
+    expect(await call('POST', 'r2/priority', {priority: 0})).to.equal(200);
+    expect((await second).isDone).to.equal(true);
+    expect(engine.getCounters().inFlight).to.equal(1);
+    expect(await call('DELETE', 'r1')).to.equal(200);
+    expect((await first).isDone).to.equal(false);
+    expect(await call('DELETE', 'r1')).to.equal(404);
+    const {tokensGenerated, tokensWasted} = engine.getCounters();
+    expect(tokensWasted).to.equal(tokensGenerated - 3);
+  });
+
+  // Guards against prefix affinity that can't pay.
+  it('should prefill a cached prefix at no cost', async () => {
+    const clock = FakeTimers.install({
+      toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'],
+    });
+    try {
+      const costs = {prefillMs: 0, prefillCharacterMs: 10};
+      engine = await ModelEngine.start({...costs, stepMs: 10});
+      const characters = messages.map(({content}) => content.length);
+      const uncachedMs = 10 * (characters[0] + characters[1]);
+      for (const waitMs of [uncachedMs, 10 * characters[1]]) {
+        const body = {standin_tokens: 1};
+        const answer = readStream(engine.url, {body});
+        await waitUntil(() => engine.getCounters().inFlight === 1);
+        clock.tick(waitMs - 1);
+        expect(engine.getCounters().inFlight).to.equal(1);
+        clock.tick(1);
+        expect(engine.getCounters().inFlight).to.equal(0);
+        expect((await answer).isDone).to.equal(true);
+      }
+    } finally {
+      clock.uninstall();
+    }
+  });
 });
--- a/tests/standins/platformFaults.test.ts
+++ b/tests/standins/platformFaults.test.ts
@@ -55,6 +55,20 @@
     expect((await get('/v1/vms')).status).to.equal(200);
   });
 
+  // Guards against a silent outage that a client can tell from a slow answer.
+  it('should keep the connection of a read in a silent outage', async () => {
+    platform.setFaults({configOutage: Outage.Silent});
+    const controller = new AbortController();
+    const outcome = get('/v1/config/head', controller.signal).then(
+      () => 'answered',
+      () => 'aborted',
+    );
+    await waitUntil(() => platform.getCounters().configReads === 1);
+    expect((await get('/v1/vms')).status).to.equal(200);
+    controller.abort();
+    expect(await outcome).to.equal('aborted');
+  });
+
   // Guards against a count of watches that grows with clients that left.
   it('should forget the watch of a client that leaves', async () => {
     const controller = new AbortController();
