Make the silence tests of the stand-ins able to fail

Cause: trial changes of the built code showed two checks that could not fail reliably. The read during a silent engine used a forbidden `connection` header, so fetch rejected it before it was sent; the count that the existing-connections test waits for could be reached before the wait began. A service with unlimited slots passed as well. Change: the read has a connection of its own, the count starts after the new answer, and a test covers the service's slots. The wait for a closed connection in a silent outage had no effect and is removed.

--- a/src/standins/configService.ts
+++ b/src/standins/configService.ts
@@ -98,7 +98,7 @@
   private addReadRoutes(app: Hono<StandinEnv>): void {
     app.use('/v1/config/*', async (context, next) => {
       if (!this.budget.acquire()) return refuseRead(context, this.budget);
-      const refusal = await answerOutage(context, this.faults.configOutage);
+      const refusal = answerOutage(context, this.faults.configOutage);
       return refusal ?? next();
     });
     app.get('/v1/config/head', context =>
@@ -130,7 +130,7 @@
       const {signal} = context.req.raw;
       const {head} = await this.waitForNumberAbove(after, waitMs, signal);
       // An outage may have begun during the wait.
-      const refusal = await answerOutage(context, this.faults.configOutage);
+      const refusal = answerOutage(context, this.faults.configOutage);
       return refusal ?? context.json(head);
     });
   }
--- a/src/standins/outageAnswers.ts
+++ b/src/standins/outageAnswers.ts
@@ -6,10 +6,10 @@
 import type {StandinEnv} from './standinServer.js';
 
 /** Answers in the way of an outage; undefined when there is none. */
-export async function answerOutage(
+export function answerOutage(
   context: Context<StandinEnv>,
   outage: Outage,
-): Promise<Response | undefined> {
+): Response | undefined {
   switch (outage) {
     case Outage.None:
       return undefined;
@@ -19,7 +19,7 @@
       context.env.incoming.socket.destroy();
       return RESPONSE_ALREADY_SENT;
     case Outage.Silent:
-      await waitForClose(context);
+      // The server leaves the response to the handler, which sends nothing.
       return RESPONSE_ALREADY_SENT;
   }
 }
@@ -30,9 +30,3 @@
   context.header('retry-after', String(Math.ceil(retryAfterMs / 1000)));
   return context.json({error: 'read budget is spent', retryAfterMs}, 429);
 }
-
-async function waitForClose(context: Context<StandinEnv>): Promise<void> {
-  const {outgoing} = context.env;
-  if (outgoing.destroyed) return;
-  await new Promise<void>(resolve => outgoing.once('close', resolve));
-}
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -141,10 +141,10 @@
     app.get('/control', context => context.json(this.getCounters()));
     app.post('/control', context => this.acceptControl(context));
     this.config.addRoutes(app);
-    app.get('/v1/vms', async context => {
+    app.get('/v1/vms', context => {
       this.vmListReads += 1;
       const {vmListOutage, vmListLagMs, missingVms} = this.faults;
-      const refusal = await answerOutage(context, vmListOutage);
+      const refusal = answerOutage(context, vmListOutage);
       return refusal ?? context.json(this.vms.get(vmListLagMs, missingVms));
     });
     app.put('/write/vms', async context => {
@@ -158,7 +158,7 @@
         return refuseRead(context, this.weightBudget);
       }
       const {weightStoreOutage} = this.faults;
-      const refusal = await answerOutage(context, weightStoreOutage);
+      const refusal = answerOutage(context, weightStoreOutage);
       if (refusal !== undefined) return refusal;
       await waitFor(this.options.weightReadMs);
       return context.json({model: context.req.param('model')});
--- a/tests/standins/modelEngineFaults.test.ts
+++ b/tests/standins/modelEngineFaults.test.ts
@@ -1,5 +1,6 @@
+import {once} from 'node:events';
+import http from 'node:http';
 import {expect} from 'chai';
-import type {EngineState} from '../../src/protocol/engineApi.js';
 import {computeExpectedText} from '../../src/standins/answerText.js';
 import {CrossedPart} from '../../src/standins/engineFaults.js';
 import {FencingMode} from '../../src/standins/engineOptions.js';
@@ -16,11 +17,17 @@
 
   afterEach(() => engine.stop());
 
-  const control = (body: object) =>
-    fetch(`${engine.url}/control`, {
+  const post = (route: string, body: object, key = '') =>
+    fetch(engine.url + route, {
       method: 'POST',
+      headers: {authorization: `Bearer ${key}`},
       body: JSON.stringify(body),
     });
+  const control = (body: object) => post('/control', body);
+  const sendOrder = (fencingNumber: number, model: string, key?: string) => {
+    const models = [{model, version: '1', adapters: []}];
+    return post('/orders', {models, role: 'mixed', fencingNumber}, key);
+  };
 
   // Guards against crash tests in which the engine remembers its requests.
   it('should lose its requests and models in a crash, and return', async () => {
@@ -59,11 +66,11 @@
     }).catch(() => 'aborted');
     await waitUntil(() => received > 0);
     engine.setFaults({silence: SilenceScope.Existing});
-    const {tokensGenerated} = engine.getCounters();
     const fresh = await readStream(engine.url, {id: 'r2'});
     expect(fresh.isDone).to.equal(true);
     // Chunks that were on their way have arrived before a whole new answer.
     const receivedBefore = received;
+    const {tokensGenerated} = engine.getCounters();
     await waitUntil(
       () => engine.getCounters().tokensGenerated > tokensGenerated + 100,
     );
@@ -77,21 +84,16 @@
   it('should answer control requests while all else is silent', async () => {
     engine = await ModelEngine.start(fast);
     await control({silence: 'all'});
-    let isAnswered = false;
-    const controller = new AbortController();
-    const {signal} = controller;
-    const silent = fetch(`${engine.url}/load`, {
-      signal,
-      headers: {connection: 'close'},
-    }).then(
-      () => (isAnswered = true),
-      () => undefined,
-    );
+    // A connection of its own; the one of a control request is not silenced.
+    const silent = http.get(`${engine.url}/load`, {agent: false});
+    const outcome = once(silent, 'response');
+    await once(silent, 'finish');
     expect((await control({silence: 'none'})).status).to.equal(200);
     expect((await readStream(engine.url)).isDone).to.equal(true);
-    expect(isAnswered).to.equal(false);
-    controller.abort();
-    await silent;
+    silent.destroy();
+    // `once` rejects with the error of the request that was given up.
+    const error = await outcome.catch((cause: Error) => cause);
+    expect(error).to.be.instanceOf(Error);
   });
 
   // Guards against crossed answers that no client can notice.
@@ -158,11 +160,7 @@
         loadMs: 0,
         weightStoreUrl: platform.url,
       });
-      const models = [{model: 'm', version: '1', adapters: []}];
-      await fetch(`${engine.url}/orders`, {
-        method: 'POST',
-        body: JSON.stringify({models, role: 'mixed', fencingNumber: 1}),
-      });
+      await sendOrder(1, 'm');
       await waitUntil(() => platform.getCounters().weightReads === 1);
       expect(engine.getState().models).to.deep.equal([]);
       platform.setFaults({weightStoreOutage: Outage.None});
@@ -181,28 +179,16 @@
     it(`should answer an old order by ${status} when ${fencing}`, async () => {
       const orderKey = 'secret';
       const options = {verifiesSender: true, orderKey, loadMs: 0, fencing};
-      engine = await ModelEngine.start({...fast, ...options, models: []});
-      const send = (key: string, fencingNumber: number, model: string) =>
-        fetch(`${engine.url}/orders`, {
-          method: 'POST',
-          headers: {authorization: `Bearer ${key}`},
-          body: JSON.stringify({
-            models: [{model, version: '1', adapters: []}],
-            role: 'mixed',
-            fencingNumber,
-          }),
-        });
+      engine = await ModelEngine.start({...options, models: []});
       const hasModel = (model: string) =>
         engine.getState().models.some(loaded => loaded.model === model);
-      expect((await send('wrong', 8, 'x')).status).to.equal(401);
-      expect((await send(orderKey, 8, 'new')).status).to.equal(202);
+      expect((await sendOrder(8, 'x', 'wrong')).status).to.equal(401);
+      expect((await sendOrder(8, 'new', orderKey)).status).to.equal(202);
       await waitUntil(() => hasModel('new'));
-      expect((await send(orderKey, 7, 'old')).status).to.equal(status);
+      expect((await sendOrder(7, 'old', orderKey)).status).to.equal(status);
       const isObeyed = fencing === FencingMode.Ignored;
       await waitUntil(() => hasModel('old') === isObeyed);
-      const response = await fetch(`${engine.url}/state`);
-      const state = (await response.json()) as EngineState;
-      expect(state.fencingNumber).to.equal(isObeyed ? 7 : 8);
+      expect(engine.getState().fencingNumber).to.equal(isObeyed ? 7 : 8);
     });
   }
 });
--- a/tests/standins/plainServiceFaults.test.ts
+++ b/tests/standins/plainServiceFaults.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import type {LoadReport} from '../../src/protocol/engineApi.js';
 import {PlainService} from '../../src/standins/plainService.js';
 import {ServiceFaultKind} from '../../src/standins/serviceFaults.js';
 import {waitUntil} from './streamClient.js';
@@ -7,7 +8,11 @@
   let service: PlainService;
 
   beforeEach(async () => {
-    service = await PlainService.start({serviceMs: 1});
+    service = await PlainService.start({
+      serviceMs: 1,
+      slots: 1,
+      loadLagMs: 0,
+    });
   });
 
   afterEach(() => service.stop());
@@ -53,4 +58,20 @@
     service.setFaults([]);
     await waitUntil(() => service.getCounters().runs === 1);
   });
+
+  // Guards against services that never have a queue.
+  it('should run only as many requests as it has slots', async () => {
+    const kind = ServiceFaultKind.DelayAnswer;
+    service.setFaults([{kind, requests: 1, delayMs: 60_000}]);
+    const controller = new AbortController();
+    const slow = call(controller.signal);
+    await waitUntil(() => service.getCounters().runs === 1);
+    const waiting = call();
+    const load = async () => (await fetch(`${service.url}/load`)).json();
+    while (((await load()) as LoadReport).waiting === 0);
+    expect(service.getCounters().runs).to.equal(1);
+    controller.abort();
+    expect(await slow).to.equal('broken');
+    expect(await waiting).to.equal(200);
+  });
 });
