--- /dev/null
+++ b/src/gateway/leaseClient.ts
@@ -0,0 +1,225 @@
+/** Gets slot leases from the dispatchers that own the backend servers. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Configuration} from '../config/configuration.js';
+import {waitFor} from '../node/delay.js';
+import type {Acquire} from '../protocol/leaseMessages.js';
+import {Outcome} from '../protocol/outcome.js';
+import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {CandidateChooser} from './candidateChooser.js';
+import {CandidateLists} from './candidateLists.js';
+import type {DispatcherCalls} from './dispatcherCalls.js';
+import {HeldLeases} from './heldLeases.js';
+import {
+  getTargetName,
+  type AcquireOptions,
+  type Lease,
+  type LeaseReport,
+  type LeaseSource,
+  type LeaseTarget,
+} from './lease.js';
+import {LatencyEstimates} from './latencyEstimates.js';
+import {LeaseAcquisition} from './leaseAcquisition.js';
+import type {LeaseNode} from './leaseNode.js';
+import type {Grant} from './leaseRequest.js';
+import {PrefixAffinity} from './prefixAffinity.js';
+import {computeRemainingMs, type RequestContext} from './requestContext.js';
+import {ServerViews} from './serverViews.js';
+
+export type {Lease, LeaseReport, LeaseTarget} from './lease.js';
+
+const renewIntervalMs = 500;
+/** A tick that is late by this much shows that the process was paused. */
+const pauseThresholdMs = 2_000;
+/** Shortest time sent as what is left, because a message needs one. */
+const minRemainingMs = 1;
+
+export interface LeaseClientOptions {
+  /** What the gateway measures itself. */
+  latencies?: LatencyEstimates;
+  /** Uniform in [0, 1). */
+  random?: () => number;
+}
+
+/** Acquires, renews and releases leases. */
+export class LeaseClient implements LeaseSource {
+  private readonly held: HeldLeases;
+  private readonly views = new ServerViews();
+  private readonly lists = new CandidateLists();
+  private readonly affinity = new PrefixAffinity();
+  private readonly latencies: LatencyEstimates;
+  private readonly random: () => number;
+
+  constructor(
+    private readonly node: LeaseNode,
+    private readonly dispatchers: DispatcherCalls,
+    options: LeaseClientOptions = {},
+  ) {
+    this.held = new HeldLeases(node, dispatchers);
+    this.latencies = options.latencies ?? new LatencyEstimates();
+    this.random = options.random ?? Math.random;
+  }
+
+  /** Renews the held leases until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const unsubscribe = this.node.ownership.subscribe(() =>
+      this.held.renewMoved(),
+    );
+    try {
+      while (!signal.aborted) {
+        const startedAtMs = performance.now();
+        await waitFor(renewIntervalMs, signal);
+        const lateMs = performance.now() - startedAtMs - renewIntervalMs;
+        // What dispatchers said before a pause is no longer true.
+        if (lateMs > pauseThresholdMs) this.views.forget();
+        this.held.renewAll();
+      }
+    } finally {
+      unsubscribe();
+    }
+  }
+
+  async acquire(
+    context: RequestContext,
+    target: LeaseTarget,
+    options: AcquireOptions = {},
+  ): Promise<Result<Lease, Refusal>> {
+    const configuration = this.node.config.getConfiguration();
+    if (!configuration) return err(buildNotReadyRefusal());
+    const chooser = this.createChooser(configuration, target, options);
+    const acquisition = new LeaseAcquisition({
+      dispatchers: this.dispatchers,
+      views: this.views,
+      context,
+      chooser,
+      immediateOnly: options.immediateOnly ?? false,
+      signal: options.signal,
+      findOwner: id => this.node.ownership.findOwner(id),
+      subscribeToOwners: listener => this.node.ownership.subscribe(listener),
+      buildAcquire: (leaseId, backendServer, immediate) =>
+        this.buildAcquire(context, options, chooser.ignoresEjections, {
+          leaseId,
+          backendServer,
+          immediate,
+        }),
+    });
+    const granted = await acquisition.run();
+    if (granted.isErr()) return err(granted.error);
+    return ok(this.hold(context, options, granted.value));
+  }
+
+  release(lease: Lease, report: LeaseReport): void {
+    this.views.noteRelease(lease.backendServer);
+    this.held.release(lease, report);
+  }
+
+  /** Number of requests that hold a slot. */
+  countHeld(): number {
+    return this.held.count();
+  }
+
+  private createChooser(
+    configuration: Configuration,
+    target: LeaseTarget,
+    options: AcquireOptions,
+  ): CandidateChooser {
+    const {views} = this;
+    const {prefer, prefixDigest} = options;
+    const avoid = options.avoid ?? new Set<string>();
+    const servers = this.lists.list(configuration, target);
+    const model = getTargetName(target);
+    const chooser = new CandidateChooser({
+      configuration,
+      views,
+      servers: options.immediateOnly
+        ? servers.filter(id => !avoid.has(id))
+        : servers,
+      avoid,
+      isSlow: id => this.latencies.isSlow(model, id),
+      random: this.random,
+    });
+    const cached =
+      prefixDigest === undefined
+        ? undefined
+        : this.affinity.choose({
+            configuration,
+            views,
+            servers,
+            prefixDigest,
+            isAvoided: id => avoid.has(id) || chooser.isMarked(id),
+          });
+    const first = prefer ?? cached;
+    if (first !== undefined) chooser.putFirst(first);
+    return chooser;
+  }
+
+  private buildAcquire(
+    context: RequestContext,
+    options: AcquireOptions,
+    ignoreEjection: boolean,
+    ask: Pick<Acquire, 'leaseId' | 'backendServer' | 'immediate'>,
+  ): Acquire {
+    const {fingerprint, prefixDigest, suspectCount} = options;
+    const deadlineMs = Math.max(minRemainingMs, computeRemainingMs(context));
+    return {
+      ...ask,
+      requestId: context.requestId,
+      gateway: this.node.membership.getSelf().incarnation,
+      className: context.className,
+      customer: context.customerId,
+      deadlineMs,
+      latestStartMs: this.computeLatestStartMs(context, options, deadlineMs),
+      ...(fingerprint === undefined ? {} : {fingerprint}),
+      ...(prefixDigest === undefined ? {} : {prefixDigest}),
+      ...(ignoreEjection ? {ignoreEjection} : {}),
+      suspectCount: suspectCount ?? 0,
+      configNumber: this.node.config.getNumberInForce(),
+    };
+  }
+
+  /**
+   * Time until the last start that still meets the target. When the target
+   * can't be met any more, or the answer has begun, only the deadline binds:
+   * a late answer is worth more to the caller than none.
+   */
+  private computeLatestStartMs(
+    context: RequestContext,
+    {resumed}: AcquireOptions,
+    deadlineMs: number,
+  ): number {
+    const firstTokenMs = this.latencies.estimateFirstTokenMs(context.className);
+    const {arrivedAtMs, requestClass} = context;
+    const targetAtMs = arrivedAtMs + requestClass.firstTokenMs;
+    const targetLeftMs = targetAtMs - performance.now() - firstTokenMs;
+    if (!resumed && targetLeftMs > 0) return Math.min(targetLeftMs, deadlineMs);
+    return Math.max(minRemainingMs, deadlineMs - firstTokenMs);
+  }
+
+  private hold(
+    context: RequestContext,
+    options: AcquireOptions,
+    {leaseId, backendServer, owner, event}: Grant,
+  ): Lease {
+    const lease: Lease = {
+      leaseId,
+      backendServer,
+      address: event.address,
+      priority: event.priority,
+      tokens: 0,
+      context,
+      grantedAtMs: performance.now(),
+      suspectCount: options.suspectCount ?? 0,
+      ...(options.fingerprint ? {fingerprint: options.fingerprint} : {}),
+    };
+    this.held.add(lease, owner);
+    return lease;
+  }
+}
+
+function buildNotReadyRefusal(): Refusal {
+  return new Refusal(
+    RefusalReason.NotReady,
+    Outcome.NotRun,
+    'no configuration is in force yet',
+    {retryAfterMs: 500},
+  );
+}
--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -15,6 +15,7 @@
 import {Log} from './log.js';
 import {MemberService} from './memberService.js';
 import {createIncarnation, Membership} from './membership.js';
+import {BackendServerOwnership} from './ownership.js';
 import {PauseDetector} from './pauseDetector.js';
 import {PeerLinks} from './peerLinks.js';
 import {PeerServer} from './peerServer.js';
@@ -27,6 +28,7 @@
 export interface DaemonNodeParts {
   links?: PeerLinks;
   platform?: PlatformClient;
+  incarnation?: string;
 }
 
 /** A member of the fleet, before its gateway or dispatcher side is added. */
@@ -34,6 +36,7 @@
   readonly log: Log;
   readonly root: Supervisor;
   readonly membership: Membership;
+  readonly ownership: BackendServerOwnership;
   readonly broadcaster: Broadcaster;
   readonly config: ConfigStore;
   readonly links: PeerLinks;
@@ -51,10 +54,11 @@
     readonly role: MemberRole,
     parts: DaemonNodeParts = {},
   ) {
-    const self = buildSelf(settings, role);
+    const self = buildSelf(settings, role, parts.incarnation);
     this.log = new Log({vm: settings.vm, process: role});
     this.root = new Supervisor(role, this.log);
     this.membership = new Membership(self, this.log);
+    this.ownership = new BackendServerOwnership(this.membership);
     this.broadcaster = new Broadcaster(
       () => this.membership.listPresent().length,
     );
@@ -208,10 +212,14 @@
 /** Time for the last broadcast to leave, in milliseconds. */
 const farewellMs = 50;
 
-function buildSelf(settings: Settings, role: MemberRole): Member {
+function buildSelf(
+  settings: Settings,
+  role: MemberRole,
+  incarnation = createIncarnation(),
+): Member {
   const {address, ports} = settings;
   return {
-    incarnation: createIncarnation(),
+    incarnation,
     role,
     vm: settings.vm,
     zone: settings.zone,
--- a/tests/node/configStore.test.ts
+++ b/tests/node/configStore.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {computeConfigDigest} from '../../src/config/configDigest.js';
+import {computeConfigDigest} from '../../src/protocol/configDigest.js';
 import {ApplyResult, ConfigStore} from '../../src/node/configStore.js';
 import {Log} from '../../src/node/log.js';
 import type {ConfigChange} from '../../src/protocol/platformApi.js';
