Mark the requests in flight at crashes, isolate and refuse them

Cause: a request that crashes every engine which runs it was run again wherever its caller or a retry took it.

Ruled out: to take any broken connection as a crash. A reset connection would mark innocent requests. To count each late end of a lease anew: the ends of one crash would make two crashes and refuse innocent requests.

Change: CrashDetector (burst, or one break and a refused connection), CrashReporter (numbered crashes, broadcast marks), SuspectRegistry in src/node for both kinds of daemons, SuspectRules (isolation and refusal), EngineClient (a probe on a connection of its own). ServerWatch and AcquireRules take parts out of BackendServerQueue. The credit of a class is limited to 2, as a class whose requests are held back could save it up.

--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -9,31 +9,22 @@
   type LeaseEvent,
   type Release,
 } from '../protocol/leaseMessages.js';
-import type {EjectionBoard} from './ejectionBoard.js';
-import {EjectionGate} from './ejectionGate.js';
+import {AcquireRules} from './acquireRules.js';
 import {computePriority, type RenewedLease} from './heldLease.js';
 import {LeaseTable} from './leaseTable.js';
-import {LeaseUse} from './leaseUse.js';
+import {ServerWatch} from './serverWatch.js';
+import type {SharedState} from './sharedState.js';
 import {SlotGate} from './slotGate.js';
-import type {StreamLengths} from './streamLengths.js';
 import {WaitingEntry} from './waitingEntry.js';
 import {WaitingQueue} from './waitingQueue.js';
 
-/** State that all queues of a dispatcher share. */
-export interface SharedState {
-  lengths: StreamLengths;
-  ejections: EjectionBoard;
-}
-
 /** Grants the slots of one backend server. */
 export class BackendServerQueue {
   private readonly leases = new LeaseTable();
   private readonly gate: SlotGate;
   private readonly waiting: WaitingQueue;
-  private readonly use: LeaseUse;
-  private readonly health: EjectionGate;
-  private owned = false;
-  private leaving = false;
+  private readonly watch: ServerWatch;
+  private readonly rules: AcquireRules;
 
   constructor(
     readonly id: string,
@@ -42,11 +33,20 @@
     shared: SharedState,
   ) {
     this.gate = new SlotGate(this.leases, server);
-    this.health = new EjectionGate(id, shared.ejections, this.leases);
-    this.use = new LeaseUse(shared.lengths);
+    this.watch = new ServerWatch({
+      id,
+      shared,
+      leases: this.leases,
+      getAddress: () => this.server.address,
+    });
+    this.rules = new AcquireRules({
+      suspects: shared.suspects,
+      health: this.watch.health,
+      leases: this.leases,
+    });
     this.waiting = new WaitingQueue({
       classes: configuration.classes,
-      serviceTimes: this.use.serviceTimes,
+      serviceTimes: this.watch.use.serviceTimes,
       countSlots: () => this.gate.countNormalSlots(),
       getView: () => this.getView(),
     });
@@ -66,20 +66,20 @@
    * renew; a former one refuses its waiting work and forgets its leases.
    */
   setOwned(owned: boolean): void {
-    if (owned === this.owned) return;
-    this.owned = owned;
+    if (owned === this.rules.owned) return;
+    this.rules.owned = owned;
     this.leases.drop();
     if (!owned) {
       this.waiting.refuseAll(LeaseRefusal.Moved);
       return;
     }
     this.gate.startGrace();
-    this.health.reset();
+    this.watch.health.reset();
   }
 
   /** Marks the server as leaving or not; a leaving server gets no lease. */
   setLeaving(leaving: boolean): void {
-    this.leaving = leaving;
+    this.rules.leaving = leaving;
     if (leaving) this.waiting.refuseAll(LeaseRefusal.Leaving);
     else this.advance();
   }
@@ -89,7 +89,7 @@
    * count until they have had the time of a first renewal.
    */
   resetAfterPause(): void {
-    if (!this.owned) return;
+    if (!this.rules.owned) return;
     this.gate.startGrace();
     this.leases.requireRenewal(Date.now());
     this.waiting.refuseAll(LeaseRefusal.Moved);
@@ -98,7 +98,7 @@
   /** Takes the server's newest load report. */
   applyLoadReport(report: LoadReport): void {
     this.gate.applyReport(report);
-    this.health.recordAnswer();
+    this.watch.health.recordAnswer();
     this.advance();
   }
 
@@ -108,7 +108,7 @@
       backendServer: this.id,
       freeSlots: this.countFree(),
       queueLength: this.waiting.length,
-      ejected: this.health.isAnnounced(),
+      ejected: this.watch.health.isAnnounced(),
     };
   }
 
@@ -142,8 +142,7 @@
     if (entry) this.cancel(entry);
     const lease = this.leases.release(release.leaseId);
     if (!lease) return;
-    this.use.recordRelease(lease, release);
-    this.health.recordRelease(lease, release);
+    this.watch.recordRelease(lease, release);
     this.advance();
   }
 
@@ -156,14 +155,23 @@
     const tier = this.waiting.getTier(renewed.className);
     const lease = this.leases.renew(gateway, renewed, tier);
     if (!lease) return undefined;
-    if (this.use.demoteLong(lease)) this.advance();
+    if (this.watch.use.demoteLong(lease)) this.advance();
     return lease.demoted ? computePriority(lease) : undefined;
   }
 
   /** Drops the leases that weren't renewed in time, and serves the queue. */
   expireLeases(nowMs: number): void {
     this.leases.expire(nowMs);
-    if (this.owned) this.health.advance(nowMs);
+    if (this.rules.owned) this.watch.health.advance(nowMs);
+    this.advance();
+  }
+
+  /** Refuses waiting requests that crash servers, as new marks tell. */
+  refuseGuilty(): void {
+    for (const entry of this.waiting.listEntries()) {
+      if (!this.rules.isGuilty(entry.acquire)) continue;
+      this.refuse(entry, LeaseRefusal.RequestCrashesServers);
+    }
     this.advance();
   }
 
@@ -181,31 +189,34 @@
     return {
       ...this.getView(),
       classes: this.waiting.describe(),
-      serviceTimes: this.use.serviceTimes.describe(),
-      ejection: this.health.getEjection(),
+      serviceTimes: this.watch.use.serviceTimes.describe(),
+      ejection: this.watch.health.getEjection(),
       leases: this.leases.list(),
     };
   }
 
   private enqueue(entry: WaitingEntry): void {
-    const refusal = this.checkAcquire(entry.acquire);
+    const {acquire} = entry;
+    const restricted = this.isRestricted();
+    const refusal = this.waiting.find(acquire.leaseId)
+      ? LeaseRefusal.DeadlineExceeded
+      : this.rules.check(acquire, restricted);
     if (refusal) {
-      this.waiting.refuse(entry, refusal);
+      this.refuse(entry, refusal);
       return;
     }
-    const restricted = this.isRestricted();
     this.waiting.push(entry);
     this.grantWaiting();
-    if (restricted && entry.isGranted) {
-      this.health.startProbe(entry.acquire.leaseId);
+    if (entry.isGranted && restricted) {
+      this.watch.health.startProbe(acquire.leaseId);
     }
-    if (entry.isSettled) return;
-    if (restricted) {
-      this.waiting.refuse(entry, LeaseRefusal.Ejected);
-      return;
-    }
-    if (entry.acquire.immediate) {
-      this.waiting.refuse(entry, LeaseRefusal.Busy);
+    if (!entry.isSettled) this.holdWaiting(entry, restricted);
+  }
+
+  private holdWaiting(entry: WaitingEntry, restricted: boolean): void {
+    const refusal = this.rules.checkQueueing(entry.acquire, restricted);
+    if (refusal) {
+      this.refuse(entry, refusal);
       return;
     }
     entry.watchExpiry(() => this.expire(entry));
@@ -213,25 +224,14 @@
     this.waiting.refuseUnreachable();
   }
 
-  /** Reason to refuse an acquisition before it is queued. */
-  private checkAcquire({leaseId}: Acquire): LeaseRefusal | undefined {
-    if (!this.owned) return LeaseRefusal.Moved;
-    if (this.leaving) return LeaseRefusal.Leaving;
-    // The gateway has given up already, or has used the id before.
-    const used = this.leases.has(leaseId) || this.waiting.find(leaseId);
-    if (used) return LeaseRefusal.DeadlineExceeded;
-    if (!this.isRestricted() || this.health.isProbeDue()) return undefined;
-    return LeaseRefusal.Ejected;
-  }
-
   private countFree(): number {
-    if (!this.owned || this.leaving) return 0;
+    if (!this.rules.isOpen()) return 0;
     return this.gate.countFree();
   }
 
   /** True while only probes are granted, one at a time. */
   private isRestricted(): boolean {
-    return this.health.isRestricted(this.server, this.configuration);
+    return this.rules.isRestricted(this.server, this.configuration);
   }
 
   private getQueueLimit(): number {
@@ -259,8 +259,10 @@
   }
 
   private pickGrantable(): WaitingEntry | undefined {
-    if (!this.owned || this.leaving) return undefined;
-    return this.gate.pick(this.waiting, () => true);
+    if (!this.rules.isOpen()) return undefined;
+    return this.gate.pick(this.waiting, ({acquire}) =>
+      this.rules.isRunnable(acquire),
+    );
   }
 
   private grant(entry: WaitingEntry): void {
@@ -274,18 +276,20 @@
     });
   }
 
+  private refuse(entry: WaitingEntry, refusal: LeaseRefusal): void {
+    const retryAfterMs = this.rules.getRetryAfterMs(entry.acquire, refusal);
+    this.waiting.refuse(entry, refusal, retryAfterMs);
+  }
+
   private expire(entry: WaitingEntry): void {
     const expired = Date.now() >= entry.deadlineAtMs;
-    this.waiting.refuse(
-      entry,
-      expired ? LeaseRefusal.DeadlineExceeded : LeaseRefusal.TargetUnreachable,
-    );
+    const {DeadlineExceeded, TargetUnreachable} = LeaseRefusal;
+    this.refuse(entry, expired ? DeadlineExceeded : TargetUnreachable);
   }
 
   /** Takes back an entry whose gateway no longer waits for it. */
   private cancel(entry: WaitingEntry): void {
-    if (!entry.isSettled)
-      this.waiting.refuse(entry, LeaseRefusal.DeadlineExceeded);
+    if (!entry.isSettled) this.refuse(entry, LeaseRefusal.DeadlineExceeded);
     if (!entry.isGranted) return;
     this.leases.release(entry.acquire.leaseId);
     this.advance();
--- a/src/dispatcher/classScheduler.ts
+++ b/src/dispatcher/classScheduler.ts
@@ -6,6 +6,8 @@
 export const floorReserve = 0.1;
 /** Largest share of one class without a minimum share. */
 export const maxFloorShare = 0.01;
+/** Limits the credit of a class all of whose requests are held back. */
+const maxCredit = 2;
 /** Sums of shares such as ten times 0.1 end just below 1. */
 const creditTolerance = 1e-9;
 
@@ -133,7 +135,8 @@
    */
   take(entry: E): void {
     for (const state of this.states.values()) {
-      if (state.queue.length > 0) state.credit += state.share;
+      if (state.queue.length === 0) continue;
+      state.credit = Math.min(state.credit + state.share, maxCredit);
     }
     const state = this.getState(entry.className);
     state.queue.take(entry);
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -5,6 +5,7 @@
 } from '../config/configuration.js';
 import type {DaemonNode} from '../node/daemonNode.js';
 import {waitFor} from '../node/delay.js';
+import {SuspectRegistry} from '../node/suspectRegistry.js';
 import {
   LeaseEventKind,
   LeaseRefusal,
@@ -19,9 +20,12 @@
 import {MemberState} from '../protocol/memberMessages.js';
 import type {DispatcherHandlers} from '../protocol/peerRouter.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
-import {BackendServerQueue, type SharedState} from './backendServerQueue.js';
+import {BackendServerQueue} from './backendServerQueue.js';
+import {CrashReporter} from './crashReporter.js';
 import {EjectionBoard} from './ejectionBoard.js';
+import {EngineClient} from './engineClient.js';
 import {PauseDetector} from './pauseDetector.js';
+import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
 
 /** Interval at which leases expire and waits are estimated again. */
@@ -46,11 +50,22 @@
   private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
-  constructor(private readonly node: LeaseServiceNode) {
+  constructor(
+    private readonly node: LeaseServiceNode,
+    engines: SharedState['engines'] = new EngineClient(),
+  ) {
     this.shared = {
       lengths: new StreamLengths(),
       ejections: new EjectionBoard(node.broadcaster, node.members),
+      suspects: new SuspectRegistry(node.broadcaster),
+      crashes: new CrashReporter(
+        node.membership.getSelf().incarnation,
+        node.members,
+        node.log,
+      ),
+      engines,
     };
+    this.shared.suspects.subscribe(() => this.refuseGuilty());
     node.config.subscribe(configuration => this.applyConfig(configuration));
     node.ownership.subscribe(() => this.refreshOwnership());
     node.membership.subscribe(() => this.dropDeadGateways());
@@ -119,6 +134,7 @@
     return {
       owned: this.listOwned().map(queue => queue.describe()),
       streamLengths: this.shared.lengths.describe(),
+      suspects: this.shared.suspects.listSuspects(),
     };
   }
 
@@ -171,6 +187,10 @@
     for (const queue of this.queues.values()) queue.dropGateways(isDead);
   }
 
+  private refuseGuilty(): void {
+    for (const queue of this.queues.values()) queue.refuseGuilty();
+  }
+
   /** After a pause, other dispatchers may have granted the same slots. */
   private checkPause(): void {
     const pausedMs = this.pauses.detect(Date.now());
--- a/src/dispatcher/leaseTable.ts
+++ b/src/dispatcher/leaseTable.ts
@@ -60,6 +60,7 @@
       lease.adopted = true;
     }
     lease.tokens = renewed.tokens;
+    lease.suspectCount = renewed.suspectCount;
     lease.renewedAtMs = Date.now();
     lease.renewed = true;
     return lease;
--- /dev/null
+++ b/src/dispatcher/sharedState.ts
@@ -0,0 +1,14 @@
+/** State that all queues of a dispatcher share. */
+import type {SuspectRegistry} from '../node/suspectRegistry.js';
+import type {CrashReporter} from './crashReporter.js';
+import type {EjectionBoard} from './ejectionBoard.js';
+import type {EngineClient} from './engineClient.js';
+import type {StreamLengths} from './streamLengths.js';
+
+export interface SharedState {
+  lengths: StreamLengths;
+  ejections: EjectionBoard;
+  suspects: SuspectRegistry;
+  crashes: CrashReporter;
+  engines: Pick<EngineClient, 'isRefusing'>;
+}
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -6,10 +6,13 @@
   type BackendServer,
   type Configuration,
 } from '../../src/config/configuration.js';
-import type {SharedState} from '../../src/dispatcher/backendServerQueue.js';
+import type {SharedState} from '../../src/dispatcher/sharedState.js';
+import {CrashReporter} from '../../src/dispatcher/crashReporter.js';
 import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
 import {StreamLengths} from '../../src/dispatcher/streamLengths.js';
 import {Broadcaster} from '../../src/node/broadcaster.js';
+import {Log} from '../../src/node/log.js';
+import {SuspectRegistry} from '../../src/node/suspectRegistry.js';
 import type {BroadcastItem} from '../../src/protocol/memberMessages.js';
 import {
   LeaseEnd,
@@ -96,6 +99,9 @@
   return {
     lengths: new StreamLengths(),
     ejections: new EjectionBoard(broadcaster, members),
+    suspects: new SuspectRegistry(broadcaster),
+    crashes: new CrashReporter('dispatcher-1', members, new Log({})),
+    engines: {isRefusing: async () => false},
   };
 }
 
