Let gateways ignore an ejection for slowness

Cause: gateways now send `ignoreEjection` when the ejections that they see cover too many servers; the owner refused them all the same when it saw fewer.

Change: such a request is granted and queued as if the server were not ejected, but not on a server that accepts no connection. The property tests take their seed and runs from tests/support.

Conclusion: gateway and owner agree on when ejections say too little.

--- a/src/dispatcher/acquireRules.ts
+++ b/src/dispatcher/acquireRules.ts
@@ -33,9 +33,13 @@
     return this.owned && !this.leaving;
   }
 
-  /** True while only probes are granted, one at a time. */
-  isRestricted(server: BackendServer, configuration: Configuration): boolean {
-    return this.health.isRestricted(server, configuration);
+  /** True while the request gets a lease only as a probe. */
+  isRestricted(
+    acquire: Acquire,
+    server: BackendServer,
+    configuration: Configuration,
+  ): boolean {
+    return this.health.isRestricted(acquire, server, configuration);
   }
 
   /** Reason to refuse an acquisition before it is queued. */
--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -197,7 +197,7 @@
 
   private enqueue(entry: WaitingEntry): void {
     const {acquire} = entry;
-    const restricted = this.isRestricted();
+    const restricted = this.isRestricted(acquire);
     const refusal = this.waiting.find(acquire.leaseId)
       ? LeaseRefusal.DeadlineExceeded
       : this.rules.check(acquire, restricted);
@@ -229,9 +229,9 @@
     return this.gate.countFree();
   }
 
-  /** True while only probes are granted, one at a time. */
-  private isRestricted(): boolean {
-    return this.rules.isRestricted(this.server, this.configuration);
+  /** True while the request gets a lease only as a probe. */
+  private isRestricted(acquire: Acquire): boolean {
+    return this.rules.isRestricted(acquire, this.server, this.configuration);
   }
 
   private getQueueLimit(): number {
@@ -242,13 +242,20 @@
 
   /** Serves the queue after a change of leases, slots or time. */
   private advance(): void {
-    if (this.waiting.length > 0 && this.isRestricted()) {
-      this.waiting.refuseAll(LeaseRefusal.Ejected);
-    }
+    this.refuseEjected();
     this.grantWaiting();
     this.waiting.refuseUnreachable();
   }
 
+  /** Frees queued requests to go elsewhere while the server is ejected. */
+  private refuseEjected(): void {
+    if (!this.watch.health.getEjection()) return;
+    for (const entry of this.waiting.listEntries()) {
+      if (!this.isRestricted(entry.acquire)) continue;
+      this.refuse(entry, LeaseRefusal.Ejected);
+    }
+  }
+
   private grantWaiting(): void {
     for (;;) {
       const entry = this.pickGrantable();
--- a/src/dispatcher/ejectionGate.ts
+++ b/src/dispatcher/ejectionGate.ts
@@ -1,6 +1,6 @@
 /** Limits an ejected backend server to probes. */
 import type {BackendServer, Configuration} from '../config/configuration.js';
-import type {Release} from '../protocol/leaseMessages.js';
+import type {Acquire, Release} from '../protocol/leaseMessages.js';
 import type {EjectionBoard} from './ejectionBoard.js';
 import type {HeldLease} from './heldLease.js';
 import type {LeaseTable} from './leaseTable.js';
@@ -32,13 +32,19 @@
   }
 
   /**
-   * True while only probes are granted. Ejections of too many servers are
-   * ignored, but never that of a server which accepts no connection.
+   * True while a request gets a lease only as a probe. Ejections of too many
+   * servers are ignored, as this dispatcher or the request's gateway sees them,
+   * but never that of a server which accepts no connection.
    */
-  isRestricted(server: BackendServer, configuration: Configuration): boolean {
+  isRestricted(
+    acquire: Acquire,
+    server: BackendServer,
+    configuration: Configuration,
+  ): boolean {
     const ejection = this.health.getEjection();
     if (!ejection) return false;
     if (ejection.reason === EjectionReason.Unreachable) return true;
+    if (acquire.ignoreEjection) return false;
     return !this.board.isIgnored(server, configuration);
   }
 
--- a/tests/dispatcher/classScheduler.test.ts
+++ b/tests/dispatcher/classScheduler.test.ts
@@ -197,7 +197,7 @@
           expect(taken).to.be.at.most(grants * sum + 1e-6);
         },
       ),
-      {...propertyOptions, numRuns: Math.min(propertyOptions.numRuns, 50)},
+      propertyOptions,
     );
   });
 
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -14,6 +14,7 @@
 import {Log} from '../../src/node/log.js';
 import {SuspectRegistry} from '../../src/node/suspectRegistry.js';
 import type {BroadcastItem} from '../../src/protocol/memberMessages.js';
+import {createPropertyOptions} from '../support/properties.js';
 import {
   LeaseEnd,
   LeaseEventKind,
@@ -23,10 +24,7 @@
 } from '../../src/protocol/leaseMessages.js';
 
 /** Seed and number of runs of property tests. */
-export const propertyOptions = {
-  seed: Number(process.env.PROPERTY_SEED ?? 20_260_101),
-  numRuns: Number(process.env.PROPERTY_RUNS ?? 200),
-};
+export const propertyOptions = createPropertyOptions(200);
 
 export interface ClassOptions {
   tier: number;
--- a/tests/dispatcher/serverHealth.test.ts
+++ b/tests/dispatcher/serverHealth.test.ts
@@ -181,6 +181,22 @@
     expect(await runOnce(normal, 'engine-3')).to.equal(LeaseRefusal.Ejected);
   });
 
+  // Guards against a gateway that can reach too few servers to avoid these.
+  it('should let a gateway ignore an ejection for slowness', async () => {
+    await runTimes(5, slow);
+    const ignoring = buildAcquire('c', {ignoreEjection: true});
+    const first = new Caller(service, ignoring);
+    await settlePromises();
+    expect(first.getResult()).to.equal(LeaseEventKind.Granted);
+    await runTimes(5, unreachable, 'engine-2');
+    const second = new Caller(service, {
+      ...buildAcquire('c', {ignoreEjection: true}),
+      backendServer: 'engine-2',
+    });
+    await settlePromises();
+    expect(second.getResult()).to.equal(LeaseRefusal.Ejected);
+  });
+
   // Guards against late announcements that undo newer ones.
   it('should order the announcements of one server by time', () => {
     const board = new EjectionBoard(node.broadcaster, node.members);
