Use the members' link subscriptions and pause detector for leases

Cause: the lease client subscribed on a bare tRPC client, so a broken or silent link was noticed only by the answer timeout, and detected pauses by a clock of its own. Ruled out: keeping the own answer timeout as the only limit; it doesn't replace a silent link.

--- a/src/gateway/dispatcherCalls.ts
+++ b/src/gateway/dispatcherCalls.ts
@@ -10,6 +10,11 @@
   RenewAnswer,
 } from '../protocol/leaseMessages.js';
 
+/**
+ * Below the time after which a lease request gives a silent dispatcher up, so
+ * that a silent link is replaced before.
+ */
+const acquireStartDeadlineMs = 200;
 const renewDeadlineMs = 1_000;
 const releaseDeadlineMs = 1_000;
 
@@ -41,14 +46,9 @@
     acquire: Acquire,
     listener: AcquireListener,
   ): () => void {
-    const subscription = this.links
-      .getDispatcher(address)
-      .leases.acquire.subscribe(acquire, {
-        onData: event => listener.onEvent(event),
-        onError: () => listener.onEnd(),
-        onComplete: () => listener.onEnd(),
-      });
-    return () => subscription.unsubscribe();
+    const abortController = new AbortController();
+    void this.readEvents(address, acquire, listener, abortController.signal);
+    return () => abortController.abort();
   }
 
   release(address: string, release: Release): ResultAsync<void, PeerError> {
@@ -66,4 +66,24 @@
       (client, signal) => client.leases.renew.mutate(renew, {signal}),
     );
   }
+
+  private async readEvents(
+    address: string,
+    acquire: Acquire,
+    listener: AcquireListener,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      const events = this.links.subscribe<LeaseEvent>(address, {
+        startDeadlineMs: acquireStartDeadlineMs,
+        signal,
+        start: (client, observer) =>
+          client.leases.acquire.subscribe(acquire, observer),
+      });
+      for await (const event of events) listener.onEvent(event);
+    } catch {
+      // A failed link is one more way in which the events end.
+    }
+    if (!signal.aborted) listener.onEnd();
+  }
 }
--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -28,8 +28,6 @@
 export type {Lease, LeaseReport, LeaseTarget} from './lease.js';
 
 const renewIntervalMs = 500;
-/** A tick that is late by this much shows that the process was paused. */
-const pauseThresholdMs = 2_000;
 /** Shortest time sent as what is left, because a message needs one. */
 const minRemainingMs = 1;
 
@@ -61,20 +59,18 @@
 
   /** Renews the held leases until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const unsubscribe = this.node.ownership.subscribe(() =>
-      this.held.renewMoved(),
-    );
+    const {ownership, pauseDetector} = this.node;
+    const ends = [
+      ownership.subscribe(() => this.held.renewMoved()),
+      pauseDetector.subscribe(() => this.resumeAfterPause()),
+    ];
     try {
       while (!signal.aborted) {
-        const startedAtMs = performance.now();
         await waitFor(renewIntervalMs, signal);
-        const lateMs = performance.now() - startedAtMs - renewIntervalMs;
-        // What dispatchers said before a pause is no longer true.
-        if (lateMs > pauseThresholdMs) this.views.forget();
         this.held.renewAll();
       }
     } finally {
-      unsubscribe();
+      for (const end of ends) end();
     }
   }
 
@@ -117,6 +113,12 @@
     return this.held.count();
   }
 
+  /** What dispatchers said before a pause is no longer true. */
+  private resumeAfterPause(): void {
+    this.views.forget();
+    this.held.renewAll();
+  }
+
   private createChooser(
     configuration: Configuration,
     target: LeaseTarget,
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -399,6 +399,28 @@
     await running;
   });
 
+  // Guards against choices by what was true before the process was paused.
+  it('should forget views and renew at once after a pause', async () => {
+    startClient(['a']);
+    const stopping = new AbortController();
+    const running = client.run(stopping.signal);
+    await acquire();
+    dispatchers.script = ask => ask.refuse(LeaseRefusal.Leaving);
+    await acquire();
+    const asked = dispatchers.asks.length;
+    await acquire();
+    expect(dispatchers.asks).to.have.length(asked);
+    for (const listener of node.pauseListeners) listener(3_000);
+    expect(dispatchers.renewals).to.have.length(1);
+    dispatchers.script = ask => ask.grant();
+    forgetResult();
+    await acquire();
+    expect(result?.isOk()).to.equal(true);
+    stopping.abort();
+    await running;
+    expect(node.pauseListeners.size).to.equal(0);
+  });
+
   // Guards against a slot that a lost release keeps for ten seconds.
   it('should repeat a release that failed', async () => {
     startClient(['a']);
--- a/tests/support/fakeDispatchers.ts
+++ b/tests/support/fakeDispatchers.ts
@@ -138,6 +138,7 @@
 /** A node whose owners the test sets. */
 export class FakeNode implements LeaseNode {
   readonly listeners = new Set<() => void>();
+  readonly pauseListeners = new Set<(gapMs: number) => void>();
   private readonly owners = new Map<string, Member>();
   private configuration: Configuration;
 
@@ -157,6 +158,12 @@
       return () => this.listeners.delete(listener);
     },
   };
+  readonly pauseDetector = {
+    subscribe: (listener: (gapMs: number) => void) => {
+      this.pauseListeners.add(listener);
+      return () => this.pauseListeners.delete(listener);
+    },
+  };
   readonly membership = {getSelf: () => buildDispatcher('g1')};
 
   /** Sets the owner of servers and announces the change. */
