--- a/src/gateway/attemptRace.ts
+++ b/src/gateway/attemptRace.ts
@@ -3,6 +3,9 @@
 import type {ChatAttempt} from './chatAttempt.js';
 import type {AttemptEnd} from './engineStream.js';
 
+/** A reason of its own saves the stack trace of the default reason. */
+const hedgingIsOver = 'hedging is over';
+
 /** An attempt that is over. */
 export interface EndedAttempt {
   attempt: ChatAttempt;
@@ -35,7 +38,7 @@
     this.winner = attempt;
     const {primary} = this.options;
     if (attempt === primary) {
-      this.hedging.abort();
+      this.hedging.abort(hedgingIsOver);
       this.hedge?.abort();
     } else {
       this.options.noteHedgeWon();
@@ -51,7 +54,7 @@
     const primaryEnded = {attempt: primary, end: await primary.run()};
     this.primaryIsOver = true;
     if (!this.hedge || this.winner === primary) {
-      this.hedging.abort();
+      this.hedging.abort(hedgingIsOver);
       return primaryEnded;
     }
     drop(primaryEnded);
--- a/src/gateway/chatAttempt.ts
+++ b/src/gateway/chatAttempt.ts
@@ -10,6 +10,9 @@
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 import {computeLimits} from './sessionRules.js';
 
+/** A reason of its own saves the stack trace of the default reason. */
+const attemptIsOver = 'the attempt is over';
+
 export interface ChatAttemptOptions {
   context: RequestContext;
   request: ChatRequest;
@@ -75,7 +78,7 @@
 
   /** Gives the attempt up and closes its connection. */
   abort(): void {
-    this.abortController.abort();
+    this.abortController.abort(attemptIsOver);
   }
 
   private take(chunk: EngineChunk): Promise<boolean> {
