Test the choice among ejected servers

Guards both sides of the rule: one ejected server of four is never asked, two of four are asked like the others. Fails without the mark and without the limit of a third.

--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -361,6 +361,30 @@
     expect(dispatchers.listAsks('a')).not.to.have.length(0);
   });
 
+  // Guards against requests for ejected servers while others are there.
+  it('should pass over ejected servers unless over a third are', async () => {
+    const listAsked = async (ejected: readonly string[]) => {
+      startClient(['a', 'b', 'c', 'd']);
+      const getView = ({acquire: {backendServer}}: Ask) => ({
+        ejected: ejected.includes(backendServer),
+      });
+      dispatchers.script = ask =>
+        ask.refuse(LeaseRefusal.QueueFull, 500, getView(ask));
+      await acquire();
+      dispatchers.script = ask => ask.grant(getView(ask));
+      dispatchers.asks.length = 0;
+      for (let i = 0; i < 40; i++) {
+        await acquire({}, {prefixDigest: `p${i}`});
+        await acquire();
+      }
+      return new Set(dispatchers.asks.map(ask => ask.acquire.backendServer));
+    };
+    expect([...(await listAsked(['a']))].sort()).to.deep.equal(['b', 'c', 'd']);
+    expect([...(await listAsked(['a', 'b']))].sort()).to.deep.equal([
+      ...['a', 'b', 'c', 'd'],
+    ]);
+  });
+
   // Guards against a fleet that goes unused because most servers look slow.
   it('should ignore ejections of more than a third of the servers', async () => {
     startClient(['a', 'b', 'c', 'd']);
--- a/tests/support/fakeDispatchers.ts
+++ b/tests/support/fakeDispatchers.ts
@@ -38,12 +38,12 @@
     private readonly listener: AcquireListener,
   ) {}
 
-  grant(): void {
+  grant(view: Partial<BackendServerView> = {}): void {
     this.listener.onEvent({
       kind: LeaseEventKind.Granted,
       address: `10.0.0.1:${this.acquire.backendServer.length}`,
       priority: 2,
-      view: this.buildView(),
+      view: this.buildView(view),
     });
   }
 
