Forward operations to their issuer and hand them over

Cause: a forwarder asked the address in the prefix whatever it knew of the member, and a leaving gateway dropped its records, so that every one of its keys became mayHaveRun. Ruled out: following announced successors at the receiving side of a peer call; leaver and successor can then forward to each other for ever. Only the chain of own hand-overs is followed there. Excusing a late forwarded request by a clock comparison was ruled out too: clocks differ, so a notRun answer speaks of its own request and not of one that is still on its way. Change: IssuerDirectory decides here, peer or unavailable.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -10,9 +10,10 @@
 import {CallerServer} from './callerServer.js';
 import {ChatService} from './chatService.js';
 import {ExpiryClock} from './expiryClock.js';
+import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LeaseClient} from './leaseClient.js';
 import {PrefixSealer} from './operationPrefix.js';
-import {OperationService} from './operationService.js';
+import {Operations} from './operations.js';
 import {ServiceDispatcher} from './serviceDispatcher.js';
 
 /** Time for callers and peers to hear of the leave. */
@@ -22,7 +23,7 @@
 export class GatewayDaemon {
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
-  private readonly operations: OperationService;
+  private readonly operations: Operations;
   private readonly callers: CallerServer;
   private peerServer: PeerServer | undefined;
   private operatorServer: OperatorServer | undefined;
@@ -34,12 +35,18 @@
     this.leases = new LeaseClient(this.node);
     const clock = new ExpiryClock();
     const services = new ServiceDispatcher(this.leases);
-    this.operations = new OperationService(this.node, sealer, services, clock);
+    this.operations = new Operations({
+      node: this.node,
+      sealer,
+      clock,
+      sender: services,
+      peers: new LinkedGatewayPeers(this.node.links),
+    });
     this.callers = new CallerServer(this.node, {
       addresses: new AddressAnswers(this.node, sealer, clock),
       chat: new ChatService(this.leases),
       services,
-      operations: this.operations,
+      operations: this.operations.service,
     });
   }
 
@@ -82,7 +89,7 @@
       host: settings.address,
       port: settings.ports.gatewayPeers,
       peerKey: settings.keys.peer,
-      router: createGatewayRouter(this.node.members, this.operations),
+      router: createGatewayRouter(this.node.members, this.operations.service),
     });
     this.operatorServer = await OperatorServer.start({
       host: settings.operatorAddress,
--- a/src/gateway/operationService.ts
+++ b/src/gateway/operationService.ts
@@ -1,153 +1,179 @@
-/** Runs non-repeatable operations at most once. */
-import {err, ok, type Result} from 'neverthrow';
-import type {DaemonNode} from '../node/daemonNode.js';
-import {
-  OperationResultKind,
-  type ExecuteOperation,
-  type OperationResult,
-  type ServiceAnswer,
-  type ServiceCall,
-  type TakeOver,
+/** Runs non-repeatable operations at most once, here or at their issuer. */
+import {err} from 'neverthrow';
+import type {Configuration} from '../config/configuration.js';
+import type {Log} from '../node/log.js';
+import type {
+  ExecuteOperation,
+  OperationResult,
+  ServiceCall,
+  TakeOver,
 } from '../protocol/operationMessages.js';
 import {Outcome} from '../protocol/outcome.js';
 import type {GatewayHandlers} from '../protocol/peerRouter.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import type {ExpiryClock} from './expiryClock.js';
-import {OperationExecutor, type OperationSender} from './operationExecutor.js';
+import type {GatewayPeers} from './gatewayPeers.js';
+import {IssuerRouteKind, type IssuerDirectory} from './issuerDirectory.js';
+import type {OperationExecutor} from './operationExecutor.js';
 import type {OperationKey, PrefixSealer} from './operationPrefix.js';
-import {OperationRecords} from './operationRecords.js';
+import {buildExpiredRefusal, type OperationAnswer} from './operationRecord.js';
+import {retentionMs, type OperationRecords} from './operationRecords.js';
+import {decodeAnswer, encodeAnswer} from './operationResults.js';
+import type {OperationTakeover} from './operationTakeover.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 
-/** Holds the records of the operations that this process issued prefixes for. */
-export class OperationService implements GatewayHandlers {
-  readonly records: OperationRecords;
-  private readonly executor: OperationExecutor;
+/** Left of a deadline for the issuer's answer to come back. */
+const maxForwardMarginMs = 50;
+const forwardMarginShare = 0.1;
+const retryAfterMs = 1_000;
 
-  constructor(
-    private readonly node: DaemonNode,
-    private readonly sealer: PrefixSealer,
-    sender: OperationSender,
-    clock: ExpiryClock,
-  ) {
-    this.records = new OperationRecords(clock);
-    this.executor = new OperationExecutor(this.records, sender);
-  }
+export interface OperationParts {
+  sealer: PrefixSealer;
+  clock: ExpiryClock;
+  records: OperationRecords;
+  executor: OperationExecutor;
+  directory: IssuerDirectory;
+  takeover: OperationTakeover;
+  peers: GatewayPeers;
+  getConfiguration: () => Configuration | undefined;
+  log: Log;
+}
+
+/** Entry point for operations of callers and of other gateways. */
+export class OperationService implements GatewayHandlers {
+  constructor(private readonly parts: OperationParts) {}
 
-  /** Runs an operation here or at the issuer of its key. */
+  /** Runs an operation here or at the gateway responsible for its key. */
   async execute(
     context: RequestContext,
     call: ServiceCall,
     operationKey: string,
-  ): Promise<Result<ServiceAnswer, Refusal>> {
-    const parsed = this.sealer.parse(operationKey, context.customerId);
-    if (parsed.isErr()) return err(parsed.error);
-    const {issuer, peerAddress} = parsed.value;
-    if (issuer === this.node.membership.getSelf().incarnation) {
-      return this.executeHere(context, call, parsed.value);
+  ): Promise<OperationAnswer> {
+    const {sealer, clock} = this.parts;
+    const key = sealer.parse(operationKey, context.customerId);
+    if (key.isErr()) return err(key.error);
+    if (clock.getNowMs() >= key.value.expiresAtMs + retentionMs) {
+      return err(buildExpiredRefusal(Outcome.MayHaveRun));
     }
-    const deadlineMs = computeRemainingMs(context);
-    const forwarded = await this.node.links.callGateway(
-      peerAddress,
-      deadlineMs,
-      (client, signal) =>
-        client.operations.execute.mutate(
-          {
-            requestId: context.requestId,
-            issuer,
-            customer: context.customerId,
-            className: context.className,
-            operationKey,
-            deadlineMs,
-            call,
-          },
-          {signal},
-        ),
-    );
-    if (forwarded.isErr()) return err(buildIssuerRefusal());
-    return parseResult(forwarded.value);
+    return this.executeParsed(context, call, key.value);
   }
 
   async executeOperation(request: ExecuteOperation): Promise<OperationResult> {
-    const self = this.node.membership.getSelf().incarnation;
-    if (request.issuer !== self) return buildResult(err(buildIssuerRefusal()));
-    const configuration = this.node.config.getConfiguration();
-    const customer = configuration?.customers[request.customer];
-    const requestClass = configuration?.classes[request.className];
-    if (!customer || !requestClass) {
-      return buildResult(err(buildIssuerRefusal()));
-    }
-    const context: RequestContext = {
-      requestId: request.requestId,
-      customerId: request.customer,
-      customer,
-      className: request.className,
-      requestClass,
-      arrivedAtMs: performance.now(),
-      deadlineAtMs: performance.now() + request.deadlineMs,
-      signal: new AbortController().signal,
-      log: this.node.log.with({requestId: request.requestId}),
-    };
-    const key = this.sealer.parse(request.operationKey, request.customer);
-    if (key.isErr()) return buildResult(err(key.error));
-    if (key.value.issuer !== request.issuer) {
-      return buildResult(err(buildIssuerRefusal()));
+    const key = this.parts.sealer.parse(request.operationKey, request.customer);
+    if (key.isErr()) return encodeAnswer(err(key.error));
+    const context = this.buildContext(request);
+    // Only the chain of hand-overs is followed, so that no forwarding loops.
+    const {directory} = this.parts;
+    const known =
+      directory.isResponsible(request.issuer) ||
+      directory.isHandedOver(request.issuer);
+    if (!context || !known || key.value.issuer !== request.issuer) {
+      return encodeAnswer(err(buildIssuerRefusal()));
     }
-    return buildResult(
-      await this.executeHere(context, request.call, key.value),
+    return encodeAnswer(
+      await this.executeParsed(context, request.call, key.value),
     );
   }
 
-  async takeOver(_takeOver: TakeOver): Promise<void> {
-    throw new Refusal(
-      RefusalReason.NotReady,
-      Outcome.NotRun,
-      'this gateway takes no records over',
-    );
+  async takeOver(takeOver: TakeOver): Promise<void> {
+    this.parts.takeover.receive(takeOver);
+  }
+
+  private async executeParsed(
+    context: RequestContext,
+    call: ServiceCall,
+    key: OperationKey,
+  ): Promise<OperationAnswer> {
+    const {directory, records} = this.parts;
+    // A final result stays true after the authority has moved on.
+    if (directory.isHandedOver(key.issuer)) {
+      const final = records.find(key.text)?.getResult();
+      if (final) return this.executeHere(context, call, key);
+    }
+    const route = directory.resolve(key.issuer, key.peerAddress);
+    switch (route.kind) {
+      case IssuerRouteKind.Here:
+        return this.executeHere(context, call, key);
+      case IssuerRouteKind.Peer:
+        return this.forward(context, call, key, route.peerAddress);
+      case IssuerRouteKind.Unavailable:
+        return err(buildIssuerRefusal());
+    }
   }
 
   private executeHere(
     context: RequestContext,
     call: ServiceCall,
     {text, issuer, customerId, expiresAtMs}: OperationKey,
-  ): Promise<Result<ServiceAnswer, Refusal>> {
-    return this.executor.execute(context, call, {
+  ): Promise<OperationAnswer> {
+    return this.parts.executor.execute(context, call, {
       operationKey: text,
       issuer,
       customerId,
       expiresAtMs,
     });
   }
-}
 
-function buildResult(result: Result<ServiceAnswer, Refusal>): OperationResult {
-  if (result.isOk()) {
-    return {kind: OperationResultKind.Answered, answer: result.value};
+  private async forward(
+    context: RequestContext,
+    call: ServiceCall,
+    key: OperationKey,
+    address: string,
+  ): Promise<OperationAnswer> {
+    const remainingMs = computeRemainingMs(context);
+    if (remainingMs === 0) return err(buildIssuerRefusal());
+    const marginMs = Math.min(
+      maxForwardMarginMs,
+      remainingMs * forwardMarginShare,
+    );
+    const forwarded = await this.parts.peers.executeOperation(
+      address,
+      {
+        requestId: context.requestId,
+        issuer: key.issuer,
+        customer: context.customerId,
+        className: context.className,
+        operationKey: key.text,
+        deadlineMs: remainingMs - marginMs,
+        call,
+      },
+      remainingMs,
+    );
+    if (forwarded.isOk()) return decodeAnswer(forwarded.value);
+    context.log.warn('issuer did not answer', {
+      issuer: key.issuer,
+      error: forwarded.error.message,
+    });
+    return err(buildIssuerRefusal(forwarded.error));
   }
-  const {reason, outcome, message, retryAfterMs} = result.error;
-  return {
-    kind: OperationResultKind.Refused,
-    reason,
-    outcome,
-    message,
-    retryAfterMs,
-  };
-}
 
-function parseResult(result: OperationResult): Result<ServiceAnswer, Refusal> {
-  switch (result.kind) {
-    case OperationResultKind.Answered:
-      return ok(result.answer);
-    case OperationResultKind.Refused: {
-      const {reason, outcome, message, retryAfterMs} = result;
-      return err(new Refusal(reason, outcome, message, {retryAfterMs}));
-    }
+  private buildContext(request: ExecuteOperation): RequestContext | undefined {
+    const configuration = this.parts.getConfiguration();
+    const {requestId, className, customer: customerId} = request;
+    const customer = configuration?.customers[customerId];
+    const requestClass = configuration?.classes[className];
+    if (!customer || !requestClass) return undefined;
+    const arrivedAtMs = performance.now();
+    return {
+      requestId,
+      customerId,
+      customer,
+      className,
+      requestClass,
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + request.deadlineMs,
+      // A forwarder that goes away doesn't cancel; the deadline still counts.
+      signal: new AbortController().signal,
+      log: this.parts.log.with({requestId}),
+    };
   }
 }
 
-function buildIssuerRefusal(): Refusal {
+function buildIssuerRefusal(cause?: unknown): Refusal {
   return new Refusal(
     RefusalReason.IssuerUnavailable,
     Outcome.MayHaveRun,
     'the gateway that issued the operation prefix does not answer',
+    {retryAfterMs, cause},
   );
 }
