Retry repeatable service calls within a budget

Cause: a repeatable call failed at the first refused or broken connection, and went on at the service after its caller had left. Ruled out: the records' path for repeatable calls; it would keep answers that nobody asks for again. Change: at most three attempts; a failed connect is always retried, a broken connection from a budget of a tenth of the requests (three saved at most), then retryBudgetSpent. One outcome tracker spans the attempts. A class that must not be repeated is refused here. Figures: 100 calls to a service that cuts every connection send 101 to 113 requests (bound in the test). Conclusion: without the budget check, and without the class check, one test fails each.

--- a/src/gateway/serviceDispatcher.ts
+++ b/src/gateway/serviceDispatcher.ts
@@ -1,12 +1,14 @@
 /** Sends calls to plain services, each on a connection of its own. */
 import {err, ok, type Result} from 'neverthrow';
 import {BackendServerKind} from '../config/configuration.js';
+import {waitFor} from '../node/delay.js';
+import {ConnectError, DeadlineError} from '../protocol/errors.js';
 import {LeaseEnd} from '../protocol/leaseMessages.js';
 import type {
   ServiceAnswer,
   ServiceCall,
 } from '../protocol/operationMessages.js';
-import {DeadlineError} from '../protocol/errors.js';
+import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import type {Lease, LeaseClient} from './leaseClient.js';
 import type {OperationSender} from './operationExecutor.js';
@@ -15,11 +17,14 @@
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 import {openConnection} from './serviceConnection.js';
 import {sendCall} from './serviceExchange.js';
+import {ServiceRetryBudget} from './serviceRetryBudget.js';
 
 /** Largest answer of a repeatable call in bytes. */
 const maxAnswerBytes = 4 * 1024 * 1024;
 const connectDeadlineMs = 1_000;
-const connectRetryAfterMs = 1_000;
+const retryAfterMs = 1_000;
+const maxAttempts = 3;
+const retryDelayMs = 20;
 /**
  * A dispatched operation goes on for this time, also past its callers'
  * deadlines, so that a retry with the same key can get the answer.
@@ -36,16 +41,41 @@
   claim?: () => Refusal | undefined;
 }
 
+interface SendReport {
+  end: LeaseEnd;
+  result: Result<ServiceAnswer, Refusal>;
+}
+
 /** Makes attempts of calls to plain services. */
 export class ServiceDispatcher implements OperationSender {
+  private readonly budget = new ServiceRetryBudget();
+
   constructor(private readonly leases: LeaseSource) {}
 
-  /** Waits for a slot and sends a repeatable call. */
+  /**
+   * Sends a repeatable call. A failed connect is retried always, a broken
+   * connection from the retry budget.
+   */
   async dispatch(
     context: RequestContext,
     call: ServiceCall,
   ): Promise<Result<ServiceAnswer, Refusal>> {
-    return this.send(context, call, {tracker: new OutcomeTracker()});
+    if (!context.requestClass.repeatable) return err(buildClassRefusal());
+    this.budget.noteRequest();
+    const tracker = new OutcomeTracker();
+    for (let attempts = 1; ; attempts++) {
+      const {end, result} = await this.send(context, call, {tracker});
+      const shouldRetry =
+        result.isErr() &&
+        result.error.reason === RefusalReason.BackendServerFailed &&
+        attempts < maxAttempts &&
+        computeRemainingMs(context) > retryDelayMs;
+      if (!shouldRetry) return result;
+      if (end !== LeaseEnd.ConnectFailed && !this.budget.tryTake()) {
+        return err(buildBudgetRefusal(tracker, result.error));
+      }
+      await waitFor(retryDelayMs, context.signal);
+    }
   }
 
   async sendOperation(
@@ -55,26 +85,29 @@
     claim: () => Refusal | undefined,
   ): Promise<Result<ServiceAnswer, Refusal>> {
     const tracker = new OutcomeTracker();
-    return this.send(context, call, {tracker, operationKey, claim});
+    const options = {tracker, operationKey, claim};
+    return (await this.send(context, call, options)).result;
   }
 
   private async send(
     context: RequestContext,
     call: ServiceCall,
     options: SendOptions,
-  ): Promise<Result<ServiceAnswer, Refusal>> {
+  ): Promise<SendReport> {
     const acquired = await this.leases.acquire(context, {
       kind: BackendServerKind.PlainService,
       service: call.service,
     });
-    if (acquired.isErr()) return err(acquired.error);
+    if (acquired.isErr()) {
+      return {end: LeaseEnd.Unused, result: err(acquired.error)};
+    }
     const lease = acquired.value;
     options.tracker.noteLeaseGranted();
     let end = LeaseEnd.Broken;
     try {
       const sent = await this.sendOnLease(lease, context, call, options);
       end = sent.end;
-      return sent.result;
+      return sent;
     } finally {
       this.leases.release(lease, {
         end,
@@ -91,7 +124,7 @@
     context: RequestContext,
     call: ServiceCall,
     {tracker, operationKey, claim}: SendOptions,
-  ): Promise<{end: LeaseEnd; result: Result<ServiceAnswer, Refusal>}> {
+  ): Promise<SendReport> {
     const attempt = tracker.noteConnecting();
     const connected = await openConnection(
       lease.address,
@@ -104,7 +137,7 @@
         ? LeaseEnd.Unused
         : LeaseEnd.ConnectFailed;
       const {error} = connected;
-      return {end, result: err(buildFailure(tracker, error))};
+      return {end, result: err(buildFailure(tracker, error, context))};
     }
     const refused = claim?.();
     if (refused) {
@@ -119,29 +152,54 @@
       operationKey,
       maxAnswerBytes: claim ? maxOperationAnswerBytes : maxAnswerBytes,
       deadlineMs: claim ? operationRunLimitMs : computeRemainingMs(context),
+      // A dispatched operation goes on when its caller is gone.
+      ...(claim ? {} : {signal: context.signal}),
     });
     if (exchanged.isErr()) {
       const {error} = exchanged;
-      const result = err(buildFailure(tracker, error));
-      return {end: LeaseEnd.Broken, result};
+      const end =
+        !claim && context.signal.aborted ? LeaseEnd.Cancelled : LeaseEnd.Broken;
+      return {end, result: err(buildFailure(tracker, error, context))};
     }
     tracker.noteComplete();
     return {end: LeaseEnd.Completed, result: ok(exchanged.value)};
   }
 }
 
-function buildFailure(tracker: OutcomeTracker, error: Error): Refusal {
-  return new Refusal(
+function buildFailure(
+  tracker: OutcomeTracker,
+  error: Error,
+  {signal}: RequestContext,
+): Refusal {
+  const outcome = tracker.decide();
+  if (signal.aborted) {
+    const message = 'the caller closed the connection';
+    return new Refusal(RefusalReason.CallerGone, outcome, message);
+  }
+  const reason =
     error instanceof DeadlineError
       ? RefusalReason.DeadlineExceeded
-      : RefusalReason.BackendServerFailed,
+      : RefusalReason.BackendServerFailed;
+  const message =
+    error instanceof ConnectError
+      ? 'the plain service could not be connected to'
+      : error.message;
+  return new Refusal(reason, outcome, message, {retryAfterMs, cause: error});
+}
+
+function buildBudgetRefusal(tracker: OutcomeTracker, cause: Refusal): Refusal {
+  return new Refusal(
+    RefusalReason.RetryBudgetSpent,
     tracker.decide(),
-    tracker.hasWritten()
-      ? error.message
-      : 'the plain service could not be connected to',
-    {
-      cause: error,
-      ...(tracker.hasWritten() ? {} : {retryAfterMs: connectRetryAfterMs}),
-    },
+    'the plain service broke the connection, and no retry is left',
+    {retryAfterMs, cause},
+  );
+}
+
+function buildClassRefusal(): Refusal {
+  return new Refusal(
+    RefusalReason.InternalError,
+    Outcome.NotRun,
+    'a call that must not be repeated was sent without its record',
   );
 }
--- a/src/gateway/serviceExchange.ts
+++ b/src/gateway/serviceExchange.ts
@@ -25,6 +25,8 @@
   maxAnswerBytes: number;
   /** Milliseconds from the first byte written to the end of the answer. */
   deadlineMs: number;
+  /** Cancels the call. */
+  signal?: AbortSignal;
 }
 
 /** Statuses whose answers carry no body. */
@@ -39,11 +41,12 @@
 ): Promise<Result<ServiceAnswer, ExchangeError>> {
   const deadline = new AbortController();
   const timer = setTimeout(() => deadline.abort(), options.deadlineMs);
+  const signal = options.signal
+    ? AbortSignal.any([options.signal, deadline.signal])
+    : deadline.signal;
   const client = createClient(options);
   try {
-    const response = await client.request(
-      buildRequest(options, deadline.signal),
-    );
+    const response = await client.request(buildRequest(options, signal));
     const body = Buffer.from(await response.body.arrayBuffer());
     return checkAnswer(options, response, body);
   } catch (cause) {
--- a/tests/gateway/serviceDispatcher.test.ts
+++ b/tests/gateway/serviceDispatcher.test.ts
@@ -10,7 +10,12 @@
 import type {ServiceAnswer} from '../../src/protocol/operationMessages.js';
 import {Outcome} from '../../src/protocol/outcome.js';
 import {Refusal, RefusalReason} from '../../src/protocol/refusal.js';
-import {buildAnswer, buildContext, sampleCall} from './operationFakes.js';
+import {
+  buildAnswer,
+  buildContext,
+  sampleCall,
+  sampleClass,
+} from './operationFakes.js';
 import {formatAnswer, RawServer, type ConnectionScript} from './rawServer.js';
 
 /** Grants a lease of each address in turn. */
@@ -180,4 +185,100 @@
       expect(leases.reports[0].end).to.equal(LeaseEnd.Broken);
     });
   }
+
+  describe('repeatable calls', () => {
+    const requestClass = {...sampleClass, repeatable: true};
+
+    async function dispatch(
+      addresses: string[],
+      changes: Parameters<typeof buildContext>[0] = {},
+    ) {
+      const leases = new FakeLeases(addresses);
+      const result = await new ServiceDispatcher(leases).dispatch(
+        buildContext({requestClass, ...changes}),
+        sampleCall,
+      );
+      return {result, leases};
+    }
+
+    // Guards against an error to the caller while another server works.
+    it('should retry on connect failures and on a broken connection', async () => {
+      const broken = await startServer(socket => socket.destroy());
+      const good = await startServer(socket =>
+        socket.write(formatAnswer('in stock')),
+      );
+      const {result, leases} = await dispatch([
+        await findClosedAddress(),
+        broken.address,
+        good.address,
+      ]);
+      expect(result._unsafeUnwrap()).to.deep.equal(buildAnswer('in stock'));
+      expect(leases.reports.map(report => report.end)).to.deep.equal([
+        LeaseEnd.ConnectFailed,
+        LeaseEnd.Broken,
+        LeaseEnd.Completed,
+      ]);
+    });
+
+    // Guards against retries that double the load of a failing service.
+    it('should retry broken connections for at most a tenth of requests', async () => {
+      const broken = await startServer(socket => socket.destroy());
+      const addresses = Array.from({length: 500}, () => broken.address);
+      const dispatcher = new ServiceDispatcher(new FakeLeases(addresses));
+      let refusal: Refusal | undefined;
+      for (let i = 0; i < 100; i++) {
+        const context = buildContext({requestClass});
+        const result = await dispatcher.dispatch(context, sampleCall);
+        refusal = result._unsafeUnwrapErr();
+      }
+      expect(broken.requests.length).to.be.within(101, 113);
+      expect(refusal).to.include({
+        reason: RefusalReason.RetryBudgetSpent,
+        outcome: Outcome.MayHaveRun,
+      });
+    });
+
+    // Guards against notRun after an earlier attempt was written.
+    it('should remember a written attempt when the next connect fails', async () => {
+      const broken = await startServer(socket => socket.destroy());
+      const closed = await findClosedAddress();
+      const {result} = await dispatch([broken.address, closed, closed]);
+      expect(result._unsafeUnwrapErr().outcome).to.equal(Outcome.MayHaveRun);
+    });
+
+    // Guards against a service that never answers.
+    it('should end at the deadline', async () => {
+      const silent = await startServer(() => undefined);
+      const {result} = await dispatch([silent.address], {deadlineMs: 60});
+      expect(result._unsafeUnwrapErr()).to.include({
+        reason: RefusalReason.DeadlineExceeded,
+        outcome: Outcome.MayHaveRun,
+      });
+    });
+
+    // Guards against work that goes on for a caller that has left.
+    it('should cancel the call when the caller is gone', async () => {
+      const gone = new AbortController();
+      const silent = await startServer(() => gone.abort());
+      const {result, leases} = await dispatch([silent.address], {
+        signal: gone.signal,
+      });
+      expect(result._unsafeUnwrapErr().reason).to.equal(
+        RefusalReason.CallerGone,
+      );
+      expect(leases.reports[0].end).to.equal(LeaseEnd.Cancelled);
+    });
+
+    // Guards against an order that is sent without its record.
+    it('should refuse a class that must not be repeated', async () => {
+      const good = await startServer(socket =>
+        socket.write(formatAnswer('order')),
+      );
+      const {result} = await dispatch([good.address], {
+        requestClass: sampleClass,
+      });
+      expect(result._unsafeUnwrapErr().outcome).to.equal(Outcome.NotRun);
+      expect(good.requests).to.have.length(0);
+    });
+  });
 });
