--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -9,6 +9,7 @@
 import {AddressAnswers} from './addressAnswers.js';
 import {CallerServer} from './callerServer.js';
 import {ChatService} from './chatService.js';
+import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LeaseClient} from './leaseClient.js';
@@ -32,7 +33,10 @@
   private constructor(settings: Settings) {
     this.node = new DaemonNode(settings, MemberRole.Gateway);
     const sealer = new PrefixSealer(settings.keys.peer);
-    this.leases = new LeaseClient(this.node);
+    this.leases = new LeaseClient(
+      this.node,
+      new PeerDispatcherCalls(this.node.links),
+    );
     const clock = new ExpiryClock();
     const services = new ServiceDispatcher(this.leases);
     this.operations = new Operations({
