--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -11,10 +11,11 @@
 import {ChatService} from './chatService.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
+import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LatencyEstimates} from './latencyEstimates.js';
 import {LeaseClient} from './leaseClient.js';
 import {PrefixSealer} from './operationPrefix.js';
-import {OperationService} from './operationService.js';
+import {Operations} from './operations.js';
 import {ServiceDispatcher} from './serviceDispatcher.js';
 
 /** Time for callers and peers to hear of the leave. */
@@ -25,7 +26,7 @@
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
   private readonly chat: ChatService;
-  private readonly operations: OperationService;
+  private readonly operations: Operations;
   private readonly callers: CallerServer;
   private peerServer: PeerServer | undefined;
   private operatorServer: OperatorServer | undefined;
@@ -43,12 +44,18 @@
     this.chat = new ChatService(this.leases, {latencies});
     const clock = new ExpiryClock();
     const services = new ServiceDispatcher(this.leases);
-    this.operations = new OperationService(this.node, sealer, services, clock);
+    this.operations = new Operations({
+      node: this.node,
+      sealer,
+      clock,
+      sender: services,
+      peers: new LinkedGatewayPeers(this.node.links),
+    });
     this.callers = new CallerServer(this.node, {
       addresses: new AddressAnswers(this.node, sealer, clock),
       chat: this.chat,
       services,
-      operations: this.operations,
+      operations: this.operations.service,
     });
   }
 
@@ -96,7 +103,7 @@
       host: settings.address,
       port: settings.ports.gatewayPeers,
       peerKey: settings.keys.peer,
-      router: createGatewayRouter(this.node.members, this.operations),
+      router: createGatewayRouter(this.node.members, this.operations.service),
     });
     this.operatorServer = await OperatorServer.start({
       host: settings.operatorAddress,
