--- a/tools/bench/benchFleet.ts
+++ b/tools/bench/benchFleet.ts
@@ -7,7 +7,7 @@
 import type {DeploymentShape} from '../sampleDeployments.js';
 import {
   applyBenchSizes,
-  engineFlags,
+  getEngineFlags,
   probeEngineFlags,
   serviceFlags,
 } from './benchShape.js';
@@ -26,7 +26,10 @@
   ) {}
 
   /** Starts all processes and waits until every daemon is ready. */
-  static async start(shape: DeploymentShape): Promise<BenchFleet> {
+  static async start(
+    shape: DeploymentShape,
+    isSmall: boolean,
+  ): Promise<BenchFleet> {
     const flags = {host: '127.0.0.1', port: 0, ...probeEngineFlags};
     const probeProcess = ManagedProcess.start(
       'standinEngine',
@@ -41,7 +44,7 @@
       let configuration: Configuration | undefined;
       const fleet = await LocalFleet.start({
         ...shape,
-        engineFlags,
+        engineFlags: getEngineFlags(isSmall),
         serviceFlags,
         editConfiguration: document => {
           applyBenchSizes(document, address);
--- a/tools/bench/benchSession.ts
+++ b/tools/bench/benchSession.ts
@@ -5,7 +5,11 @@
 import {BenchFleet} from './benchFleet.js';
 import {engineFlags, probeModel} from './benchShape.js';
 import {measureEngineCapacity, type EngineCapacity} from './engineCapacity.js';
-import {smallBaselineExperiments, type Experiment} from './experiment.js';
+import {
+  buildWarmUp,
+  smallBaselineExperiments,
+  type Experiment,
+} from './experiment.js';
 import {ExperimentRunner} from './experimentRunner.js';
 import {LoadDriver} from './load/loadDriver.js';
 import {SystemName, type RunMeasures} from './report/runMeasures.js';
@@ -61,7 +65,7 @@
     const driver = await LoadDriver.start(workers);
     let fleet: BenchFleet | undefined;
     try {
-      fleet = await BenchFleet.start(shape);
+      fleet = await BenchFleet.start(shape, options.isSmall);
       const urls = fleet.fleet.engines.map(({url}) => url);
       const capacity = await measureEngineCapacity(
         urls,
@@ -115,6 +119,8 @@
     system: SystemName,
     entryUrls: string[],
   ): Promise<void> {
+    const warmUp = buildWarmUp(this.options.isSmall);
+    await this.runner.run(warmUp, system, entryUrls);
     for (const experiment of this.options.experiments) {
       this.signal.throwIfAborted();
       if (!this.isRunOn(experiment, system)) continue;
--- a/tools/bench/benchShape.ts
+++ b/tools/bench/benchShape.ts
@@ -20,6 +20,8 @@
   prefillMs: 15,
   loadLagMs: 1_000,
 };
+/** Long jobs end sooner on faster engines, and so does a small run. */
+const smallStepMs = 10;
 export const serviceFlags = {slots: 2, serviceMs: 50};
 
 /**
@@ -48,6 +50,11 @@
   return isSmall ? {...shape, ...smallSizes} : shape;
 }
 
+/** Returns the options of the engines. */
+export function getEngineFlags(isSmall: boolean): typeof engineFlags {
+  return isSmall ? {...engineFlags, stepMs: smallStepMs} : engineFlags;
+}
+
 /** Fits the sample configuration to the bench's stand-ins. */
 export function applyBenchSizes(
   configuration: Configuration,
--- a/tools/bench/load/chatSender.ts
+++ b/tools/bench/load/chatSender.ts
@@ -105,6 +105,8 @@
       method: 'POST',
       headers: {
         ...buildCallerHeaders(arrival.customerId, target.className),
+        // Engines need an id; the router gives its own.
+        ...(target.className ? {} : {[CallerHeader.RequestId]: arrival.id}),
         ...(target.deadlineMs
           ? {[CallerHeader.DeadlineMs]: String(target.deadlineMs)}
           : {}),
