Show figures of invalid runs without verdicts

Cause: on a busy machine most runs were invalid and the table was empty, while the figures were still of use to see what is grossly wrong.

Change: such figures carry a question mark, and targets and comparisons that need one say 'invalid run' instead of met or missed.

Conclusion: no figure of an invalid run can count as met.

--- a/tests/bench/measures.test.ts
+++ b/tests/bench/measures.test.ts
@@ -9,6 +9,7 @@
   RequestRoute,
   type RequestRecord,
 } from '../../tools/bench/load/requestRecord.js';
+import {buildRow} from '../../tools/bench/report/buildRow.js';
 import {
   compareWithBaselines,
   compareWithTarget,
@@ -148,6 +149,24 @@
     expect(compareWithTarget(2, target)).to.equal(Verdict.Met);
   });
 
+  // Guards against verdicts on figures that the driver has disturbed.
+  it('should give no verdict on an invalid run', () => {
+    const head = {experiment: 'crest', measure: 'goodput', unit: ''};
+    const build = (invalid: SystemName[]) =>
+      buildRow(
+        {...head, better: 'higher', target: {atLeast: 1}},
+        {figures: {router: 5, roundRobin: 4}, invalid},
+      );
+    expect(build([]).target?.verdict).to.equal(Verdict.Met);
+    expect(build([]).ahead).to.equal(Verdict.Met);
+    const late = build([SystemName.Router]);
+    expect(late.target?.verdict).to.equal(Verdict.InvalidRun);
+    expect(late.ahead).to.equal(Verdict.InvalidRun);
+    const lateBaseline = build([SystemName.RoundRobin]);
+    expect(lateBaseline.target?.verdict).to.equal(Verdict.Met);
+    expect(lateBaseline.ahead).to.equal(Verdict.InvalidRun);
+  });
+
   // Guards against a comparison with the weaker baseline only.
   it('should be ahead only when it is ahead of both baselines', () => {
     const figures = {router: 5, roundRobin: 4, leastLoad: 6};
--- a/tools/bench/report/buildRatioRows.ts
+++ b/tools/bench/report/buildRatioRows.ts
@@ -5,6 +5,7 @@
   computeRatios,
   findWindow,
   readFigures,
+  type MeasuredFigures,
   type Runs,
   type Target,
 } from './buildRow.js';
@@ -34,8 +35,8 @@
   const buildTailRow = (
     measure: string,
     limit: number,
-    over: ReportRow['figures'],
-    under: ReportRow['figures'],
+    over: MeasuredFigures,
+    under: MeasuredFigures,
   ) =>
     buildRow(
       {
--- a/tools/bench/report/buildRow.ts
+++ b/tools/bench/report/buildRow.ts
@@ -3,11 +3,14 @@
 import {
   compareWithBaselines,
   compareWithTarget,
+  Verdict,
+  type Figures,
   type ReportRow,
 } from './reportRow.js';
 import {SystemName, type RunMeasures} from './runMeasures.js';
 import type {WindowMeasures} from './windowMeasures.js';
 
+/** Runs by experiment and system. */
 export type Runs = Map<string, RunMeasures>;
 export type Target = {atLeast: number} | {atMost: number};
 
@@ -20,57 +23,76 @@
   target?: Target;
 }
 
+/** Figures with the systems whose runs were invalid. */
+export interface MeasuredFigures {
+  figures: Figures;
+  invalid: SystemName[];
+}
+
+/** Builds a row with its verdicts; invalid runs get none. */
 export function buildRow(
-  head: RowHead,
-  figures: ReportRow['figures'],
+  {target, better, ...names}: RowHead,
+  {figures, invalid}: MeasuredFigures,
 ): ReportRow {
-  const {target, better, ...names} = head;
+  const isInvalid = invalid.includes(SystemName.Router);
   const ahead = better && compareWithBaselines(figures, better);
+  const text = target && ('atLeast' in target ? target.atLeast : target.atMost);
   return {
     ...names,
     figures,
+    invalid,
     ...(better ? {better} : {}),
     ...(target
       ? {
           target: {
-            text:
-              'atLeast' in target
-                ? `>= ${target.atLeast}`
-                : `<= ${target.atMost}`,
-            verdict: compareWithTarget(figures[SystemName.Router], target),
+            text: `${'atLeast' in target ? '>=' : '<='} ${text}`,
+            verdict: isInvalid
+              ? Verdict.InvalidRun
+              : compareWithTarget(figures[SystemName.Router], target),
           },
         }
       : {}),
-    ...(ahead ? {ahead} : {}),
+    ...(ahead ? {ahead: invalid.length > 0 ? Verdict.InvalidRun : ahead} : {}),
   };
 }
 
+/** Reads a figure of each system's run of an experiment. */
 export function readFigures(
   runs: Runs,
   experiment: ExperimentName,
   compute: (run: RunMeasures) => number | undefined,
-): ReportRow['figures'] {
-  const figures: ReportRow['figures'] = {};
+): MeasuredFigures {
+  const figures: Figures = {};
+  const invalid: SystemName[] = [];
   for (const system of Object.values(SystemName)) {
     const run = runs.get(buildKey(experiment, system));
     const figure = run && compute(run);
-    if (figure !== undefined) figures[system] = figure;
+    if (figure === undefined) continue;
+    figures[system] = figure;
+    if (!run?.isValid) invalid.push(system);
   }
-  return figures;
+  return {figures, invalid};
 }
 
+/** Divides figures system by system. */
 export function computeRatios(
-  over: ReportRow['figures'],
-  under: ReportRow['figures'],
-): ReportRow['figures'] {
-  const ratios: ReportRow['figures'] = {};
+  over: MeasuredFigures,
+  under: MeasuredFigures,
+): MeasuredFigures {
+  const figures: Figures = {};
   for (const system of Object.values(SystemName)) {
-    const [a, b] = [over[system], under[system]];
-    if (a !== undefined && b !== undefined && b > 0) ratios[system] = a / b;
+    const [a, b] = [over.figures[system], under.figures[system]];
+    if (a !== undefined && b !== undefined && b > 0) figures[system] = a / b;
   }
-  return ratios;
+  const invalid = Object.values(SystemName).filter(
+    system =>
+      figures[system] !== undefined &&
+      (over.invalid.includes(system) || under.invalid.includes(system)),
+  );
+  return {figures, invalid};
 }
 
+/** Finds a window of a run. */
 export function findWindow(
   {windows}: RunMeasures,
   name: WindowName,
@@ -78,6 +100,7 @@
   return windows.find(({window}) => window === name);
 }
 
+/** Builds the key of a run in `Runs`. */
 export function buildKey(
   experiment: ExperimentName,
   system: SystemName,
@@ -85,6 +108,7 @@
   return `${experiment} ${system}`;
 }
 
+/** Converts a share to percent. */
 export function computePercent(share: number | undefined): number | undefined {
   return share === undefined ? undefined : share * 100;
 }
--- a/tools/bench/report/buildRows.ts
+++ b/tools/bench/report/buildRows.ts
@@ -6,15 +6,13 @@
 import type {ReportRow} from './reportRow.js';
 import type {RunMeasures} from './runMeasures.js';
 
-/** Builds all rows; invalid runs have no figures. */
+/** Builds all rows; figures of invalid runs get no verdict. */
 export function buildRows(
   experiments: readonly Experiment[],
   measures: readonly RunMeasures[],
 ): ReportRow[] {
   const runs: Runs = new Map(
-    measures
-      .filter(({isValid}) => isValid)
-      .map(run => [buildKey(run.experiment, run.system), run]),
+    measures.map(run => [buildKey(run.experiment, run.system), run]),
   );
   return [
     ...experiments.flatMap(experiment => buildExperimentRows(runs, experiment)),
--- a/tools/bench/report/formatTable.ts
+++ b/tools/bench/report/formatTable.ts
@@ -11,6 +11,8 @@
   'result',
   'ahead',
 ];
+/** Marks figures of invalid runs. */
+const invalidSuffix = '?';
 const firstNumberColumn = 3;
 const lastNumberColumn = firstNumberColumn + Object.keys(SystemName).length - 1;
 
@@ -47,7 +49,11 @@
     row.experiment,
     row.measure,
     row.unit,
-    ...Object.values(SystemName).map(name => formatFigure(row.figures[name])),
+    ...Object.values(SystemName).map(
+      name =>
+        formatFigure(row.figures[name]) +
+        (row.invalid.includes(name) ? invalidSuffix : ''),
+    ),
     row.target?.text ?? '',
     row.target?.verdict ?? '',
     row.ahead ?? '',
--- a/tools/bench/report/reportRow.ts
+++ b/tools/bench/report/reportRow.ts
@@ -1,18 +1,25 @@
-/** One line of the bench's table. */
+/** Lines of the bench's table. */
 import type {SystemName} from './runMeasures.js';
 
 export enum Verdict {
   Met = 'met',
   Missed = 'missed',
-  /** No figure, e.g. because the run was invalid or not made. */
   NotMeasured = 'not measured',
+  /** The driver was late; the figure doesn't count. */
+  InvalidRun = 'invalid run',
 }
 
+/** One figure of each system that has one. */
+export type Figures = Partial<Record<SystemName, number>>;
+
+/** One line of the table. */
 export interface ReportRow {
   experiment: string;
   measure: string;
   unit: string;
-  figures: Partial<Record<SystemName, number>>;
+  figures: Figures;
+  /** Systems with a figure of an invalid run. */
+  invalid: SystemName[];
   /** Whether a higher or a lower figure is ahead; left out: not compared. */
   better?: 'higher' | 'lower';
   /** Against the fixed target. */
@@ -26,7 +33,7 @@
  * counts as ahead: nothing is better than all requests attained.
  */
 export function compareWithBaselines(
-  figures: ReportRow['figures'],
+  figures: Figures,
   better: 'higher' | 'lower',
 ): Verdict | undefined {
   const {router, ...baselines} = figures;
