--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -290,6 +290,10 @@
 
   private expire(entry: WaitingEntry): void {
     const expired = Date.now() >= entry.deadlineAtMs;
+    if (!expired && this.waiting.isFirstOfClass(entry)) {
+      entry.watchDeadline(() => this.expire(entry));
+      return;
+    }
     const {DeadlineExceeded, TargetUnreachable} = LeaseRefusal;
     this.refuse(entry, expired ? DeadlineExceeded : TargetUnreachable);
   }
--- a/src/dispatcher/waitEstimator.ts
+++ b/src/dispatcher/waitEstimator.ts
@@ -21,17 +21,26 @@
 
   /**
    * Lists the entries that can't start in time. An entry counts only what is
-   * granted before it; entries that are refused count for nobody.
+   * granted before it; entries that are refused count for nobody. The first
+   * entry of each class is bound by its deadline alone: if its target counted,
+   * a class whose share is too small for its target would be refused always.
    */
   listUnreachable({order, slots, nowMs}: WaitContext): WaitingEntry[] {
     const unreachable: WaitingEntry[] = [];
+    const classesSeen = new Set<string>();
     let aheadMs = 0;
     for (const entry of order) {
       const serviceMs = this.serviceTimes.estimateMs(entry.className);
+      const isFirst = !classesSeen.has(entry.className);
+      const endAtMs = isFirst ? entry.deadlineAtMs : entry.latestStartAtMs;
       // With all slots busy, one ends after a share of the service time.
       const startAtMs = nowMs + (aheadMs + serviceMs) / slots;
-      if (startAtMs > entry.latestStartAtMs) unreachable.push(entry);
-      else aheadMs += serviceMs;
+      if (startAtMs > endAtMs) {
+        unreachable.push(entry);
+        continue;
+      }
+      classesSeen.add(entry.className);
+      aheadMs += serviceMs;
     }
     return unreachable;
   }
--- a/src/dispatcher/waitingEntry.ts
+++ b/src/dispatcher/waitingEntry.ts
@@ -48,9 +48,12 @@
 
   /** Calls the handler when the deadline or the latest start passes. */
   watchExpiry(handler: () => void): void {
-    const endAtMs = Math.min(this.deadlineAtMs, this.latestStartAtMs);
-    const delayMs = Math.max(0, endAtMs - Date.now());
-    this.timer = setTimeout(handler, delayMs).unref();
+    this.watchTime(Math.min(this.deadlineAtMs, this.latestStartAtMs), handler);
+  }
+
+  /** Calls the handler when the deadline passes. */
+  watchDeadline(handler: () => void): void {
+    this.watchTime(this.deadlineAtMs, handler);
   }
 
   /** Sets the final event; false when there is one already. */
@@ -61,4 +64,10 @@
     this.resolve(event);
     return true;
   }
+
+  private watchTime(endAtMs: number, handler: () => void): void {
+    clearTimeout(this.timer);
+    const delayMs = Math.max(0, endAtMs - Date.now());
+    this.timer = setTimeout(handler, delayMs).unref();
+  }
 }
--- a/src/dispatcher/waitingQueue.ts
+++ b/src/dispatcher/waitingQueue.ts
@@ -86,6 +86,12 @@
     }
   }
 
+  /** True for the entry of a class that is granted before its others. */
+  isFirstOfClass(entry: WaitingEntry): boolean {
+    const {order} = this.buildContext();
+    return order.find(({className}) => className === entry.className) === entry;
+  }
+
   /** Refuses what can't start in time any more. */
   refuseUnreachable(): void {
     if (this.length === 0) return;
--- a/tests/dispatcher/backendServerQueue.test.ts
+++ b/tests/dispatcher/backendServerQueue.test.ts
@@ -106,6 +106,7 @@
   it('should refuse when the latest start or the deadline passes', async () => {
     const queue = buildQueue(twoTiers);
     startCaller(queue, 'urgent');
+    startCaller(queue, 'urgent');
     const start = startCaller(queue, 'urgent', {latestStartMs: 300});
     const deadline = startCaller(queue, 'urgent', {deadlineMs: 200});
     await clock.tickAsync(200);
@@ -115,6 +116,21 @@
     expect(start.getResult()).to.equal(LeaseRefusal.TargetUnreachable);
   });
 
+  // Guards against a class that starves because its share can't meet its target.
+  it('should bind the first of a class by its deadline alone', async () => {
+    const queue = buildQueue(twoTiers);
+    startCaller(queue, 'urgent');
+    const ends = {latestStartMs: 100, deadlineMs: 400};
+    const first = startCaller(queue, 'other', ends);
+    const second = startCaller(queue, 'other', ends);
+    await clock.tickAsync(100);
+    expect(second.getResult()).to.equal(LeaseRefusal.TargetUnreachable);
+    await clock.tickAsync(299);
+    expect(first.getResult()).to.equal(undefined);
+    await clock.tickAsync(1);
+    expect(first.getResult()).to.equal(LeaseRefusal.DeadlineExceeded);
+  });
+
   // Guards against a full queue of low tiers that locks urgent work out.
   it('should evict lower tiers for urgent work, but not their last', async () => {
     const queue = buildQueue(twoTiers, {maxQueueLength: 2});
--- a/tests/endToEnd/features.test.ts
+++ b/tests/endToEnd/features.test.ts
@@ -6,7 +6,10 @@
 const featureFiles = [
   'at-most-once.feature',
   'configuration.feature',
+  'crashing-requests.feature',
+  'leaving.feature',
   'streams.feature',
+  'tiers.feature',
 ];
 
 for (const file of featureFiles) {
--- a/tests/features/at-most-once.feature
+++ b/tests/features/at-most-once.feature
@@ -44,3 +44,35 @@
     And order "a" under "shop" with another body starts as "second" through VM 2
     Then the outcome of "second" is "notRun" because of "operationKeyReused"
     And order "a" has run 1 time
+
+  # Guards against a retry after the service has run a call and lost its answer.
+  Scenario: should not run an order again when the service drops its answer
+    When service 1 runs the next call and drops its answer
+    And service 2 runs the next call and drops its answer
+    And order "a" under "shop" starts as "first" through VM 1
+    And answer "first" arrives
+    And order "a" under "shop" starts as "second" through VM 2
+    Then the outcome of "first" is "mayHaveRun"
+    And the outcome of "second" is "mayHaveRun"
+    And order "a" has run 1 time
+
+  # Guards against an answer "not run" for a connection that was cut.
+  Scenario: should not claim to know what a cut connection did
+    When service 1 drops the next call
+    And service 2 drops the next call
+    And order "a" under "shop" starts as "first" through VM 1
+    Then the outcome of "first" is "mayHaveRun"
+    And order "a" has run 0 times
+
+  # Guards against records that are lost with a graceful leave.
+  Scenario: should answer from handed over records after the issuer has left
+    When order "a" under "shop" starts as "first" through VM 1
+    And answer "first" arrives
+    And the gateway of VM 1 is told to leave
+    And the gateway of VM 1 has ended with code 0
+    And order "a" under "shop" starts as "second" through VM 2
+    And order "a" under "shop" starts as "third" through VM 3
+    Then the outcome of "second" is "ran"
+    And answers "first" and "second" are equal
+    And answers "first" and "third" are equal
+    And order "a" has run 1 time
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -8,3 +8,30 @@
     Then number 2 is in force in every process within the bound
     When patch "700" of "/classes/question/firstTokenMs" is accepted against number 2
     Then number 3 is in force in every process within the bound
+
+  # Guards against a process that starts with empty memory on a stale read.
+  Scenario: should not go back to an old number after a restart
+    Given a fleet of 3 VMs, 1 engine and 1 service
+    When patch "500" of "/classes/question/firstTokenMs" is accepted against number 1
+    Then number 2 is in force in every process within the bound
+    When the configuration service serves number 1 again
+    And the gateway of VM 1 is replaced
+    And the dispatcher of VM 2 is replaced
+    Then number 2 is in force in every process within the bound
+
+  # Guards against a document that the platform accepted and nobody can use.
+  Scenario: should keep the last valid document in force until a later one is valid
+    Given a fleet of 2 VMs, 1 engine and 1 service
+    When patch "9" of "/classes/question/tier" is accepted against number 1
+    And patch "600" of "/classes/question/firstTokenMs" is accepted against number 2
+    And 2 requests of class "question" start as "asked" through VM 1
+    Then all answers "asked" are whole
+    When patch "1" of "/classes/question/tier" is accepted against number 3
+    Then number 4 is in force in every process within the bound
+
+  # Guards against serving that depends on the configuration service.
+  Scenario: should serve while the configuration service is down
+    Given a fleet of 2 VMs, 1 engine and 1 service
+    When the configuration service is down
+    And 4 requests of class "question" start as "asked" through VM 1
+    Then all answers "asked" are whole
--- a/tests/support/fleetSteps.ts
+++ b/tests/support/fleetSteps.ts
@@ -1,5 +1,8 @@
 /** Steps of the scenarios about a whole fleet. */
 import {expect} from 'chai';
+import {VmState} from '../../src/protocol/platformApi.js';
+import {Outage} from '../../src/standins/platformFaults.js';
+import {ServiceFaultKind} from '../../src/standins/serviceFaults.js';
 import {StepRegistry} from './featureRunner.js';
 import type {FleetWorld} from './fleetWorld.js';
 
@@ -99,13 +102,25 @@
       }),
   );
   steps.add(
-    '{int} requests of class {string} start as {string} through VM {int}',
+    '{int} request(s) of class {string} start(s) as {string} through VM {int}',
     (world, count: number, className: string, name: string, vm: number) => {
       for (let i = 1; i <= count; i++) {
         world.startChat(`${name} ${i}`, {className, vm: world.getVm(vm)});
       }
     },
   );
+  steps.add(
+    '{int} requests of class {string} with long deadlines start as {string} through VM {int}',
+    (world, count: number, className: string, name: string, vm: number) => {
+      for (let i = 1; i <= count; i++) {
+        world.startChat(`${name} ${i}`, {
+          className,
+          vm: world.getVm(vm),
+          deadlineMs: 120_000,
+        });
+      }
+    },
+  );
   steps.add(
     'a request with the text {string} starts as {string} through VM {int}',
     (world, content: string, name: string, vm: number) =>
@@ -134,6 +149,26 @@
       expect(await world.readOutcome(name)).to.deep.equal({outcome, reason});
     },
   );
+  steps.add(
+    'the reason of {string} is {string}',
+    async (world, name: string, reason: string) => {
+      expect((await world.readOutcome(name)).reason).to.equal(reason);
+    },
+  );
+  steps.add(
+    'all answers {string} arrived before half of the answers {string}',
+    async (world, early: string, late: string) => {
+      const lastEarlyMs = await world.readArrivals(early, 1);
+      expect(lastEarlyMs).to.be.lessThan(await world.readArrivals(late, 0.5));
+    },
+  );
+  steps.add(
+    'all answers {string} arrived before the last of the answers {string}',
+    async (world, early: string, late: string) => {
+      const lastEarlyMs = await world.readArrivals(early, 1);
+      expect(lastEarlyMs).to.be.lessThan(await world.readArrivals(late, 1));
+    },
+  );
   steps.add(
     'answers {string} and {string} are equal',
     async (world, first: string, second: string) => {
@@ -185,6 +220,42 @@
       expect(await world.countCrashes()).to.be.at.most(most);
     },
   );
+  steps.add('service {int} drops the next call', (world, service: number) =>
+    world.fleet.setFaults(world.getService(service), {
+      faults: [{kind: ServiceFaultKind.DropBeforeRun, requests: 1}],
+    }),
+  );
+  steps.add(
+    'service {int} runs the next call and drops its answer',
+    (world, service: number) =>
+      world.fleet.setFaults(world.getService(service), {
+        faults: [{kind: ServiceFaultKind.DropAfterRun, requests: 1}],
+      }),
+  );
+  steps.add(
+    'engine {int} is marked as leaving on the VM list',
+    (world, engine: number) =>
+      world.fleet.writeVms(list => {
+        const {id} = world.getEngine(engine);
+        for (const vm of list.backendServerVms) {
+          if (vm.backendServer === id) vm.state = VmState.Leaving;
+        }
+      }),
+  );
+  steps.add(
+    'engine {int} gets no new work after the bound',
+    (world, engine: number) => world.expectNoNewWork(world.getEngine(engine)),
+  );
+  steps.add(
+    'the configuration service serves number {int} again',
+    (world, staleNumber: number) =>
+      world.fleet.setFaults(world.fleet.platform, {staleNumber}),
+  );
+  steps.add('the configuration service is down', world =>
+    world.fleet.setFaults(world.fleet.platform, {
+      configOutage: Outage.Status503,
+    }),
+  );
   steps.add(
     'patch {string} of {string} is accepted against number {int}',
     async (world, value: string, path: string, number: number) => {
--- a/tests/support/fleetWorld.ts
+++ b/tests/support/fleetWorld.ts
@@ -19,13 +19,16 @@
 /** Mean tokens of the engines' answers; the expected texts depend on it. */
 const meanTokens = 32;
 
+/** A leaving backend server gets no new work after this time. */
+const leavingBoundMs = 3_000;
+
 /** A request whose answer may still be outstanding. */
 export interface Exchange {
   answer: Promise<CallerAnswer>;
   /** Set when the answer has arrived. */
   arrived?: CallerAnswer;
-  /** Time from request to answer in milliseconds. */
-  elapsedMs?: number;
+  /** `performance.now()` at the arrival. */
+  arrivedAtMs?: number;
 }
 
 /** Flags of the fleet that a scenario sets before it starts it. */
@@ -240,14 +243,49 @@
     );
   }
 
-  /** Counts the engines' crashes. */
+  /** Counts the engines' crashes; waits for engines that restart. */
   async countCrashes(): Promise<number> {
-    const counters = await Promise.all(
-      this.fleet.engines.map(engine =>
-        this.fleet.readCounters<EngineCounters>(engine),
-      ),
-    );
-    return counters.reduce((sum, counter) => sum + counter.crashes, 0);
+    let crashes = 0;
+    for (const engine of this.fleet.engines) {
+      await this.fleet.waitUntil(`${engine.id} has restarted`, async () => {
+        const counters = await this.fleet.readCounters<EngineCounters>(engine);
+        crashes += counters.crashes;
+        return true;
+      });
+    }
+    return crashes;
+  }
+
+  /**
+   * Time at which a share of the answers with a name had arrived, 1 for all,
+   * on the clock of `performance.now()`.
+   */
+  async readArrivals(start: string, share: number): Promise<number> {
+    const exchanges = this.listNames(start).map(name => this.getExchange(name));
+    await Promise.all(exchanges.map(exchange => exchange.answer));
+    const times = exchanges
+      .map(exchange => exchange.arrivedAtMs ?? Infinity)
+      .sort((a, b) => a - b);
+    return times[Math.max(0, Math.ceil(times.length * share) - 1)];
+  }
+
+  /** Asserts that an engine gets no request once the bound has passed. */
+  async expectNoNewWork(engine: LocalStandin): Promise<void> {
+    await sleep(leavingBoundMs);
+    const before = await this.countRequests(engine);
+    const names = Array.from({length: 20}, (_, i) => `probe ${i}`);
+    for (const [index, name] of names.entries()) {
+      const vm = this.fleet.vms[index % this.fleet.vms.length];
+      this.startChat(name, {className: 'question', vm, maxTokens: 2});
+    }
+    for (const name of names) await this.expectWholeAnswer(name, 2);
+    expect(await this.countRequests(engine)).to.equal(before);
+  }
+
+  private async countRequests(engine: LocalStandin): Promise<number> {
+    const {requestsSeen} =
+      await this.fleet.readCounters<EngineCounters>(engine);
+    return Object.keys(requestsSeen).length;
   }
 
   /** Polls until a condition holds. */
@@ -266,7 +304,6 @@
   }
 
   private track(name: string, answer: Promise<CallerAnswer>): void {
-    const startedAtMs = performance.now();
     const exchange: Exchange = {answer};
     this.exchanges.set(name, exchange);
     // A broken connection is an answer too: status 0 without an outcome.
@@ -277,7 +314,7 @@
     }));
     void exchange.answer.then(arrived => {
       exchange.arrived = arrived;
-      exchange.elapsedMs = performance.now() - startedAtMs;
+      exchange.arrivedAtMs = performance.now();
     });
   }
 }
