Command engines from the numbered configuration

Cause: nothing put engines into the state that the configuration wants.

Ruled out: to check all engines at each configuration number. To take any other fencing number as a sign of a later order: some engines that ignore the number never report it, and would be commanded once a second.

Change: desiredState (pure function), EngineCommander (read back, send, correct), WeightBudget on a TokenBucket, EngineService (a poll of each owned server a second), EngineClient with one kept connection a server; settings member `keys.engineOrders`.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -35,6 +35,8 @@
   keys: z.strictObject({
     peer: z.string().min(minKeyLength),
     operator: z.string().min(minKeyLength),
+    /** Shown to engines that verify who sends them an order. */
+    engineOrders: z.string().min(minKeyLength).optional(),
   }),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
--- a/src/dispatcher/dispatcherDaemon.ts
+++ b/src/dispatcher/dispatcherDaemon.ts
@@ -6,6 +6,8 @@
 import {RestartPolicy} from '../node/supervisor.js';
 import {MemberRole} from '../protocol/memberMessages.js';
 import {createDispatcherRouter} from '../protocol/peerRouter.js';
+import {EngineClient} from './engineClient.js';
+import {EngineService} from './engineService.js';
 import {LeaseService} from './leaseService.js';
 
 /** Runs the dispatcher side on top of a member of the fleet. */
@@ -17,13 +19,20 @@
   private constructor(
     readonly node: DaemonNode,
     private readonly leases: LeaseService,
+    private readonly engines: EngineService,
   ) {}
 
   /** Starts listening and joins the fleet. */
   static async start(settings: Settings): Promise<DispatcherDaemon> {
     const node = new DaemonNode(settings, MemberRole.Dispatcher);
-    const leases = new LeaseService(node);
-    const daemon = new DispatcherDaemon(node, leases);
+    const engineClient = new EngineClient();
+    const leases = new LeaseService(node, engineClient);
+    const engines = new EngineService({
+      node,
+      engines: engineClient,
+      listOwned: () => leases.listOwned(),
+    });
+    const daemon = new DispatcherDaemon(node, leases, engines);
     await daemon.listen();
     node.start();
     node.root.spawn({
@@ -31,6 +40,11 @@
       restart: RestartPolicy.Always,
       run: signal => leases.run(signal),
     });
+    node.root.spawn({
+      name: 'engines',
+      restart: RestartPolicy.Always,
+      run: signal => engines.run(signal),
+    });
     return daemon;
   }
 
@@ -42,7 +56,11 @@
 
   /** State of the process. */
   dump(): object {
-    return {...this.node.dump(), ...this.leases.describe()};
+    return {
+      ...this.node.dump(),
+      ...this.leases.describe(),
+      commands: this.engines.describe(),
+    };
   }
 
   private async leave(): Promise<void> {
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -23,7 +23,6 @@
 import {BackendServerQueue} from './backendServerQueue.js';
 import {CrashReporter} from './crashReporter.js';
 import {EjectionBoard} from './ejectionBoard.js';
-import {EngineClient} from './engineClient.js';
 import {PauseDetector} from './pauseDetector.js';
 import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
@@ -52,7 +51,7 @@
 
   constructor(
     private readonly node: LeaseServiceNode,
-    engines: SharedState['engines'] = new EngineClient(),
+    engines: SharedState['engines'],
   ) {
     this.shared = {
       lengths: new StreamLengths(),
--- a/tests/dispatcher/leaseService.test.ts
+++ b/tests/dispatcher/leaseService.test.ts
@@ -33,7 +33,9 @@
       toFake: ['Date', 'setTimeout', 'clearTimeout'],
     });
     node = new FakeNode();
-    service = new LeaseService(node as never);
+    service = new LeaseService(node as never, {
+      isRefusing: async () => false,
+    });
     node.applyConfig(buildConfiguration({c: {tier: 0}}, {slots: 2}));
     stop = new AbortController();
     running = service.run(stop.signal);
--- a/tests/dispatcher/serverHealth.test.ts
+++ b/tests/dispatcher/serverHealth.test.ts
@@ -40,7 +40,9 @@
       toFake: ['Date', 'setTimeout', 'clearTimeout'],
     });
     node = new FakeNode();
-    service = new LeaseService(node as never);
+    service = new LeaseService(node as never, {
+      isRefusing: async () => false,
+    });
     node.applyConfig(
       buildConfiguration({c: {tier: 0}}, {slots: 2, engines: 3}),
     );
