Allocate customers' budgets in slices

Cause: `limits.draw` gave whatever a gateway asked for.

Ruled out: to start a new allocator with a full bucket. The one before may have given the same second's budget; it starts with one slice.

Change: CustomerBudgets (token buckets for requests and tokens, slices of 250 ms), FleetShare (allocator by rendezvous hash, reachable part of the listed VMs). The answer has a new optional member `moved`.

Conclusion: gateways don't draw yet; that is the gateway's side.

--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -22,7 +22,9 @@
 import {VmState, type VmList} from '../protocol/platformApi.js';
 import {BackendServerQueue} from './backendServerQueue.js';
 import {CrashReporter} from './crashReporter.js';
+import {CustomerBudgets} from './customerBudgets.js';
 import {EjectionBoard} from './ejectionBoard.js';
+import {FleetShare} from './fleetShare.js';
 import {PauseDetector} from './pauseDetector.js';
 import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
@@ -46,6 +48,7 @@
 export class LeaseService implements DispatcherHandlers {
   private readonly queues = new Map<string, BackendServerQueue>();
   private readonly shared: SharedState;
+  private readonly budgets: CustomerBudgets;
   private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
@@ -64,6 +67,12 @@
       ),
       engines,
     };
+    const fleet = new FleetShare(node.membership);
+    this.budgets = new CustomerBudgets({
+      getConfiguration: () => node.config.getConfiguration(),
+      isAllocator: customer => fleet.isAllocator(customer),
+      getReachablePart: () => fleet.getReachablePart(),
+    });
     this.shared.suspects.subscribe(() => this.refuseGuilty());
     node.config.subscribe(configuration => this.applyConfig(configuration));
     node.ownership.subscribe(() => this.refreshOwnership());
@@ -77,6 +86,7 @@
       await waitFor(tickIntervalMs, signal);
       this.checkPause();
       for (const queue of this.queues.values()) queue.expireLeases(Date.now());
+      this.budgets.expire(Date.now());
     }
   }
 
@@ -119,8 +129,7 @@
   }
 
   async drawLimit(draw: DrawLimit): Promise<DrawLimitAnswer> {
-    const {requests, tokens} = draw;
-    return {requests, tokens, retryAfterMs: 0};
+    return this.budgets.draw(draw);
   }
 
   /** Queues of the backend servers owned here. */
@@ -134,6 +143,7 @@
       owned: this.listOwned().map(queue => queue.describe()),
       streamLengths: this.shared.lengths.describe(),
       suspects: this.shared.suspects.listSuspects(),
+      customerBudgets: this.budgets.describe(),
     };
   }
 
--- a/src/protocol/leaseMessages.ts
+++ b/src/protocol/leaseMessages.ts
@@ -148,4 +148,6 @@
   tokens: number;
   /** When to ask again if less than asked for was given. */
   retryAfterMs: number;
+  /** True: another dispatcher allocates this customer's budget. */
+  moved?: boolean;
 }
