--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -10,6 +10,7 @@
   type Release,
 } from '../protocol/leaseMessages.js';
 import {AcquireRules} from './acquireRules.js';
+import type {ScheduledPick} from './classScheduler.js';
 import {computePriority, type RenewedLease} from './heldLease.js';
 import {LeaseTable} from './leaseTable.js';
 import {ServerWatch} from './serverWatch.js';
@@ -258,23 +259,23 @@
 
   private grantWaiting(): void {
     for (;;) {
-      const entry = this.pickGrantable();
-      if (!entry) return;
-      this.waiting.take(entry);
-      this.grant(entry);
+      const pick = this.pickGrantable();
+      if (!pick) return;
+      this.waiting.take(pick.entry);
+      this.grant(pick);
     }
   }
 
-  private pickGrantable(): WaitingEntry | undefined {
+  private pickGrantable(): ScheduledPick<WaitingEntry> | undefined {
     if (!this.rules.isOpen()) return undefined;
     return this.gate.pick(this.waiting, ({acquire}) =>
       this.rules.isRunnable(acquire),
     );
   }
 
-  private grant(entry: WaitingEntry): void {
+  private grant({entry, due}: ScheduledPick<WaitingEntry>): void {
     const tier = this.waiting.getTier(entry.className);
-    const lease = this.leases.add(entry.acquire, tier);
+    const lease = this.leases.add(entry.acquire, tier, due);
     entry.settle({
       kind: LeaseEventKind.Granted,
       address: this.server.address,
--- a/src/dispatcher/heldLease.ts
+++ b/src/dispatcher/heldLease.ts
@@ -17,6 +17,8 @@
   /** Crashes that the gateway knows of for this request. */
   suspectCount: number;
   tier: number;
+  /** True when the class's minimum share was due at the grant. */
+  due: boolean;
   tokens: number;
   /** True for a long stream that runs behind the others of its tier. */
   demoted: boolean;
@@ -44,7 +46,11 @@
 >;
 
 /** Builds a lease that starts now. */
-export function buildLease(source: LeaseSource, tier: number): HeldLease {
+export function buildLease(
+  source: LeaseSource,
+  tier: number,
+  due: boolean,
+): HeldLease {
   const nowMs = Date.now();
   return {
     leaseId: source.leaseId,
@@ -55,6 +61,7 @@
     fingerprint: source.fingerprint,
     suspectCount: source.suspectCount,
     tier,
+    due,
     tokens: 0,
     demoted: false,
     adopted: false,
@@ -64,9 +71,21 @@
   };
 }
 
+/**
+ * Tier by which the engine serves a lease. Work that a minimum share is due to
+ * runs beside the most urgent work until it turns out long; otherwise leases
+ * in excess of the slots could pause it, and the share would be none.
+ */
+export function computeServedTier(
+  lease: Pick<HeldLease, 'tier' | 'due' | 'demoted'>,
+): number {
+  return lease.due && !lease.demoted ? 0 : lease.tier;
+}
+
 /** Priority number for the engine; lower is served first. */
 export function computePriority(
-  lease: Pick<HeldLease, 'tier' | 'demoted'>,
+  lease: Pick<HeldLease, 'tier' | 'due' | 'demoted'>,
 ): number {
-  return lease.tier * priorityPerTier + (lease.demoted ? demotedPriority : 0);
+  const served = computeServedTier(lease) * priorityPerTier;
+  return served + (lease.demoted ? demotedPriority : 0);
 }
--- a/src/dispatcher/leaseTable.ts
+++ b/src/dispatcher/leaseTable.ts
@@ -38,8 +38,8 @@
   }
 
   /** Adds the lease of a grant. */
-  add(source: LeaseSource, tier: number): HeldLease {
-    const lease = buildLease(source, tier);
+  add(source: LeaseSource, tier: number, due = false): HeldLease {
+    const lease = buildLease(source, tier, due);
     this.leases.set(lease.leaseId, lease);
     return lease;
   }
--- a/src/dispatcher/slotCounter.ts
+++ b/src/dispatcher/slotCounter.ts
@@ -1,5 +1,5 @@
 /** How leases count against the slots of a backend server. */
-import {computePriority} from './heldLease.js';
+import {computePriority, computeServedTier} from './heldLease.js';
 import type {LeaseTable} from './leaseTable.js';
 
 /** Share of slots that higher-tier work may be granted in excess. */
@@ -47,7 +47,7 @@
       .sort((a, b) => computePriority(a) - computePriority(b))
       .slice(0, this.slots);
     const paused = running.pop();
-    if (!paused || paused.tier <= tier) return false;
+    if (!paused || computeServedTier(paused) <= tier) return false;
     const demoted = running.filter(lease => lease.demoted).length;
     return demoted >= this.countReserved();
   }
--- a/src/dispatcher/slotGate.ts
+++ b/src/dispatcher/slotGate.ts
@@ -4,6 +4,7 @@
   type BackendServer,
 } from '../config/configuration.js';
 import type {LoadReport} from '../protocol/engineApi.js';
+import type {ScheduledPick} from './classScheduler.js';
 import {GraceLimit} from './graceLimit.js';
 import type {LeaseTable} from './leaseTable.js';
 import {OverGrantTimer} from './overGrantTimer.js';
@@ -56,20 +57,19 @@
   pick(
     waiting: WaitingQueue,
     isEligible: (entry: WaitingEntry) => boolean,
-  ): WaitingEntry | undefined {
+  ): ScheduledPick<WaitingEntry> | undefined {
     const nowMs = Date.now();
     const mayOverGrant = this.overGrants.allow(-this.slots.countFree(), nowMs);
     if (waiting.length === 0) return undefined;
     const next = waiting.pickNext(isEligible);
-    if (!next || this.countFree() > 0) return next?.entry;
+    if (!next || this.countFree() > 0) return next;
     if (!mayOverGrant || this.grace.isActive(nowMs)) return undefined;
     // Only engines pause work of a lower priority; plain services don't.
     if (this.server.kind !== BackendServerKind.ModelEngine) return undefined;
     const canOverGrant = (entry: WaitingEntry) =>
       this.slots.allowOverGrant(waiting.getTier(entry.className));
     // A class whose minimum share is due must not be overtaken by excess work.
-    if (next.due) return canOverGrant(next.entry) ? next.entry : undefined;
-    return waiting.pickNext(entry => isEligible(entry) && canOverGrant(entry))
-      ?.entry;
+    if (next.due) return canOverGrant(next.entry) ? next : undefined;
+    return waiting.pickNext(entry => isEligible(entry) && canOverGrant(entry));
   }
 }
