Pass over backend servers that refuse connections

Cause: a dead server looks free to its dispatcher until that notices, so it drew the next requests, each of which cost a connect failure and a retry. Ruled out: the rule of a third, which holds for slowness. A refused connection is a fact, so such servers are used last in any number. Change: a release after a failed connect marks the server for 2 s in this gateway. Conclusion: the new test fails without the mark.

--- a/src/gateway/candidateChooser.ts
+++ b/src/gateway/candidateChooser.ts
@@ -10,7 +10,7 @@
   views: ServerViews;
   /** All servers of the target. */
   servers: readonly string[];
-  /** Servers to use only when no other is left. */
+  /** Servers to use, like unreachable ones, only when no other is left. */
   avoid: ReadonlySet<string>;
   /** True for servers that this gateway itself measures as slow. */
   isSlow: (backendServer: string) => boolean;
@@ -37,8 +37,9 @@
   constructor(private readonly options: ChooserOptions) {
     const {servers, avoid, views} = options;
     const present = servers.filter(id => !views.isLeaving(id));
-    this.remaining = present.filter(id => !avoid.has(id));
-    this.lastChoice = present.filter(id => avoid.has(id));
+    const isLast = (id: string) => avoid.has(id) || views.isUnreachable(id);
+    this.remaining = present.filter(id => !isLast(id));
+    this.lastChoice = present.filter(isLast);
     const maxMarked = servers.length * maxMarkedPart;
     const ejected = servers.filter(id => views.find(id)?.ejected);
     this.ignoresEjections = ejected.length > maxMarked;
@@ -72,8 +73,9 @@
 
   /** Lets a candidate be handed out once more. */
   putBack(id: string): void {
-    const pool = this.options.avoid.has(id) ? this.lastChoice : this.remaining;
-    pool.push(id);
+    const {avoid, views} = this.options;
+    const isLast = avoid.has(id) || views.isUnreachable(id);
+    (isLast ? this.lastChoice : this.remaining).push(id);
   }
 
   private sample(pool: string[]): string | undefined {
--- a/src/gateway/leaseClient.ts
+++ b/src/gateway/leaseClient.ts
@@ -2,7 +2,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Configuration} from '../config/configuration.js';
 import {waitFor} from '../node/delay.js';
-import type {Acquire} from '../protocol/leaseMessages.js';
+import {LeaseEnd, type Acquire} from '../protocol/leaseMessages.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {CandidateChooser} from './candidateChooser.js';
@@ -105,6 +105,9 @@
 
   release(lease: Lease, report: LeaseReport): void {
     this.views.noteRelease(lease.backendServer);
+    if (report.end === LeaseEnd.ConnectFailed) {
+      this.views.noteUnreachable(lease.backendServer);
+    }
     this.held.release(lease, report);
   }
 
--- a/src/gateway/serverViews.ts
+++ b/src/gateway/serverViews.ts
@@ -5,6 +5,8 @@
 const viewLifeMs = 5_000;
 /** A leaving server isn't asked again for this time. */
 const leavingMarkLifeMs = 3_000;
+/** A server that refused a connection is passed over for this time. */
+const unreachableMarkLifeMs = 2_000;
 
 interface NotedView {
   view: BackendServerView;
@@ -15,6 +17,7 @@
 export class ServerViews {
   private readonly views = new Map<string, NotedView>();
   private readonly leavingUntilMs = new Map<string, number>();
+  private readonly unreachableUntilMs = new Map<string, number>();
 
   /** Keeps what a dispatcher says. */
   note(view: BackendServerView): void {
@@ -38,13 +41,20 @@
     this.leavingUntilMs.set(backendServer, untilMs);
   }
 
-  /** True shortly after such a refusal. */
+  /** This gateway could not connect to the backend server. */
+  noteUnreachable(backendServer: string): void {
+    const untilMs = performance.now() + unreachableMarkLifeMs;
+    this.unreachableUntilMs.set(backendServer, untilMs);
+  }
+
+  /** True shortly after a refusal because the server is leaving. */
   isLeaving(backendServer: string): boolean {
-    const untilMs = this.leavingUntilMs.get(backendServer);
-    if (untilMs === undefined) return false;
-    if (untilMs > performance.now()) return true;
-    this.leavingUntilMs.delete(backendServer);
-    return false;
+    return isMarked(this.leavingUntilMs, backendServer);
+  }
+
+  /** True shortly after a connection to the server failed. */
+  isUnreachable(backendServer: string): boolean {
+    return isMarked(this.unreachableUntilMs, backendServer);
   }
 
   /** Returns a view that isn't too old. */
@@ -60,5 +70,14 @@
   forget(): void {
     this.views.clear();
     this.leavingUntilMs.clear();
+    this.unreachableUntilMs.clear();
   }
 }
+
+function isMarked(untilMs: Map<string, number>, id: string): boolean {
+  const endAtMs = untilMs.get(id);
+  if (endAtMs === undefined) return false;
+  if (endAtMs > performance.now()) return true;
+  untilMs.delete(id);
+  return false;
+}
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -385,6 +385,20 @@
     ]);
   });
 
+  // Guards against requests that are spent on a dead server, which looks free,
+  // until its dispatcher notices.
+  it('should pass over a server that refused a connection', async () => {
+    startClient(['a', 'b']);
+    await acquire({}, {prefer: 'a'});
+    const lease = result?._unsafeUnwrap() as Lease;
+    client.release(lease, {end: LeaseEnd.ConnectFailed, tokens: 0});
+    for (let i = 0; i < 10; i++) await acquire({}, {prefixDigest: `p${i}`});
+    expect(dispatchers.listAsks('a')).to.have.length(1);
+    await clock.tickAsync(2_000);
+    for (let i = 0; i < 10; i++) await acquire({}, {prefixDigest: `p${i}`});
+    expect(dispatchers.listAsks('a')).not.to.have.length(1);
+  });
+
   // Guards against a fleet that goes unused because most servers look slow.
   it('should ignore ejections of more than a third of the servers', async () => {
     startClient(['a', 'b', 'c', 'd']);
