Report the slowness of attempts that lost to a hedge

Cause: on a slow server hedges answer first; its attempts were released without a latency, so its owner never learned that it is slow. A hedge that found no free slot also used up the hedge budget. Ruled out: sending the elapsed time as firstTokenMs, which it isn't. Change: the ratio is computed from the time that the attempt was left to take; a hedge without a slot goes back to the budget. Conclusion: the new test fails when the ratio comes from the tokens alone.

--- a/src/gateway/attemptRecorder.ts
+++ b/src/gateway/attemptRecorder.ts
@@ -22,9 +22,10 @@
     const {metrics, latencies} = this.parts;
     const {lease, times} = attempt;
     const sample = times.describe();
-    const slowness = latencies.computeSlowness(this.model, sample);
+    const learned = this.addWaitingTime(attempt, end, sample);
+    const slowness = latencies.computeSlowness(this.model, learned);
     metrics.recordAttempt(lease.backendServer, sample, times.tokens);
-    this.learn(lease.backendServer, this.addWaitingTime(attempt, end, sample));
+    this.learn(lease.backendServer, learned);
     return {
       end: chooseLeaseEnd(end.kind),
       tokens: lease.tokens,
--- a/src/gateway/chatSession.ts
+++ b/src/gateway/chatSession.ts
@@ -196,7 +196,10 @@
         immediateOnly: true,
       },
     );
-    if (acquired.isErr()) return undefined;
+    if (acquired.isErr()) {
+      hedges.giveBack();
+      return undefined;
+    }
     metrics.countHedge();
     return this.createAttempt(acquired.value);
   }
--- a/src/gateway/hedgePolicy.ts
+++ b/src/gateway/hedgePolicy.ts
@@ -40,6 +40,11 @@
     return this.budget.take();
   }
 
+  /** Gives back a hedge that found no free slot. */
+  giveBack(): void {
+    this.budget.giveBack();
+  }
+
   /** State for the dump. */
   describe(): object {
     const delays = [...this.classes].map(([name, percentile]) => [
--- a/src/gateway/requestBudget.ts
+++ b/src/gateway/requestBudget.ts
@@ -36,6 +36,11 @@
     return true;
   }
 
+  /** Gives back a token that was taken for nothing. */
+  giveBack(): void {
+    this.tokens = Math.min(this.options.burst, this.tokens + 1);
+  }
+
   /** Tokens left, for the dump. */
   describe(): number {
     return this.tokens;
--- a/tests/gateway/hedging.test.ts
+++ b/tests/gateway/hedging.test.ts
@@ -8,6 +8,7 @@
 import type {CrashSuspects} from '../../src/gateway/crashSuspects.js';
 import {GatewayMetrics} from '../../src/gateway/gatewayMetrics.js';
 import {HedgePolicy} from '../../src/gateway/hedgePolicy.js';
+import {LatencyEstimates} from '../../src/gateway/latencyEstimates.js';
 import {LeaseEnd} from '../../src/protocol/leaseMessages.js';
 import {RefusalReason, type Refusal} from '../../src/protocol/refusal.js';
 import {
@@ -115,6 +116,24 @@
     expect(readMetrics()).to.include({hedges: 1, hedgesWon: 0});
   });
 
+  // Guards against a slow server that is never ejected, because each of its
+  // requests is answered by a hedge before its first token.
+  it('should report the slowness of an attempt that lost', async () => {
+    const latencies = new LatencyEstimates();
+    for (let i = 0; i < 5; i++) {
+      for (const id of ['e1', 'e2']) latencies.add('m', id, {firstTokenMs: 20});
+    }
+    await start([hold, finish], {latencies});
+    streamAnswer();
+    await waitUntil(() => engines[0].calls.length === 1);
+    await clock.tickAsync(101);
+    await waitUntil(() => result !== undefined);
+    const [{lease, report}] = leases.released;
+    expect(lease.backendServer).to.equal('e0');
+    expect(report.slowness).to.be.closeTo(5, 0.1);
+    expect(report.firstTokenMs).to.equal(undefined);
+  });
+
   // Guards against an answer that is mixed from two attempts whose first tokens
   // arrive together.
   it('should let only one attempt answer', () => {
