Bound the length of an engine's event

Cause: an event without an end made the parser keep all of it. Change: 256 KB at most; the attempt ends as broken and is resumed elsewhere. Conclusion: the new test fails without the check.

--- a/src/gateway/engineStream.ts
+++ b/src/gateway/engineStream.ts
@@ -12,6 +12,8 @@
 import {EngineResponse, ReadKind} from './engineResponse.js';
 import type {OutcomeTracker} from './outcomeTracker.js';
 
+/** Longest event of an engine in characters; a chunk takes a few hundred. */
+const maxEventLength = 256 * 1024;
 /** Time for the end of a response whose answer is whole. */
 const drainLimitMs = 1_000;
 
@@ -159,7 +161,12 @@
   private readonly pending: string[] = [];
   private readonly parser = createParser({
     onEvent: event => this.pending.push(event.data),
+    onError: ({type}) => {
+      if (type === 'max-buffer-size-exceeded') this.isOverlong = true;
+    },
+    maxBufferSize: maxEventLength,
   });
+  private isOverlong = false;
   private nextIndex: number;
   private lastTokenAtMs = performance.now();
   private hasToken = false;
@@ -179,6 +186,9 @@
   async accept(batch: readonly Buffer[]): Promise<AttemptEnd | undefined> {
     for (const bytes of batch) {
       this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+      if (this.isOverlong) {
+        return buildBroken(`an event is longer than ${maxEventLength}`);
+      }
     }
     for (const data of this.pending.splice(0)) {
       const end = await this.acceptEvent(data);
--- a/tests/gateway/engineStream.test.ts
+++ b/tests/gateway/engineStream.test.ts
@@ -89,6 +89,18 @@
     await waitUntil(() => engine.calls[0].closed);
   });
 
+  // Guards against an engine that fills the gateway's memory with one event.
+  it('should give up an event without end', async () => {
+    engine = await FakeEngine.start(({response}) => {
+      response.writeHead(200, {'content-type': 'text/event-stream'});
+      response.write('data: ');
+      for (let i = 0; i < 64; i++) response.write('x'.repeat(16 * 1024));
+    });
+    const end = await sendRequest(async () => true);
+    expect(end.kind).to.equal(AttemptEndKind.Broken);
+    expect(end.error?.message).to.contain('longer');
+  });
+
   // Guards against a request of a caller that left being sent all the same.
   it('should write nothing when it is aborted before the connection opens', async () => {
     engine = await FakeEngine.start();
