Give demoted streams more time before they count as silent

Cause: an engine pauses demoted streams while shorter requests need its slots (up to three quarters of the slots more are leased out). A pause looks like silence, so a long stream would have been resumed every 2 s until its attempts or the retry budget were spent, and then ended as partial. Ruled out: asking the engine whether it still holds the request. It does so both when it pauses the request and when the connection is silent. Change: a lease whose renewals bring a higher priority number than its grant is demoted and has 8 times the limits; the limits are read for each wait. Conclusion: tests fail without the factor, the flag, or the second look at a limit that grew. Streams that are paused without being demoted (leases granted beyond the nominal slots) still have the plain limit.

--- a/src/gateway/chatAttempt.ts
+++ b/src/gateway/chatAttempt.ts
@@ -61,7 +61,7 @@
         priority: lease.priority,
         resumeFrom: this.options.resumeFrom,
         deadlineMs: computeRemainingMs(context),
-        limits: computeLimits(context),
+        getLimits: () => computeLimits(context, lease),
         connection: this.options.fresh
           ? connections.openFresh(lease.address)
           : connections.open(lease.address),
--- a/src/gateway/engineStream.ts
+++ b/src/gateway/engineStream.ts
@@ -61,7 +61,8 @@
   resumeFrom: number;
   /** Milliseconds until the caller's deadline. */
   deadlineMs: number;
-  limits: SilenceLimits;
+  /** Asked again for each wait, because a slot may be demoted meanwhile. */
+  getLimits: () => SilenceLimits;
   connection: EngineConnection;
   tracker: OutcomeTracker;
   signal: AbortSignal;
@@ -148,7 +149,8 @@
       case ReadKind.Failed:
         return {kind: AttemptEndKind.Broken, error: result.error};
       case ReadKind.Silent:
-        return buildSilent();
+        if (reader.computeLimitMs() === 0) return buildSilent();
+        break;
       case ReadKind.Aborted:
         return {kind: AttemptEndKind.Aborted};
     }
@@ -177,7 +179,7 @@
 
   /** Milliseconds until the connection counts as silent. */
   computeLimitMs(): number {
-    const {firstTokenMs, betweenTokensMs} = this.options.limits;
+    const {firstTokenMs, betweenTokensMs} = this.options.getLimits();
     const limitMs = this.hasToken ? betweenTokensMs : firstTokenMs;
     return Math.max(0, this.lastTokenAtMs + limitMs - performance.now());
   }
--- a/src/gateway/heldLeases.ts
+++ b/src/gateway/heldLeases.ts
@@ -13,6 +13,7 @@
   lease: Lease;
   /** The dispatcher that granted or last adopted the lease. */
   owner: Member;
+  grantedPriority: number;
 }
 
 /** Keeps the leases known to the owners of the moment. */
@@ -26,7 +27,8 @@
 
   /** Adds a granted lease. */
   add(lease: Lease, owner: Member): void {
-    this.held.set(lease.leaseId, {lease, owner});
+    const grantedPriority = lease.priority;
+    this.held.set(lease.leaseId, {lease, owner, grantedPriority});
   }
 
   count(): number {
@@ -99,9 +101,12 @@
   }
 
   private updatePriority(leaseId: string, priority: number): void {
-    const lease = this.held.get(leaseId)?.lease;
-    if (!lease || lease.priority === priority) return;
+    const held = this.held.get(leaseId);
+    if (!held || held.lease.priority === priority) return;
+    const {lease, grantedPriority} = held;
     lease.priority = priority;
+    // Engines serve lower numbers first.
+    lease.demoted = priority > grantedPriority;
     lease.onPriority?.(priority);
   }
 
--- a/src/gateway/lease.ts
+++ b/src/gateway/lease.ts
@@ -35,6 +35,8 @@
   readonly grantedAtMs: number;
   readonly fingerprint?: string;
   readonly suspectCount: number;
+  /** True while the engine may pause the request behind shorter ones. */
+  demoted?: boolean;
   /** Called when a renewal brings another engine priority. */
   onPriority?: (priority: number) => void;
 }
--- a/src/gateway/sessionRules.ts
+++ b/src/gateway/sessionRules.ts
@@ -6,12 +6,18 @@
   type AttemptEnd,
   type SilenceLimits,
 } from './engineStream.js';
+import type {Lease} from './lease.js';
 import type {RequestContext} from './requestContext.js';
 import type {EndingReason} from './sessionEnding.js';
 
 /** A stream is silent after this many times the target between tokens. */
 const silenceFactor = 4;
 const minSilenceMs = 2_000;
+/**
+ * A demoted stream has this many times the limit: engines pause it while
+ * shorter requests need its slot, and a pause looks like silence.
+ */
+const demotedSilenceFactor = 8;
 const minFirstTokenLimitMs = 5_000;
 /** Statuses below 500 that say nothing against the request. */
 const transientStatuses = new Set([404, 408, 409, 425, 429]);
@@ -24,15 +30,18 @@
   return statusCode >= 500 || transientStatuses.has(statusCode);
 }
 
-/** Longest times without a token for requests of a class. */
-export function computeLimits({requestClass}: RequestContext): SilenceLimits {
+/** Longest times without a token for a request on a slot. */
+export function computeLimits(
+  {requestClass}: RequestContext,
+  {demoted}: Pick<Lease, 'demoted'>,
+): SilenceLimits {
   const betweenMs = requestClass.betweenTokensMs ?? defaultBetweenTokensMs;
+  const factor = demoted ? demotedSilenceFactor : 1;
   return {
-    firstTokenMs: Math.max(
-      minFirstTokenLimitMs,
-      silenceFactor * requestClass.firstTokenMs,
-    ),
-    betweenTokensMs: Math.max(minSilenceMs, silenceFactor * betweenMs),
+    firstTokenMs:
+      factor *
+      Math.max(minFirstTokenLimitMs, silenceFactor * requestClass.firstTokenMs),
+    betweenTokensMs: factor * Math.max(minSilenceMs, silenceFactor * betweenMs),
   };
 }
 
--- a/tests/gateway/chatSession.test.ts
+++ b/tests/gateway/chatSession.test.ts
@@ -223,6 +223,29 @@
     expect(silentSockets.has(calls[4].socket)).to.equal(false);
   });
 
+  // Guards against long streams that are given up because their engine pauses
+  // them behind shorter ones.
+  it('should wait longer for a demoted stream', async () => {
+    clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+    await startEngines(call => call.sendTokens(2), finish);
+    let result: Result<void, Refusal> | undefined;
+    void streamAnswer({deadlineMs: 60_000}).then(value => (result = value));
+    await waitUntil(() => chunks.length === 2);
+    await clock.tickAsync(1_000);
+    leases.granted[0].demoted = true;
+    await clock.tickAsync(14_000);
+    // A new connection would need some turns to show up at the engine.
+    for (let turn = 0; turn < 50; turn++) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(engines[0].calls[0].closed).to.equal(false);
+    expect(engines[0].calls).to.have.length(1);
+    // A connection that is silent for ever is still given up.
+    await advanceUntil(() => engines[0].calls.length === 2);
+    await advanceUntil(() => result !== undefined);
+    expect(text).to.equal(answerText);
+  });
+
   // Guards against a slow caller whose own delay counts as the engine's silence.
   it('should not count the time that the caller takes', async () => {
     clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -483,6 +483,10 @@
     dispatchers.renewAnswer = {moved: [], priorities: [{leaseId, priority: 9}]};
     await clock.tickAsync(1_000);
     expect(priorities).to.deep.equal([9]);
+    expect(lease.demoted).to.equal(true);
+    dispatchers.renewAnswer = {moved: [], priorities: [{leaseId, priority: 2}]};
+    await clock.tickAsync(500);
+    expect(lease.demoted).to.equal(false);
     stopping.abort();
     await running;
   });
