Refuse bad input of callers with typed errors

Cause: one file parsed, routed and rendered. Nesting was not checked, a body could take any time, a bad deadline became NaN, bytes that the HTTP parser refuses and exceptions got untyped answers, and an address answer came before the configuration was known. Ruled out: the body limit of hono, whose answer carries no outcome of ours and which has no time limit; the request's own abort signal, which says nothing of an answer that is being streamed. The caller is gone when the answer's connection closes before its end. Service retries share one budget with chat retries.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,285 +1,248 @@
-/** HTTP interface for callers. */
+/** HTTP server for callers. */
 import crypto from 'node:crypto';
-import {serve} from '@hono/node-server';
+import type {
+  IncomingMessage,
+  Server,
+  ServerOptions,
+  ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {serve, type HttpBindings} from '@hono/node-server';
 import {Hono, type Context} from 'hono';
-import {bodyLimit} from 'hono/body-limit';
-import {streamSSE} from 'hono/streaming';
-import {err, ok, type Result} from 'neverthrow';
-import {ClassKind, type Configuration} from '../config/configuration.js';
-import type {DaemonNode} from '../node/daemonNode.js';
-import {
-  CallerHeader,
-  chatRequestSchema,
-  maxBodyBytes,
-  type ChatRequest,
-} from '../protocol/callerApi.js';
-import {
-  serviceCallSchema,
-  type ServiceCall,
-} from '../protocol/operationMessages.js';
+import type {Log} from '../node/log.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import type {AddressAnswers} from './addressAnswers.js';
-import {tryAuthenticate, type AuthenticatedCustomer} from './authenticator.js';
-import type {ChatService} from './chatService.js';
-import type {OperationService} from './operationService.js';
-import type {RequestContext} from './requestContext.js';
-import type {ServiceDispatcher} from './serviceDispatcher.js';
+import {buildRefusalResponse, formatRawRefusal} from './refusalResponse.js';
+import type {CallerRequest} from './requestReader.js';
+
+/** Largest request head in bytes; a larger one is refused. */
+const maxHeaderBytes = 16 * 1024;
+/** Time for the head of a request; bodies have their own limit. */
+const headersTimeoutMs = 10_000;
+/** Above the limit of a body, so that the route answers first. */
+const requestTimeoutMs = 30_000;
+const timeoutCheckMs = 1_000;
+
+const serverOptions: ServerOptions = {
+  maxHeaderSize: maxHeaderBytes,
+  headersTimeout: headersTimeoutMs,
+  requestTimeout: requestTimeoutMs,
+  connectionsCheckingInterval: timeoutCheckMs,
+};
+
+export interface CallerServerOptions {
+  host: string;
+  port: number;
+  log: Log;
+}
+
+/** Answers one request; an exception becomes an internal error. */
+export type CallerHandler = (
+  c: Context,
+  request: CallerRequest,
+) => Response | Promise<Response>;
 
-export interface CallerServices {
-  addresses: AddressAnswers;
-  chat: ChatService;
-  services: ServiceDispatcher;
-  operations: OperationService;
+export interface CallerHandlers {
+  addresses: CallerHandler;
+  chat: CallerHandler;
+  services: CallerHandler;
 }
 
-/** Listens for callers and answers them. */
+/** Listens for callers and passes their requests to the routes. */
 export class CallerServer {
-  private server: ReturnType<typeof serve> | undefined;
+  private server: Server | undefined;
+  private leaving = false;
+  private inProgress = 0;
+  private requests = 0;
+  private connections = 0;
+  private lastActivityAtMs = performance.now();
 
   constructor(
-    private readonly node: DaemonNode,
-    private readonly services: CallerServices,
+    private readonly options: CallerServerOptions,
+    private readonly handlers: CallerHandlers,
   ) {}
 
-  /** Starts to listen. */
+  /** Starts to listen; rejects when the address can't be bound. */
   async start(): Promise<void> {
+    const {host, port} = this.options;
     const app = this.buildApp();
-    const {address, ports} = this.node.settings;
     await new Promise<void>((resolve, reject) => {
-      this.server = serve(
-        {fetch: app.fetch, hostname: address, port: ports.callers},
+      const server = serve(
+        {fetch: app.fetch, hostname: host, port, serverOptions},
         () => resolve(),
+      ) as Server;
+      server.once('error', reject);
+      server.on('connection', socket => this.countConnection(socket));
+      server.on('clientError', (error, socket) =>
+        this.answerBadBytes(error, socket as Socket),
       );
-      this.server.once('error', reject);
+      this.server = server;
     });
   }
 
-  /** Stops to listen and waits for open connections. */
-  async stop(): Promise<void> {
-    await new Promise<void>(resolve => this.server?.close(() => resolve()));
+  /** Port that the server listens on. */
+  getPort(): number {
+    return (this.server?.address() as AddressInfo).port;
   }
 
-  private buildApp(): Hono {
-    const app = new Hono();
-    app.use(
-      '*',
-      bodyLimit({
-        maxSize: maxBodyBytes,
-        onError: () =>
-          this.refuse(
-            crypto.randomUUID(),
-            new Refusal(
-              RefusalReason.BodyTooLarge,
-              Outcome.NotRun,
-              `the body is larger than ${maxBodyBytes} bytes`,
-            ),
-          ),
-      }),
-    );
-    app.get('/v1/addresses', c => this.handleAddresses(c));
-    app.post('/v1/chat/completions', c => this.handleChat(c));
-    app.all('/v1/services/:service/*', c => this.handleService(c));
-    return app;
+  /** Asks callers to open no further requests on their connections. */
+  announceLeaving(): void {
+    this.leaving = true;
   }
 
-  private handleAddresses(c: Context): Response {
-    const requestId = crypto.randomUUID();
-    const customer = this.authenticate(c);
-    if (customer.isErr()) return this.refuse(requestId, customer.error);
-    const zone = c.req.query('zone') ?? this.node.settings.zone;
-    const {customerId} = customer.value;
-    return c.json(this.services.addresses.build(customerId, zone));
+  /** Requests that have not been answered to the end. */
+  countInProgress(): number {
+    return this.inProgress;
   }
 
-  private async handleChat(c: Context): Promise<Response> {
-    const requestId = crypto.randomUUID();
-    const context = this.buildContext(c, requestId, ClassKind.Model);
-    if (context.isErr()) return this.refuse(requestId, context.error);
-    const body: unknown = await c.req.json().catch(() => undefined);
-    const request = this.checkChatRequest(body);
-    if (request.isErr()) return this.refuse(requestId, request.error);
-    c.header(CallerHeader.RequestId, requestId);
-    if (request.value.stream) {
-      return this.streamChat(c, context.value, request.value);
-    }
-    const result = await this.services.chat.collect(
-      context.value,
-      request.value,
-    );
-    if (result.isErr()) return this.refuse(requestId, result.error);
-    return c.json(result.value);
+  /** Connections of callers. */
+  countConnections(): number {
+    return this.connections;
   }
 
-  private streamChat(
-    c: Context,
-    context: RequestContext,
-    request: ChatRequest,
-  ): Response {
-    return streamSSE(c, async stream => {
-      const result = await this.services.chat.stream(
-        context,
-        request,
-        async chunk => stream.writeSSE({data: JSON.stringify(chunk)}),
-      );
-      const last = result.isOk()
-        ? '[DONE]'
-        : JSON.stringify(result.error.toBody(context.requestId));
-      await stream.writeSSE({data: last});
-    });
+  /** Milliseconds since a request or a connection began or ended. */
+  computeQuietMs(): number {
+    return performance.now() - this.lastActivityAtMs;
   }
 
-  private async handleService(c: Context): Promise<Response> {
-    const requestId = crypto.randomUUID();
-    const context = this.buildContext(c, requestId, ClassKind.Service);
-    if (context.isErr()) return this.refuse(requestId, context.error);
-    const call = await this.buildCall(c);
-    const operationKey = c.req.header(CallerHeader.OperationKey);
-    const result = context.value.requestClass.repeatable
-      ? await this.services.services.dispatch(context.value, call)
-      : operationKey === undefined
-        ? err(buildMissingKeyRefusal())
-        : await this.services.operations.execute(
-            context.value,
-            call,
-            operationKey,
-          );
-    if (result.isErr()) return this.refuse(requestId, result.error);
-    const {status, contentType, body} = result.value;
-    return new Response(Buffer.from(body, 'base64'), {
-      status,
-      headers: {
-        [CallerHeader.RequestId]: requestId,
-        [CallerHeader.Outcome]: Outcome.Ran,
-        ...(contentType ? {'content-type': contentType} : {}),
-      },
+  /** Stops to listen and waits for the requests in progress. */
+  async stop(): Promise<void> {
+    const {server} = this;
+    if (!server) return;
+    await new Promise<void>(resolve => {
+      server.close(() => resolve());
+      this.closeIdleConnections();
     });
   }
 
-  private async buildCall(c: Context): Promise<ServiceCall> {
-    const service = c.req.param('service') ?? '';
-    const url = new URL(c.req.url);
-    const path = url.pathname.slice(`/v1/services/${service}`.length);
-    const contentType = c.req.header('content-type');
-    return {
-      service,
-      method: serviceCallSchema.shape.method.parse(c.req.method),
-      path: path + url.search,
-      ...(contentType ? {contentType} : {}),
-      body: Buffer.from(await c.req.arrayBuffer()).toString('base64'),
-    };
+  /** Closes all connections, also those with requests in progress. */
+  closeConnections(): void {
+    this.server?.closeAllConnections();
   }
 
-  private authenticate(c: Context): Result<AuthenticatedCustomer, Refusal> {
-    return this.getConfiguration().andThen(configuration =>
-      tryAuthenticate(c.req.header('authorization'), configuration),
-    );
+  /** State for the dump. */
+  describe(): object {
+    const {leaving, inProgress, requests, connections} = this;
+    return {leaving, inProgress, requests, connections};
   }
 
-  private getConfiguration(): Result<Configuration, Refusal> {
-    const configuration = this.node.config.getConfiguration();
-    if (configuration) return ok(configuration);
-    return err(
-      new Refusal(
-        RefusalReason.NotReady,
-        Outcome.NotRun,
-        'no configuration is in force yet',
-        {retryAfterMs: 500},
-      ),
-    );
+  private buildApp(): Hono<{Bindings: HttpBindings}> {
+    const app = new Hono<{Bindings: HttpBindings}>();
+    const {addresses, chat, services} = this.handlers;
+    app.get('/v1/addresses', c => this.run(c, addresses));
+    app.post('/v1/chat/completions', c => this.run(c, chat));
+    app.all('/v1/services/:service/*', c => this.run(c, services));
+    app.notFound(c => this.run(c, refuseUnknownPath));
+    return app;
   }
 
-  private buildContext(
-    c: Context,
-    requestId: string,
-    kind: ClassKind,
-  ): Result<RequestContext, Refusal> {
-    const configuration = this.getConfiguration();
-    if (configuration.isErr()) return err(configuration.error);
-    const authenticated = this.authenticate(c);
-    if (authenticated.isErr()) return err(authenticated.error);
-    const {customerId, customer} = authenticated.value;
-    const className = c.req.header(CallerHeader.Class) ?? '';
-    const requestClass = Object.hasOwn(configuration.value.classes, className)
-      ? configuration.value.classes[className]
-      : undefined;
-    if (!requestClass || requestClass.kind !== kind) {
-      return err(
-        new Refusal(
-          RefusalReason.UnknownClass,
-          Outcome.NotRun,
-          `class "${className}" does not exist for this kind of request`,
-        ),
-      );
-    }
-    if (!customer.classes.includes(className)) {
-      return err(
-        new Refusal(
-          RefusalReason.NotPermitted,
-          Outcome.NotRun,
-          `customer "${customerId}" may not use class "${className}"`,
-        ),
-      );
-    }
-    const arrivedAtMs = performance.now();
-    const deadlineMs = Number(
-      c.req.header(CallerHeader.DeadlineMs) ?? requestClass.deadlineMs,
+  private async run(c: Context, handler: CallerHandler): Promise<Response> {
+    const requestId = crypto.randomUUID();
+    const {incoming, outgoing} = c.env as HttpBindings;
+    const signal = this.observeRequest(
+      outgoing as ServerResponse,
+      incoming as IncomingMessage,
     );
-    return ok({
-      requestId,
-      customerId,
-      customer,
-      className,
-      requestClass,
-      arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + deadlineMs,
-      signal: c.req.raw.signal,
-      log: this.node.log.with({requestId, class: className}),
+    try {
+      const request = {requestId, headers: c.req.raw.headers, signal};
+      const response = await handler(c, request);
+      if (this.leaving) response.headers.set('connection', 'close');
+      return response;
+    } catch (error) {
+      // Routes catch what happens after a request was passed on.
+      const name = error instanceof Error ? error.name : typeof error;
+      this.options.log.raise('route failed', {requestId, error: name});
+      return buildRefusalResponse(requestId, buildInternalRefusal());
+    }
+  }
+
+  private observeRequest(
+    outgoing: ServerResponse,
+    incoming: IncomingMessage,
+  ): AbortSignal {
+    const gone = new AbortController();
+    this.inProgress += 1;
+    this.requests += 1;
+    this.noteActivity();
+    outgoing.once('close', () => {
+      this.inProgress -= 1;
+      this.noteActivity();
+      if (!outgoing.writableFinished) gone.abort();
+      // A body that was refused before its end must not be read on.
+      else if (!incoming.complete) incoming.socket.destroySoon();
+      if (this.leaving) setImmediate(() => this.closeIdleConnections());
     });
+    return gone.signal;
   }
 
-  private checkChatRequest(body: unknown): Result<ChatRequest, Refusal> {
-    const parsed = chatRequestSchema.safeParse(body);
-    if (!parsed.success) {
-      return err(
-        new Refusal(
-          RefusalReason.MalformedBody,
-          Outcome.NotRun,
-          parsed.error.issues[0]?.message ?? 'the body is not valid',
-        ),
-      );
-    }
-    const models = this.node.config.getConfiguration()?.models ?? {};
-    if (!Object.hasOwn(models, parsed.data.model)) {
-      return err(
-        new Refusal(
-          RefusalReason.UnknownModel,
-          Outcome.NotRun,
-          `model "${parsed.data.model}" does not exist`,
-        ),
-      );
-    }
-    return ok(parsed.data);
+  private countConnection(socket: Socket): void {
+    this.connections += 1;
+    this.noteActivity();
+    socket.once('close', () => {
+      this.connections -= 1;
+      this.noteActivity();
+    });
+  }
+
+  private closeIdleConnections(): void {
+    this.server?.closeIdleConnections();
   }
 
-  private refuse(requestId: string, refusal: Refusal): Response {
-    const headers: Record<string, string> = {
-      'content-type': 'application/json',
-      [CallerHeader.RequestId]: requestId,
-      [CallerHeader.Outcome]: refusal.outcome,
-    };
-    if (refusal.retryAfterMs !== undefined) {
-      headers['retry-after'] = String(Math.ceil(refusal.retryAfterMs / 1000));
+  private noteActivity(): void {
+    this.lastActivityAtMs = performance.now();
+  }
+
+  /** Answers bytes that the HTTP parser refuses, or that come too slowly. */
+  private answerBadBytes(error: Error & {code?: string}, socket: Socket): void {
+    const current = (socket as Socket & {_httpMessage?: ServerResponse})
+      ._httpMessage;
+    if (!socket.writable || current?.headersSent) {
+      socket.destroy();
+      return;
     }
-    const body = JSON.stringify(refusal.toBody(requestId));
-    return new Response(body, {status: refusal.status, headers});
+    const refusal = buildProtocolRefusal(error.code ?? '');
+    socket.end(formatRawRefusal(crypto.randomUUID(), refusal));
   }
 }
 
-function buildMissingKeyRefusal(): Refusal {
+function refuseUnknownPath(_c: Context, {requestId}: CallerRequest): Response {
+  return buildRefusalResponse(
+    requestId,
+    new Refusal(
+      RefusalReason.NotFound,
+      Outcome.NotRun,
+      'there is nothing under this path and method',
+    ),
+  );
+}
+
+function buildInternalRefusal(): Refusal {
   return new Refusal(
-    RefusalReason.OperationKeyMissing,
+    RefusalReason.InternalError,
     Outcome.NotRun,
-    'this class needs an operation key',
+    'the gateway failed to read the request',
   );
 }
+
+function buildProtocolRefusal(code: string): Refusal {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return new Refusal(
+        RefusalReason.BadHeader,
+        Outcome.NotRun,
+        `the head of the request is larger than ${maxHeaderBytes} bytes`,
+      );
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return new Refusal(
+        RefusalReason.DeadlineExceeded,
+        Outcome.NotRun,
+        'the request did not arrive in time',
+      );
+    default:
+      return new Refusal(
+        RefusalReason.MalformedBody,
+        Outcome.NotRun,
+        'the bytes are not a valid HTTP request',
+      );
+  }
+}
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,13 +1,15 @@
 /** The gateway process: caller side of an entry VM. */
+import type {Configuration} from '../config/configuration.js';
 import type {Settings} from '../config/settings.js';
 import {DaemonNode} from '../node/daemonNode.js';
 import {OperatorServer} from '../node/operatorServer.js';
-import {PeerServer} from '../node/peerServer.js';
 import {RestartPolicy} from '../node/supervisor.js';
 import {MemberRole} from '../protocol/memberMessages.js';
 import {createGatewayRouter} from '../protocol/peerRouter.js';
 import {AddressAnswers} from './addressAnswers.js';
+import {AddressRoute} from './addressRoute.js';
 import {CallerServer} from './callerServer.js';
+import {ChatRoute} from './chatRoute.js';
 import {ChatService} from './chatService.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
@@ -15,7 +17,10 @@
 import {LeaseClient} from './leaseClient.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {Operations} from './operations.js';
-import {ServiceDispatcher} from './serviceDispatcher.js';
+import {RequestBudget} from './requestBudget.js';
+import {RequestReader} from './requestReader.js';
+import {retryBudget, ServiceDispatcher} from './serviceDispatcher.js';
+import {ServiceRoute} from './serviceRoute.js';
 
 /** Time for callers and peers to hear of the leave. */
 const leaveNoticeMs = 1_000;
@@ -25,8 +30,8 @@
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
   private readonly operations: Operations;
+  private readonly chat: ChatService;
   private readonly callers: CallerServer;
-  private peerServer: PeerServer | undefined;
   private operatorServer: OperatorServer | undefined;
   private stopping: Promise<void> | undefined;
 
@@ -38,7 +43,9 @@
       new PeerDispatcherCalls(this.node.links),
     );
     const clock = new ExpiryClock();
-    const services = new ServiceDispatcher(this.leases);
+    const retries = new RequestBudget(retryBudget);
+    const services = new ServiceDispatcher(this.leases, retries);
+    this.chat = new ChatService(this.leases, {retries});
     this.operations = new Operations({
       node: this.node,
       sealer,
@@ -46,12 +53,16 @@
       sender: services,
       peers: new LinkedGatewayPeers(this.node.links),
     });
-    this.callers = new CallerServer(this.node, {
-      addresses: new AddressAnswers(this.node, sealer, clock),
-      chat: new ChatService(this.leases),
+    this.callers = this.createCallerServer(
+      new AddressAnswers({
+        membership: this.node.membership,
+        getConfiguration: () => this.getConfiguration(),
+        sealer,
+        clock,
+        isLeaving: () => !this.operations.records.isAccepting(),
+      }),
       services,
-      operations: this.operations.service,
-    });
+    );
   }
 
   /** Starts listening and joins the fleet. */
@@ -78,30 +89,59 @@
     return {...this.node.dump(), leasesHeld: this.leases.countHeld()};
   }
 
+  private createCallerServer(
+    addresses: AddressAnswers,
+    services: ServiceDispatcher,
+  ): CallerServer {
+    const {log, settings} = this.node;
+    const reader = new RequestReader({
+      getConfiguration: () => this.getConfiguration(),
+      log,
+    });
+    const addressRoute = new AddressRoute(reader, addresses);
+    const chatRoute = new ChatRoute(reader, this.chat);
+    const serviceRoute = new ServiceRoute(
+      reader,
+      services,
+      this.operations.service,
+    );
+    return new CallerServer(
+      {host: settings.address, port: settings.ports.callers, log},
+      {
+        addresses: (c, request) => addressRoute.handle(c, request),
+        chat: (c, request) => chatRoute.handle(c, request),
+        services: (c, request) => serviceRoute.handle(c, request),
+      },
+    );
+  }
+
+  /** The configuration, once it is known to be the newest reachable one. */
+  private getConfiguration(): Configuration | undefined {
+    return this.node.isReady()
+      ? this.node.config.getConfiguration()
+      : undefined;
+  }
+
   private async leave(): Promise<void> {
     this.node.announceLeaving();
     await new Promise(resolve => setTimeout(resolve, leaveNoticeMs));
     await this.callers.stop();
     await this.node.stop();
-    await this.peerServer?.stop();
     await this.operatorServer?.stop();
   }
 
   private async listen(): Promise<void> {
     const {settings} = this.node;
-    this.peerServer = await PeerServer.start({
-      host: settings.address,
-      port: settings.ports.gatewayPeers,
-      peerKey: settings.keys.peer,
-      router: createGatewayRouter(this.node.members, this.operations.service),
-    });
+    await this.node.startPeerServer(
+      createGatewayRouter(this.node.members, this.operations.service),
+    );
     this.operatorServer = await OperatorServer.start({
       host: settings.operatorAddress,
       port: settings.ports.gatewayOperators,
       operatorKey: settings.keys.operator,
       actions: {
         dump: () => this.dump(),
-        isReady: () => this.node.config.getConfiguration() !== undefined,
+        isReady: () => this.getConfiguration() !== undefined,
         drain: () => void this.stop(),
       },
     });
--- a/src/gateway/serviceDispatcher.ts
+++ b/src/gateway/serviceDispatcher.ts
@@ -14,10 +14,10 @@
 import type {OperationSender} from './operationExecutor.js';
 import {maxOperationAnswerBytes} from './operationRecords.js';
 import {OutcomeTracker} from './outcomeTracker.js';
+import {RequestBudget} from './requestBudget.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 import {openConnection} from './serviceConnection.js';
 import {sendCall} from './serviceExchange.js';
-import {ServiceRetryBudget} from './serviceRetryBudget.js';
 
 /** Largest answer of a repeatable call in bytes. */
 const maxAnswerBytes = 4 * 1024 * 1024;
@@ -31,6 +31,9 @@
  */
 export const operationRunLimitMs = 60_000;
 
+/** Retries per request of a caller, and the most saved up. */
+export const retryBudget = {ratio: 0.1, burst: 20};
+
 /** What the dispatcher needs of the lease client. */
 export type LeaseSource = Pick<LeaseClient, 'acquire' | 'release'>;
 
@@ -48,9 +51,11 @@
 
 /** Makes attempts of calls to plain services. */
 export class ServiceDispatcher implements OperationSender {
-  private readonly budget = new ServiceRetryBudget();
-
-  constructor(private readonly leases: LeaseSource) {}
+  constructor(
+    private readonly leases: LeaseSource,
+    /** One budget for all retries of the gateway. */
+    private readonly retries = new RequestBudget(retryBudget),
+  ) {}
 
   /**
    * Sends a repeatable call. A failed connect is retried always, a broken
@@ -61,7 +66,7 @@
     call: ServiceCall,
   ): Promise<Result<ServiceAnswer, Refusal>> {
     if (!context.requestClass.repeatable) return err(buildClassRefusal());
-    this.budget.noteRequest();
+    this.retries.refill();
     const tracker = new OutcomeTracker();
     for (let attempts = 1; ; attempts++) {
       const {end, result} = await this.send(context, call, {tracker});
@@ -71,7 +76,7 @@
         attempts < maxAttempts &&
         computeRemainingMs(context) > retryDelayMs;
       if (!shouldRetry) return result;
-      if (end !== LeaseEnd.ConnectFailed && !this.budget.tryTake()) {
+      if (end !== LeaseEnd.ConnectFailed && !this.retries.take()) {
         return err(buildBudgetRefusal(tracker, result.error));
       }
       await waitFor(retryDelayMs, context.signal);
--- a/tests/gateway/serviceDispatcher.test.ts
+++ b/tests/gateway/serviceDispatcher.test.ts
@@ -5,6 +5,7 @@
   LeaseClient,
   LeaseReport,
 } from '../../src/gateway/leaseClient.js';
+import {RequestBudget} from '../../src/gateway/requestBudget.js';
 import {ServiceDispatcher} from '../../src/gateway/serviceDispatcher.js';
 import {LeaseEnd} from '../../src/protocol/leaseMessages.js';
 import type {ServiceAnswer} from '../../src/protocol/operationMessages.js';
@@ -224,7 +225,10 @@
     it('should retry broken connections for at most a tenth of requests', async () => {
       const broken = await startServer(socket => socket.destroy());
       const addresses = Array.from({length: 500}, () => broken.address);
-      const dispatcher = new ServiceDispatcher(new FakeLeases(addresses));
+      const dispatcher = new ServiceDispatcher(
+        new FakeLeases(addresses),
+        new RequestBudget({ratio: 0.1, burst: 3}),
+      );
       let refusal: Refusal | undefined;
       for (let i = 0; i < 100; i++) {
         const context = buildContext({requestClass});
