Leave a gateway without cutting off requests

Cause: a leaving gateway closed its listener 1 s after its announcement, although callers keep an address for 30 s; its load was never reported; two address answers of the same millisecond shared a prefix, so that two callers with the same suffix shared one operation. Ruled out: counting callers that hold an address; other gateways give them out. Change: GatewayLeave announces, hands operations over, and listens for 32 s (30 s of an answer's life and 2 s for the leave to spread), or until there was no connection and no request for 10 s. A caller that comes later is refused the connection and uses its next address. The bound is 120 s, from the settings (leave.boundMs, listenMs, quietMs); a second signal ends it. LoadReporter reports requests in progress over 256. Prefixes carry a nonce. Conclusion: the test of 50 prefixes fails without the nonce; the tests of the leave pause and advance the clock.

--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -8,10 +8,13 @@
 /** A running daemon. */
 interface Daemon {
   stop(): Promise<void>;
+  /** Stops without waiting for what is in progress. */
+  stopNow?(): Promise<void>;
 }
 
 /**
- * Reads the settings, starts a daemon and stops it on SIGTERM or SIGINT.
+ * Reads the settings, starts a daemon and stops it on SIGTERM or SIGINT. A
+ * second signal ends a graceful stop.
  *
  * @example
  * runDaemon('anvilstall-gateway', settings => GatewayDaemon.start(settings));
@@ -47,9 +50,16 @@
 async function runUntilSignal(start: () => Promise<Daemon>): Promise<void> {
   try {
     const daemon = await start();
-    const stop = () => void daemon.stop().then(() => process.exit(ExitCode.Ok));
-    process.once('SIGTERM', stop);
-    process.once('SIGINT', stop);
+    let stopping = false;
+    const handleSignal = () => {
+      const stopped = stopping
+        ? (daemon.stopNow?.() ?? Promise.resolve())
+        : daemon.stop();
+      stopping = true;
+      void stopped.then(() => process.exit(ExitCode.Ok));
+    };
+    process.on('SIGTERM', handleSignal);
+    process.on('SIGINT', handleSignal);
   } catch (error) {
     console.error(String(error));
     process.exit(ExitCode.Software);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -36,6 +36,17 @@
     peer: z.string().min(minKeyLength),
     operator: z.string().min(minKeyLength),
   }),
+  /** Graceful leave of a gateway, in milliseconds. */
+  leave: z
+    .strictObject({
+      /** Longest leave; what is then in progress is cut off. */
+      boundMs: z.number().positive().optional(),
+      /** Longest time for which a leaving gateway goes on listening. */
+      listenMs: z.number().positive().optional(),
+      /** Without callers for this time, it stops listening earlier. */
+      quietMs: z.number().positive().optional(),
+    })
+    .optional(),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
 export type Settings = z.infer<typeof settingsSchema>;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -13,8 +13,10 @@
 import {ChatService} from './chatService.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
+import {defaultLeaveTimes, GatewayLeave} from './gatewayLeave.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LeaseClient} from './leaseClient.js';
+import {LoadReporter} from './loadReporter.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {Operations} from './operations.js';
 import {RequestBudget} from './requestBudget.js';
@@ -22,9 +24,6 @@
 import {retryBudget, ServiceDispatcher} from './serviceDispatcher.js';
 import {ServiceRoute} from './serviceRoute.js';
 
-/** Time for callers and peers to hear of the leave. */
-const leaveNoticeMs = 1_000;
-
 /** Runs the gateway side on top of a member of the fleet. */
 export class GatewayDaemon {
   readonly node: DaemonNode;
@@ -32,6 +31,7 @@
   private readonly operations: Operations;
   private readonly chat: ChatService;
   private readonly callers: CallerServer;
+  private readonly leaving: GatewayLeave;
   private operatorServer: OperatorServer | undefined;
   private stopping: Promise<void> | undefined;
 
@@ -63,6 +63,16 @@
       }),
       services,
     );
+    this.leaving = new GatewayLeave(
+      {
+        announceLeaving: () => this.node.announceLeaving(),
+        callers: this.callers,
+        handover: this.operations.handover,
+        chat: this.chat,
+        log: this.node.log,
+      },
+      {...defaultLeaveTimes, ...settings.leave},
+    );
   }
 
   /** Starts listening and joins the fleet. */
@@ -75,6 +85,14 @@
       restart: RestartPolicy.Always,
       run: signal => daemon.leases.run(signal),
     });
+    const load = new LoadReporter(daemon.node.membership, () =>
+      daemon.callers.countInProgress(),
+    );
+    daemon.node.root.spawn({
+      name: 'load',
+      restart: RestartPolicy.Always,
+      run: signal => load.run(signal),
+    });
     return daemon;
   }
 
@@ -84,6 +102,12 @@
     return this.stopping;
   }
 
+  /** Ends a leave that is in progress, or leaves at once. */
+  stopNow(): Promise<void> {
+    this.leaving.end();
+    return this.stop();
+  }
+
   /** State of the process. */
   dump(): object {
     return {...this.node.dump(), leasesHeld: this.leases.countHeld()};
@@ -123,9 +147,7 @@
   }
 
   private async leave(): Promise<void> {
-    this.node.announceLeaving();
-    await new Promise(resolve => setTimeout(resolve, leaveNoticeMs));
-    await this.callers.stop();
+    await this.leaving.run();
     await this.node.stop();
     await this.operatorServer?.stop();
   }
--- a/src/gateway/operationPrefix.ts
+++ b/src/gateway/operationPrefix.ts
@@ -1,5 +1,5 @@
 /** Prefixes of operation keys: only their issuer runs operations under them. */
-import {createHmac, hkdfSync, timingSafeEqual} from 'node:crypto';
+import {createHmac, hkdfSync, randomBytes, timingSafeEqual} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {Outcome} from '../protocol/outcome.js';
@@ -15,6 +15,8 @@
   peerAddress: z.string(),
   customerId: z.string(),
   expiresAtMs: z.number(),
+  /** Tells prefixes of the same millisecond apart. */
+  nonce: z.string(),
 });
 export type PrefixPayload = z.infer<typeof prefixPayloadSchema>;
 
@@ -24,6 +26,7 @@
   text: string;
 }
 
+const nonceBytes = 9;
 const keyPattern = /^([A-Za-z0-9_-]+)~([A-Za-z0-9_-]+)\.([A-Za-z0-9_-]{1,64})$/;
 
 /** Seals and checks prefixes with a key derived from the peer key. */
@@ -37,8 +40,11 @@
   }
 
   /** Creates a prefix; a caller appends `.` and a suffix of its own. */
-  seal(payload: PrefixPayload): string {
-    const text = Buffer.from(JSON.stringify(payload)).toString('base64url');
+  seal(payload: Omit<PrefixPayload, 'nonce'>): string {
+    const nonce = randomBytes(nonceBytes).toString('base64url');
+    const text = Buffer.from(JSON.stringify({...payload, nonce})).toString(
+      'base64url',
+    );
     return `${text}~${this.sign(text).toString('base64url')}`;
   }
 
