Bound the supervisor's stop and forget finished connections

Cause: stop() waited for ever for a child that ignores its signal, a child spawned after stop() ran, a second child of one name hid the first, and the status of each finished connection task stayed in memory. setTimeout fires at once for delays above 2^31 - 1 ms.

Change: stop() waits 5 s and logs the children left behind; spawn() does nothing once the tree stops and throws for a name in use; ChildSpec.forget drops the status at the end; waitFor caps its delay.

--- a/src/node/delay.ts
+++ b/src/node/delay.ts
@@ -1,5 +1,8 @@
 /** Waiting that an abort signal ends early. */
 
+/** Longest time of `setTimeout`; a longer one would fire at once. */
+const maxDelayMs = 2 ** 31 - 1;
+
 /**
  * Resolves after a time, or at once when the signal aborts.
  *
@@ -14,7 +17,7 @@
       signal.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, ms);
+    const timer = setTimeout(finish, Math.min(ms, maxDelayMs));
     signal.addEventListener('abort', finish, {once: true});
   });
 }
--- a/src/node/supervisor.ts
+++ b/src/node/supervisor.ts
@@ -16,6 +16,8 @@
   name: string;
   restart: RestartPolicy;
   run: (signal: AbortSignal) => Promise<void>;
+  /** True: nothing of the child is kept once it has ended, e.g. a connection. */
+  forget?: boolean;
 }
 
 export enum ChildState {
@@ -38,6 +40,8 @@
 const maxRestartDelayMs = 5_000;
 /** A child that ran for this long starts again with the first delay. */
 const stableAfterMs = 30_000;
+/** Children that don't end within this time of the signal are left behind. */
+const stopTimeoutMs = 5_000;
 
 /**
  * Runs child tasks; one signal stops them all.
@@ -62,15 +66,26 @@
     return this.abortController.signal;
   }
 
-  /** Starts a child. */
+  /**
+   * Starts a child; none once the tree stops. Throws when a child of the name
+   * is running.
+   */
   spawn(spec: ChildSpec): void {
+    if (this.signal.aborted) return;
+    if (this.tasks.has(spec.name)) {
+      throw new TypeError(`child "${spec.name}" is running`);
+    }
     const status: ChildStatus = {
       name: spec.name,
       state: ChildState.Running,
       restarts: 0,
     };
     this.statuses.set(spec.name, status);
-    this.tasks.set(spec.name, this.superviseChild(spec, status));
+    const task = this.superviseChild(spec, status).then(() => {
+      this.tasks.delete(spec.name);
+      if (spec.forget) this.statuses.delete(spec.name);
+    });
+    this.tasks.set(spec.name, task);
   }
 
   /** Starts a supervisor of its own below this one. */
@@ -90,10 +105,18 @@
     return child;
   }
 
-  /** Stops all children and waits for them. */
+  /** Stops all children and waits for them, but not without limit. */
   async stop(): Promise<void> {
     this.abortController.abort();
-    await Promise.all(this.tasks.values());
+    const waited = new AbortController();
+    await Promise.race([
+      Promise.all(this.tasks.values()),
+      waitFor(stopTimeoutMs, waited.signal),
+    ]);
+    waited.abort();
+    for (const child of this.tasks.keys()) {
+      this.log.raise('child task did not stop', {supervisor: this.name, child});
+    }
   }
 
   /** Lists the children's states. */
