Keep keys out of logs and show found values of settings

Cause: a settings error named the path and what is allowed, but not what was found; a JSON syntax error showed a part of the file, which may be a key; a library's error message could bring a key into a log line. The operator server kept stop() waiting for kept-alive connections and read bodies of any size.

Log lines are searched for the daemon's two keys. The operator server limits bodies to 1 KiB, answers 404 and 500 in JSON and closes all connections on stop.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -47,12 +47,27 @@
  * readSettings('/etc/anvilstall/settings.json')
  */
 export function readSettings(file: string): Result<Settings, ValidationError> {
-  let document: unknown;
+  let text: string;
   try {
-    document = JSON.parse(fs.readFileSync(file, 'utf8'));
+    text = fs.readFileSync(file, 'utf8');
   } catch (cause) {
     const reason = cause instanceof Error ? cause.message : String(cause);
     return err(new ValidationError(file, [{path: '', reason}]));
   }
+  let document: unknown;
+  try {
+    document = JSON.parse(text);
+  } catch (cause) {
+    const reason = `not valid JSON${describePosition(text, cause)}`;
+    return err(new ValidationError(file, [{path: '', reason}]));
+  }
   return validateDocument(file, settingsSchema, document);
 }
+
+/** Line and column of a syntax error; its message would show parts of keys. */
+function describePosition(text: string, cause: unknown): string {
+  const match = /position (\d+)/.exec(String(cause));
+  if (!match) return '';
+  const lines = text.slice(0, Number(match[1])).split('\n');
+  return ` at line ${lines.length}, column ${lines.at(-1)!.length + 1}`;
+}
--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -12,7 +12,7 @@
 import {ConfigStore} from './configStore.js';
 import {buildPeerAddress, ContactFinder} from './contactFinder.js';
 import {waitFor} from './delay.js';
-import {Log} from './log.js';
+import {addLogSecret, Log} from './log.js';
 import {MemberService} from './memberService.js';
 import {createIncarnation, Membership} from './membership.js';
 import {BackendServerOwnership} from './ownership.js';
@@ -54,6 +54,8 @@
     readonly role: MemberRole,
     parts: DaemonNodeParts = {},
   ) {
+    addLogSecret(settings.keys.peer);
+    addLogSecret(settings.keys.operator);
     const self = buildSelf(settings, role, parts.incarnation);
     this.log = new Log({vm: settings.vm, process: role});
     this.root = new Supervisor(role, this.log);
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -15,6 +15,19 @@
   Error = 'error',
 }
 
+const redacted = '[redacted]';
+/** Secrets as they look in a JSON string. */
+const secrets = new Set<string>();
+
+/**
+ * Keeps a secret out of all log lines, also where it is a part of a message,
+ * e.g. in the error of a library.
+ */
+export function addLogSecret(secret: string): void {
+  const text = JSON.stringify(secret).slice(1, -1);
+  if (text !== '') secrets.add(text);
+}
+
 /** Writes log lines that all carry the same fields. */
 export class Log {
   constructor(private readonly fields: LogFields) {}
@@ -51,7 +64,10 @@
 
   private format(level: string, event: string, fields: LogFields): string {
     const time = new Date().toISOString();
-    return JSON.stringify({time, level, event, ...this.fields, ...fields});
+    const line = {...this.fields, ...fields, time, level, event};
+    let text = JSON.stringify(line);
+    for (const secret of secrets) text = text.replaceAll(secret, redacted);
+    return text;
   }
 }
 
--- a/src/node/operatorServer.ts
+++ b/src/node/operatorServer.ts
@@ -1,6 +1,8 @@
 /** Operators' interface of a daemon: dump, log level, drain. */
+import type {AddressInfo} from 'node:net';
 import {serve} from '@hono/node-server';
 import {Hono} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
 import {z} from 'zod';
 import {LogLevel, setLogLevel} from './log.js';
 import {compareKeys} from './peerServer.js';
@@ -15,11 +17,15 @@
 
 export interface OperatorServerOptions {
   host: string;
+  /** 0 lets the system choose. */
   port: number;
   operatorKey: string;
   actions: OperatorActions;
 }
 
+/** A body names a log level and nothing else. */
+const maxBodyBytes = 1_024;
+
 const logLevelBodySchema = z.object({level: z.enum(LogLevel)});
 
 /** HTTP server on the operators' address; each call needs the operator key. */
@@ -38,8 +44,15 @@
     });
   }
 
-  /** Stops to listen. */
+  /** Port that the server listens on. */
+  getPort(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Stops to listen and closes all connections. */
   async stop(): Promise<void> {
+    // Kept-alive connections would hold the server open.
+    if ('closeAllConnections' in this.server) this.server.closeAllConnections();
     await new Promise<void>(resolve => this.server.close(() => resolve()));
   }
 }
@@ -54,6 +67,17 @@
     }
     return next();
   });
+  app.use(
+    '*',
+    bodyLimit({
+      maxSize: maxBodyBytes,
+      onError: context => context.json({error: 'body too large'}, 413),
+    }),
+  );
+  app.onError((error, context) =>
+    context.json({error: `${error.name}: ${error.message}`}, 500),
+  );
+  app.notFound(context => context.json({error: 'no such path'}, 404));
   app.get('/ready', context =>
     context.json({ready: actions.isReady()}, actions.isReady() ? 200 : 503),
   );
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -22,11 +22,15 @@
 export interface ValidationProblem {
   /** JSON pointer to the value, e.g. `/classes/caption/tier`. */
   readonly path: string;
+  /** What is allowed. */
   readonly reason: string;
+  /** What was found; never a key. */
+  readonly found?: string;
 }
 
-function formatProblem(problem: ValidationProblem): string {
-  return `${problem.path || '/'}: ${problem.reason}`;
+function formatProblem({path, reason, found}: ValidationProblem): string {
+  const end = found === undefined ? '' : `, found ${found}`;
+  return `${path || '/'}: ${reason}${end}`;
 }
 
 /** A call to a peer failed or took longer than its deadline. */
