Don't suspect others while this process is late

Cause: a process whose timers run late takes its own delay for the silence of others. Its suspicions add refutations and pushes to the load that made it late.

Change: a probe that ends more than 250 ms after its deadlines says nothing (a simple form of Lifeguard's local health).

The test was seen to fail without the check.

--- a/src/node/memberService.ts
+++ b/src/node/memberService.ts
@@ -28,6 +28,13 @@
 const pingDeadlineMs = 500;
 const indirectPingDeadlineMs = 1_000;
 const indirectPingers = 2;
+/**
+ * A probe that ends this much after its deadlines was held up by this process
+ * itself, so it says nothing about the peer. Source: Dadgar, Phillips and
+ * Currey, "Lifeguard: local health awareness for more accurate failure
+ * detection", 2018.
+ */
+const maxOwnDelayMs = 250;
 /** Members that a new item is pushed to at once. */
 const pushFanout = 3;
 /** Items that arrive within this time travel in one push. */
@@ -203,10 +210,14 @@
   }
 
   private async probe(member: Member): Promise<void> {
+    const startedAtMs = performance.now();
     const direct = await this.pingAddress(member.peerAddress);
     // An answer of another process at the address has replaced the member.
     if (direct.isOk()) return;
     if (await this.pingIndirectly(member)) return;
+    const elapsedMs = performance.now() - startedAtMs;
+    const deadlinesMs = pingDeadlineMs + indirectPingDeadlineMs;
+    if (elapsedMs > deadlinesMs + maxOwnDelayMs) return;
     const suspected = this.membership.suspect(member.incarnation);
     if (suspected) this.publishMember(suspected);
   }
--- a/tests/node/membershipFailures.test.ts
+++ b/tests/node/membershipFailures.test.ts
@@ -219,6 +219,26 @@
     expect([...seen]).to.deep.equal([MemberState.Alive]);
   });
 
+  // Guards against a busy process that takes its own delay for the silence of
+  // others, and adds to the load by suspecting them.
+  it('should not suspect others while it is late itself', async () => {
+    const [first] = await startFleet(4);
+    const seen = new Set<MemberState | undefined>();
+    first.membership.subscribe(() => {
+      for (const {state} of first.membership.listAll()) seen.add(state);
+    });
+    fleet.isLost = (from, to) => from === 'v1' || to === 'v1';
+    for (let i = 0; i < 20; i++) {
+      fleet.advanceAtOnce(900);
+      await fleet.advance(1);
+    }
+    expect([...seen]).to.not.include(MemberState.Suspect);
+    expect([...seen]).to.not.include(MemberState.Dead);
+    fleet.isLost = () => false;
+    await fleet.advance(10_000);
+    expect(hasAlive(first, 4)).to.equal(true);
+  });
+
   // Guards against a resumed process that declares the others dead because of
   // its own pause, and stays dead itself.
   it('should recover from a pause of all processes', async () => {
