--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -5,6 +5,7 @@
 } from '../config/configuration.js';
 import type {DaemonNode} from '../node/daemonNode.js';
 import {waitFor} from '../node/delay.js';
+import {SuspectRegistry} from '../node/suspectRegistry.js';
 import {
   LeaseEventKind,
   LeaseRefusal,
@@ -19,9 +20,13 @@
 import {MemberState} from '../protocol/memberMessages.js';
 import type {DispatcherHandlers} from '../protocol/peerRouter.js';
 import {VmState, type VmList} from '../protocol/platformApi.js';
-import {BackendServerQueue, type SharedState} from './backendServerQueue.js';
+import {BackendServerQueue} from './backendServerQueue.js';
+import {CrashReporter} from './crashReporter.js';
+import {CustomerBudgets} from './customerBudgets.js';
 import {EjectionBoard} from './ejectionBoard.js';
+import {FleetShare} from './fleetShare.js';
 import {PauseDetector} from './pauseDetector.js';
+import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
 
 /** Interval at which leases expire and waits are estimated again. */
@@ -43,14 +48,32 @@
 export class LeaseService implements DispatcherHandlers {
   private readonly queues = new Map<string, BackendServerQueue>();
   private readonly shared: SharedState;
+  private readonly budgets: CustomerBudgets;
   private readonly pauses = new PauseDetector();
   private leavingServers = new Set<string>();
 
-  constructor(private readonly node: LeaseServiceNode) {
+  constructor(
+    private readonly node: LeaseServiceNode,
+    engines: SharedState['engines'],
+  ) {
     this.shared = {
       lengths: new StreamLengths(),
       ejections: new EjectionBoard(node.broadcaster, node.members),
+      suspects: new SuspectRegistry(node.broadcaster),
+      crashes: new CrashReporter(
+        node.membership.getSelf().incarnation,
+        node.members,
+        node.log,
+      ),
+      engines,
     };
+    const fleet = new FleetShare(node.membership);
+    this.budgets = new CustomerBudgets({
+      getConfiguration: () => node.config.getConfiguration(),
+      isAllocator: customer => fleet.isAllocator(customer),
+      getReachablePart: () => fleet.getReachablePart(),
+    });
+    this.shared.suspects.subscribe(() => this.refuseGuilty());
     node.config.subscribe(configuration => this.applyConfig(configuration));
     node.ownership.subscribe(() => this.refreshOwnership());
     node.membership.subscribe(() => this.dropDeadGateways());
@@ -63,6 +86,7 @@
       await waitFor(tickIntervalMs, signal);
       this.checkPause();
       for (const queue of this.queues.values()) queue.expireLeases(Date.now());
+      this.budgets.expire(Date.now());
     }
   }
 
@@ -105,8 +129,7 @@
   }
 
   async drawLimit(draw: DrawLimit): Promise<DrawLimitAnswer> {
-    const {requests, tokens} = draw;
-    return {requests, tokens, retryAfterMs: 0};
+    return this.budgets.draw(draw);
   }
 
   /** Queues of the backend servers owned here. */
@@ -119,6 +142,8 @@
     return {
       owned: this.listOwned().map(queue => queue.describe()),
       streamLengths: this.shared.lengths.describe(),
+      suspects: this.shared.suspects.listSuspects(),
+      customerBudgets: this.budgets.describe(),
     };
   }
 
@@ -171,6 +196,10 @@
     for (const queue of this.queues.values()) queue.dropGateways(isDead);
   }
 
+  private refuseGuilty(): void {
+    for (const queue of this.queues.values()) queue.refuseGuilty();
+  }
+
   /** After a pause, other dispatchers may have granted the same slots. */
   private checkPause(): void {
     const pausedMs = this.pauses.detect(Date.now());
