--- a/tools/bench/benchFleet.ts
+++ b/tools/bench/benchFleet.ts
@@ -7,9 +7,10 @@
 import type {DeploymentShape} from '../sampleDeployments.js';
 import {
   applyBenchSizes,
-  getEngineFlags,
+  chooseEngineFlags,
   probeEngineFlags,
   serviceFlags,
+  type EngineFlags,
 } from './benchShape.js';
 
 const probeReadyDeadlineMs = 15_000;
@@ -21,6 +22,7 @@
   private constructor(
     readonly fleet: LocalFleet,
     readonly configuration: Configuration,
+    readonly engineFlags: EngineFlags,
     private readonly probeProcess: ManagedProcess,
     readonly probeEngine: LocalStandin,
   ) {}
@@ -30,6 +32,7 @@
     shape: DeploymentShape,
     isSmall: boolean,
   ): Promise<BenchFleet> {
+    const engineFlags = chooseEngineFlags(shape, isSmall);
     const flags = {host: '127.0.0.1', port: 0, ...probeEngineFlags};
     const probeProcess = ManagedProcess.start(
       'standinEngine',
@@ -44,10 +47,10 @@
       let configuration: Configuration | undefined;
       const fleet = await LocalFleet.start({
         ...shape,
-        engineFlags: getEngineFlags(isSmall),
+        engineFlags: {...engineFlags},
         serviceFlags,
         editConfiguration: document => {
-          applyBenchSizes(document, address);
+          applyBenchSizes(document, engineFlags, address);
           configuration = document;
         },
       });
@@ -55,7 +58,13 @@
         ...{id: 'engine-probe', url, address},
         process: probeProcess,
       };
-      return new BenchFleet(fleet, configuration!, probeProcess, probeEngine);
+      return new BenchFleet(
+        fleet,
+        configuration!,
+        engineFlags,
+        probeProcess,
+        probeEngine,
+      );
     } catch (error) {
       await probeProcess.kill();
       throw error;
--- a/tools/bench/benchSession.ts
+++ b/tools/bench/benchSession.ts
@@ -3,7 +3,7 @@
 import {BaselineFleet} from './baseline/baselineFleet.js';
 import {BaselinePolicy} from './baseline/baselinePolicy.js';
 import {BenchFleet} from './benchFleet.js';
-import {engineFlags, probeModel} from './benchShape.js';
+import {probeModel} from './benchShape.js';
 import {measureEngineCapacity, type EngineCapacity} from './engineCapacity.js';
 import {
   buildWarmUp,
@@ -69,6 +69,7 @@
       const urls = fleet.fleet.engines.map(({url}) => url);
       const capacity = await measureEngineCapacity(
         urls,
+        fleet.engineFlags.slots,
         shape.model,
         seed,
         capacityMs,
@@ -99,7 +100,7 @@
         const baseline = await BaselineFleet.start({
           policy: baselinePolicies[system],
           seed: this.options.seed,
-          slots: engineFlags.slots,
+          slots: this.fleet.engineFlags.slots,
           engines: {
             [this.options.shape.model]: engines.map(({url}) => url),
             [probeModel]: [this.fleet.probeEngine.url],
--- a/tools/bench/engineCapacity.ts
+++ b/tools/bench/engineCapacity.ts
@@ -2,7 +2,6 @@
 import {Agent} from 'undici';
 import {ClassKind} from '../../src/config/configuration.js';
 import {SeededRandom} from '../../src/standins/seededRandom.js';
-import {engineFlags} from './benchShape.js';
 import {estimateLine, type Line, type Point} from './leastSquares.js';
 import {ChatSender} from './load/chatSender.js';
 import {computeSeed} from './load/computeSeed.js';
@@ -30,6 +29,7 @@
 /** Keeps all slots of all engines busy for a time and fits the job times. */
 export async function measureEngineCapacity(
   engineUrls: string[],
+  slotsEach: number,
   model: string,
   seed: number,
   durationMs: number,
@@ -62,7 +62,7 @@
   try {
     await Promise.all(
       engineUrls.flatMap((url, engine) =>
-        Array.from({length: engineFlags.slots}, (_, slot) =>
+        Array.from({length: slotsEach}, (_, slot) =>
           runLoop(url, `${engine}-${slot}`),
         ),
       ),
@@ -70,6 +70,6 @@
   } finally {
     await client.destroy();
   }
-  const slots = engineUrls.length * engineFlags.slots;
+  const slots = engineUrls.length * slotsEach;
   return {slots, jobMs: estimateLine(points)};
 }
