--- a/tools/bench/report/runMeasures.ts
+++ b/tools/bench/report/runMeasures.ts
@@ -35,6 +35,8 @@
   duplicates: number;
   /** Orders answered "not run" that did run; the target is 0. */
   falseNotRun: number;
+  /** How each copy of these orders ended. */
+  falseNotRunCopies: Record<string, string[]>;
 }
 
 /** The router's own time: through the router less directly. */
@@ -102,9 +104,7 @@
     duplicateEnds: countBy(
       records
         .filter(({route}) => route === RequestRoute.Duplicate)
-        .map(({end, reason, outcome}) =>
-          [end, reason, outcome].filter(Boolean).join(' '),
-        ),
+        .map(describeRecordEnd),
     ),
     ...(system === SystemName.Router
       ? {operations: computeOperations(records, facts.operationRuns)}
@@ -126,22 +126,38 @@
       .filter(({end}) => end === RequestEnd.Complete)
       .map(({operationId}) => operationId),
   );
-  const falseNotRun = records.filter(
-    ({operationId, outcome}) =>
+  const falseIds = new Set(
+    records.flatMap(({operationId, outcome}) =>
       operationId !== undefined &&
       outcome === Outcome.NotRun &&
       ranIds.has(operationId) &&
-      !answeredIds.has(operationId),
-  ).length;
+      !answeredIds.has(operationId)
+        ? operationId
+        : [],
+    ),
+  );
+  const falseNotRunCopies = Object.fromEntries(
+    [...falseIds].map(id => [
+      id,
+      records
+        .filter(({operationId}) => operationId === id)
+        .map(describeRecordEnd),
+    ]),
+  );
   return {
     keys: runs.size,
     maxRuns: Math.max(0, ...runs.values()),
     duplicates: records.filter(({route}) => route === RequestRoute.Duplicate)
       .length,
-    falseNotRun,
+    falseNotRun: falseIds.size,
+    falseNotRunCopies,
   };
 }
 
+function describeRecordEnd({end, reason, outcome}: RequestRecord): string {
+  return [end, reason, outcome].filter(Boolean).join(' ');
+}
+
 function computeAddedTime(
   records: readonly RequestRecord[],
 ): AddedTime | undefined {
