--- a/tests/bench/measures.test.ts
+++ b/tests/bench/measures.test.ts
@@ -23,6 +23,7 @@
 import {
   computeWindowMeasures,
   isAttained,
+  isCutOff,
 } from '../../tools/bench/report/windowMeasures.js';
 import {
   buildConfiguration,
@@ -78,6 +79,7 @@
     const measures = computeWindowMeasures(window, records, configuration);
     expect(measures.model).to.deep.equal({
       requests: 2,
+      cutOff: 0,
       attained: 1,
       share: 0.5,
     });
@@ -85,6 +87,37 @@
     expect(measures.goodput.tokensPerSecond).to.equal(3);
   });
 
+  // Guards against open requests that are left out though they are too late.
+  it('should leave out an unfinished answer only while it is in time', () => {
+    const isLeftOut = (change: Partial<RequestRecord>) =>
+      isCutOff({...record, end: RequestEnd.Unfinished, ...change}, question);
+    expect(isLeftOut({})).to.equal(true);
+    expect(isLeftOut({firstTokenMs: undefined})).to.equal(false);
+    expect(isLeftOut({firstTokenMs: question.firstTokenMs + 1})).to.equal(
+      false,
+    );
+    expect(isLeftOut({gapsMs: [10, 150]})).to.equal(false);
+    expect(isLeftOut({end: RequestEnd.GaveUp})).to.equal(false);
+    const window = {name: WindowName.Whole, fromMs: 0, toMs: 1_000};
+    const late = {
+      ...record,
+      end: RequestEnd.Unfinished,
+      firstTokenMs: undefined,
+    };
+    const open = {...record, end: RequestEnd.Unfinished};
+    const {model} = computeWindowMeasures(
+      window,
+      [record, late, open],
+      configuration,
+    );
+    expect(model).to.deep.equal({
+      requests: 2,
+      cutOff: 1,
+      attained: 1,
+      share: 0.5,
+    });
+  });
+
   // Guards against refusals that are lost from the report.
   it('should count refusals by reason and outcome', () => {
     const refused = {
