--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -21,12 +21,14 @@
 import {PeerServer} from './peerServer.js';
 import {PlatformClient} from './platformClient.js';
 import {RestartPolicy, Supervisor} from './supervisor.js';
+import type {Traffic} from './trafficCounter.js';
 import {VmListFollower} from './vmListFollower.js';
 
 /** Parts that a test replaces. */
 export interface DaemonNodeParts {
   links?: PeerLinks;
   platform?: PlatformClient;
+  incarnation?: string;
 }
 
 /** A member of the fleet, before its gateway or dispatcher side is added. */
@@ -52,7 +54,7 @@
     readonly role: MemberRole,
     parts: DaemonNodeParts = {},
   ) {
-    const self = buildSelf(settings, role);
+    const self = buildSelf(settings, role, parts.incarnation);
     this.log = new Log({vm: settings.vm, process: role});
     this.root = new Supervisor(role, this.log);
     this.membership = new Membership(self, this.log);
@@ -162,6 +164,14 @@
     await this.peerServer?.stop();
   }
 
+  /** Bytes of the connections that this process and its peers opened. */
+  describeTraffic(): {opened: Traffic; accepted?: Traffic} {
+    return {
+      opened: this.links.describeTraffic(),
+      accepted: this.peerServer?.describeTraffic(),
+    };
+  }
+
   /** State that all daemons dump. */
   dump(): object {
     return {
@@ -171,10 +181,7 @@
       ready: this.isReady(),
       configuration: this.config.describe(),
       broadcastQueue: this.broadcaster.countQueued(),
-      peerTraffic: {
-        opened: this.links.describeTraffic(),
-        accepted: this.peerServer?.describeTraffic(),
-      },
+      peerTraffic: this.describeTraffic(),
       platformCalls: this.platform.describeCalls(),
       pauses: this.pauseDetector.countPauses(),
       tasks: this.root.describe(),
@@ -205,10 +212,14 @@
 /** Time for the last broadcast to leave, in milliseconds. */
 const farewellMs = 50;
 
-function buildSelf(settings: Settings, role: MemberRole): Member {
+function buildSelf(
+  settings: Settings,
+  role: MemberRole,
+  incarnation = createIncarnation(),
+): Member {
   const {address, ports} = settings;
   return {
-    incarnation: createIncarnation(),
+    incarnation,
     role,
     vm: settings.vm,
     zone: settings.zone,
--- a/tests/gateway/leaseClient.test.ts
+++ b/tests/gateway/leaseClient.test.ts
@@ -361,6 +361,30 @@
     expect(dispatchers.listAsks('a')).not.to.have.length(0);
   });
 
+  // Guards against requests for ejected servers while others are there.
+  it('should pass over ejected servers unless over a third are', async () => {
+    const listAsked = async (ejected: readonly string[]) => {
+      startClient(['a', 'b', 'c', 'd']);
+      const getView = ({acquire: {backendServer}}: Ask) => ({
+        ejected: ejected.includes(backendServer),
+      });
+      dispatchers.script = ask =>
+        ask.refuse(LeaseRefusal.QueueFull, 500, getView(ask));
+      await acquire();
+      dispatchers.script = ask => ask.grant(getView(ask));
+      dispatchers.asks.length = 0;
+      for (let i = 0; i < 40; i++) {
+        await acquire({}, {prefixDigest: `p${i}`});
+        await acquire();
+      }
+      return new Set(dispatchers.asks.map(ask => ask.acquire.backendServer));
+    };
+    expect([...(await listAsked(['a']))].sort()).to.deep.equal(['b', 'c', 'd']);
+    expect([...(await listAsked(['a', 'b']))].sort()).to.deep.equal([
+      ...['a', 'b', 'c', 'd'],
+    ]);
+  });
+
   // Guards against a fleet that goes unused because most servers look slow.
   it('should ignore ejections of more than a third of the servers', async () => {
     startClient(['a', 'b', 'c', 'd']);
@@ -399,6 +423,28 @@
     await running;
   });
 
+  // Guards against choices by what was true before the process was paused.
+  it('should forget views and renew at once after a pause', async () => {
+    startClient(['a']);
+    const stopping = new AbortController();
+    const running = client.run(stopping.signal);
+    await acquire();
+    dispatchers.script = ask => ask.refuse(LeaseRefusal.Leaving);
+    await acquire();
+    const asked = dispatchers.asks.length;
+    await acquire();
+    expect(dispatchers.asks).to.have.length(asked);
+    for (const listener of node.pauseListeners) listener(3_000);
+    expect(dispatchers.renewals).to.have.length(1);
+    dispatchers.script = ask => ask.grant();
+    forgetResult();
+    await acquire();
+    expect(result?.isOk()).to.equal(true);
+    stopping.abort();
+    await running;
+    expect(node.pauseListeners.size).to.equal(0);
+  });
+
   // Guards against a slot that a lost release keeps for ten seconds.
   it('should repeat a release that failed', async () => {
     startClient(['a']);
