--- a/tools/bench/slopes/fleetCost.ts
+++ b/tools/bench/slopes/fleetCost.ts
@@ -4,7 +4,6 @@
 import type {PlatformCounters} from '../../../src/standins/platform.js';
 import {LocalFleet, type LocalVm} from '../../localFleet.js';
 import type {DeploymentShape} from '../../sampleDeployments.js';
-import {findMembers} from '../findQueueWaits.js';
 
 const settleMs = 2_000;
 const patchDeadlineMs = 15_000;
@@ -13,16 +12,28 @@
 const roles = ['gateway', 'dispatcher'] as const;
 type Role = (typeof roles)[number];
 
-/** Totals of bytes sent to and received from peers since the start. */
-const peerTrafficSchema = z.record(z.string(), z.number());
-const peerTrafficName = /^peer_?(traffic|bytes)/i;
+const trafficSchema = z.object({
+  bytesSent: z.number(),
+  bytesReceived: z.number(),
+});
+/** Member of a dump: totals since the start, for both kinds of connections. */
+const peerTrafficSchema = z.object({
+  opened: trafficSchema,
+  accepted: trafficSchema.optional(),
+});
+
+/** Bytes of all connections between one daemon and its peers. */
+export interface PeerBytes {
+  sent: number;
+  received: number;
+}
 
 /** Means over the daemons of a role; undefined: not measured. */
 export interface DaemonCost {
   /** Percent of one core. */
   cpuPercent: number;
   memoryMib: number;
-  peerBytesPerSecond?: number;
+  peerBytesPerSecond?: PeerBytes;
 }
 
 export interface FleetCost {
@@ -39,7 +50,7 @@
 interface DaemonReading {
   cpuMicroseconds: number;
   memoryBytes: number;
-  peerBytes?: number;
+  peerBytes?: PeerBytes;
 }
 
 /** Starts an idle fleet, measures it over a window and ends it. */
@@ -90,8 +101,7 @@
 ): Promise<DaemonReading> {
   const dump = await fleet.readDump(vm, role);
   const {user, system} = dump.cpuMicroseconds as NodeJS.CpuUsage;
-  const [traffic] = findMembers(dump, peerTrafficName);
-  const peerBytes = readPeerBytes(traffic?.value);
+  const peerBytes = readPeerTraffic(dump['peerTraffic']);
   return {
     cpuMicroseconds: user + system,
     memoryBytes: dump.memoryBytes,
@@ -99,15 +109,20 @@
   };
 }
 
-/** Sums the byte counts of a dump's member about peer traffic. */
-export function readPeerBytes(value: unknown): number | undefined {
-  if (typeof value === 'number') return value;
-  const counts = peerTrafficSchema.safeParse(value);
-  if (!counts.success) return undefined;
-  const bytes = Object.entries(counts.data).filter(
-    ([name]) => !/messages|calls|count/i.test(name),
-  );
-  return bytes.reduce((sum, [, count]) => sum + count, 0);
+/**
+ * Sums the bytes of a dump's `peerTraffic`; undefined when it has another form.
+ *
+ * @example
+ * readPeerTraffic({opened: {bytesSent: 1, bytesReceived: 2}})
+ */
+export function readPeerTraffic(value: unknown): PeerBytes | undefined {
+  const parsed = peerTrafficSchema.safeParse(value);
+  if (!parsed.success) return undefined;
+  const {opened, accepted} = parsed.data;
+  return {
+    sent: opened.bytesSent + (accepted?.bytesSent ?? 0),
+    received: opened.bytesReceived + (accepted?.bytesReceived ?? 0),
+  };
 }
 
 function computeCost(
@@ -122,14 +137,25 @@
     (reading, index) => reading.cpuMicroseconds - before[index].cpuMicroseconds,
   );
   const hasTraffic = after.every(({peerBytes}) => peerBytes !== undefined);
-  const peerBytes = sum(
-    (reading, index) =>
-      (reading.peerBytes ?? 0) - (before[index].peerBytes ?? 0),
-  );
+  const sumBytes = (name: keyof PeerBytes) =>
+    sum(
+      (reading, index) =>
+        (reading.peerBytes?.[name] ?? 0) -
+        (before[index].peerBytes?.[name] ?? 0),
+    ) /
+    seconds /
+    count;
   return {
     cpuPercent: cpuMicroseconds / (seconds * 10_000 * count),
     memoryMib: sum(({memoryBytes}) => memoryBytes) / count / bytesPerMib,
-    ...(hasTraffic ? {peerBytesPerSecond: peerBytes / seconds / count} : {}),
+    ...(hasTraffic
+      ? {
+          peerBytesPerSecond: {
+            sent: sumBytes('sent'),
+            received: sumBytes('received'),
+          },
+        }
+      : {}),
   };
 }
 
--- a/tools/bench/slopes/slopeTable.ts
+++ b/tools/bench/slopes/slopeTable.ts
@@ -24,8 +24,13 @@
   'dispatcher CPU (% of a core)': cost => cost.dispatcher.cpuPercent,
   'gateway memory (MiB)': cost => cost.gateway.memoryMib,
   'dispatcher memory (MiB)': cost => cost.dispatcher.memoryMib,
-  'gateway peer traffic (B/s)': cost => cost.gateway.peerBytesPerSecond,
-  'dispatcher peer traffic (B/s)': cost => cost.dispatcher.peerBytesPerSecond,
+  'gateway bytes to peers (B/s)': cost => cost.gateway.peerBytesPerSecond?.sent,
+  'gateway bytes from peers (B/s)': cost =>
+    cost.gateway.peerBytesPerSecond?.received,
+  'dispatcher bytes to peers (B/s)': cost =>
+    cost.dispatcher.peerBytesPerSecond?.sent,
+  'dispatcher bytes from peers (B/s)': cost =>
+    cost.dispatcher.peerBytesPerSecond?.received,
   'configuration reads (1/s, fleet)': cost => cost.configReadsPerSecond,
   'VM list reads (1/s, fleet)': cost => cost.vmListReadsPerSecond,
   'patch in force everywhere (ms)': cost => cost.patchMs,
