End the undisturbed window before the slowing

Cause: answers that began just before the slowing counted as undisturbed and raised the tail that the slowed one is divided by.

Change: the window ends 1 s earlier; the small form has 1 s more before it.

Conclusion: short answers take about 0.4 s, so that the window is undisturbed for the short work that the ratio is about.

--- a/tools/bench/experiment.ts
+++ b/tools/bench/experiment.ts
@@ -86,7 +86,7 @@
   crestBase: 500,
   crestHold: 1_200,
   crestTail: 300,
-  slowBefore: 1_000,
+  slowBefore: 2_000,
   slowSettle: 5_000,
   slowAfter: 1_000,
 };
@@ -96,6 +96,11 @@
 const crestFactor = 4;
 /** At the crest the load is 1.6 times the capacity. */
 const crestBaseLoad = 0.4;
+/**
+ * Short answers of requests that arrive less than this before the slowing
+ * would count as undisturbed although they are disturbed.
+ */
+const slowMarginMs = 1_000;
 /** With one in six engines at a tenth, 85% of the capacity is left or more. */
 const slowedLoad = 0.6;
 const highestTierShare = 0.4;
@@ -209,7 +214,11 @@
   return {
     ...buildSteady(ExperimentName.SlowedEngines, slowedLoad, 0, durationMs),
     windows: [
-      {name: WindowName.Before, fromMs: warmUp, toMs: slowAtMs},
+      {
+        name: WindowName.Before,
+        fromMs: warmUp,
+        toMs: slowAtMs - slowMarginMs,
+      },
       {name: WindowName.After, fromMs: settledMs, toMs: durationMs},
     ],
     slowAtMs,
