Isolate suspects of a crash before its marks arrive

Ruled out: the dispatcher's isolation (it held whenever the marks were known). Before: scenario 'should refuse a request after it has crashed two servers' failed in 4 of 6 runs (3 to 4 crashes, or an innocent request refused); after: 5 of 5 passed. Conclusion: two crashes a guilty request, and all others finish.

--- a/src/gateway/chatSession.ts
+++ b/src/gateway/chatSession.ts
@@ -3,6 +3,7 @@
 import {BackendServerKind} from '../config/configuration.js';
 import type {ChatChunk, ChatRequest} from '../protocol/callerApi.js';
 import {computePrefixDigest, type EngineChunk} from '../protocol/engineApi.js';
+import {waitFor} from '../node/delay.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {AttemptRace, type EndedAttempt} from './attemptRace.js';
 import {AttemptRecorder} from './attemptRecorder.js';
@@ -22,6 +23,13 @@
 /** Most attempts of one request, the first included. */
 const maxAttempts = 8;
 const retryAfterMs = 1_000;
+/**
+ * Time from a broken connection until the marks of a crash are known here. A
+ * dispatcher collects the signs of a crash for 500 ms at most.
+ */
+const crashVerdictMs = 600;
+/** Broken attempts after which a request waits for the marks. */
+const brokenAttemptsBeforeVerdict = 2;
 
 /** Takes the chunks of the answer; rejects when the caller is gone. */
 export type ChatChunkHandler = (chunk: ChatChunk) => Promise<void>;
@@ -38,6 +46,8 @@
   private readonly recorder: AttemptRecorder;
   private race: AttemptRace | undefined;
   private attempts = 0;
+  /** Attempts whose connection broke, perhaps because the server crashed. */
+  private brokenAttempts = 0;
   /** Chunks that the caller holds: the index of the token that is due. */
   private passedOn = 0;
 
@@ -89,6 +99,7 @@
         this.release(ended);
         return ok();
       }
+      if (end.kind === AttemptEndKind.Broken) this.brokenAttempts += 1;
       const tryAgain = this.failures.add(attempt.lease.backendServer, end.kind);
       const refusal = this.chargeRetry(end);
       // A silent connection says nothing against the slot; after all other
@@ -103,6 +114,9 @@
 
   private async acquire(): Promise<Result<Lease, Refusal>> {
     const {leases, suspects, metrics} = this.parts;
+    if (this.brokenAttempts >= brokenAttemptsBeforeVerdict) {
+      await waitFor(crashVerdictMs, this.ending.signal);
+    }
     if (suspects.isGuilty(this.fingerprint)) {
       return err(this.refuseGuilty());
     }
@@ -136,10 +150,20 @@
       signal: this.ending.signal,
       fingerprint,
       prefixDigest,
-      suspectCount: this.parts.suspects.countCrashes(fingerprint),
+      suspectCount: this.countSuspectCrashes(),
     };
   }
 
+  /**
+   * Crashes that count against the request. A broken attempt counts before
+   * the dispatcher's mark arrives, or all requests of a crash would run side
+   * by side again; but never as the second one, which would make it guilty.
+   */
+  private countSuspectCrashes(): number {
+    const marks = this.parts.suspects.countCrashes(this.fingerprint);
+    return Math.max(marks, Math.min(this.brokenAttempts, 1));
+  }
+
   private sendAttempt(lease: Lease): Promise<EndedAttempt> {
     const primary = this.createAttempt(lease);
     if (this.attempts > 1) this.parts.metrics.countRetry();
