Wait for crash marks only after a crash was seen

Cause: every second broken connection waited 600 ms, crash or not, which timed out the whole-answers property and would have slowed resumption after cut streams. Ruled out: a shorter wait for all (a dispatcher collects signs for up to 500 ms). Change: only a request that already has a mark waits; the hedging test advances its paused clock through that wait.

--- a/src/gateway/chatSession.ts
+++ b/src/gateway/chatSession.ts
@@ -28,8 +28,6 @@
  * dispatcher collects the signs of a crash for 500 ms at most.
  */
 const crashVerdictMs = 600;
-/** Broken attempts after which a request waits for the marks. */
-const brokenAttemptsBeforeVerdict = 2;
 
 /** Takes the chunks of the answer; rejects when the caller is gone. */
 export type ChatChunkHandler = (chunk: ChatChunk) => Promise<void>;
@@ -114,7 +112,7 @@
 
   private async acquire(): Promise<Result<Lease, Refusal>> {
     const {leases, suspects, metrics} = this.parts;
-    if (this.brokenAttempts >= brokenAttemptsBeforeVerdict) {
+    if (this.shouldWaitForMarks()) {
       await waitFor(crashVerdictMs, this.ending.signal);
     }
     if (suspects.isGuilty(this.fingerprint)) {
@@ -164,6 +162,12 @@
     return Math.max(marks, Math.min(this.brokenAttempts, 1));
   }
 
+  /** True when the last broken attempt may bring a second mark. */
+  private shouldWaitForMarks(): boolean {
+    const marks = this.parts.suspects.countCrashes(this.fingerprint);
+    return marks > 0 && this.brokenAttempts > 1;
+  }
+
   private sendAttempt(lease: Lease): Promise<EndedAttempt> {
     const primary = this.createAttempt(lease);
     if (this.attempts > 1) this.parts.metrics.countRetry();
--- a/tests/gateway/hedging.test.ts
+++ b/tests/gateway/hedging.test.ts
@@ -267,7 +267,11 @@
     expect(second.suspectCount).to.equal(1);
     expect(second.fingerprint).to.match(/^[0-9a-f]{16}$/);
     expect(second.fingerprint).to.equal(first.fingerprint);
-    await waitUntil(() => leases.wishes.length === 3);
+    // After a second break the session waits for the marks of a crash.
+    await waitUntil(() => {
+      clock.tick(10);
+      return leases.wishes.length === 3;
+    });
     await waitUntil(() => engines[1].calls.length === 1);
     await clock.tickAsync(1_000);
     expect(leases.wishes).to.have.length(3);
