Poll load reports and cache events of owned servers

Cause: a new owner had no load report, and so granted nothing for its grace time; owners knew nothing of the engines' caches.

Ruled out: to wait for the next poll.

Conclusion: the cost of the polls has not been measured.

--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -10,6 +10,7 @@
   type Release,
 } from '../protocol/leaseMessages.js';
 import {AcquireRules} from './acquireRules.js';
+import {CachedPrefixes} from './cachedPrefixes.js';
 import type {ScheduledPick} from './classScheduler.js';
 import {computePriority, type RenewedLease} from './heldLease.js';
 import {LeaseTable} from './leaseTable.js';
@@ -24,6 +25,8 @@
   private readonly leases = new LeaseTable();
   private readonly gate: SlotGate;
   private readonly waiting: WaitingQueue;
+  /** Prefixes in the engine's cache, as its events tell. */
+  readonly prefixes = new CachedPrefixes();
   private readonly watch: ServerWatch;
   private readonly rules: AcquireRules;
 
@@ -49,7 +52,7 @@
       classes: configuration.classes,
       serviceTimes: this.watch.use.serviceTimes,
       countSlots: () => this.gate.countNormalSlots(),
-      getView: () => this.getView(),
+      getView: acquire => this.getView(acquire),
     });
   }
 
@@ -70,6 +73,7 @@
     if (owned === this.rules.owned) return;
     this.rules.owned = owned;
     this.leases.drop();
+    this.prefixes.reset();
     if (!owned) {
       this.waiting.refuseAll(LeaseRefusal.Moved);
       return;
@@ -104,12 +108,16 @@
   }
 
   /** Counts that answers carry to gateways. */
-  getView(): BackendServerView {
+  getView(acquire?: Acquire): BackendServerView {
+    const digest = acquire?.prefixDigest;
     return {
       backendServer: this.id,
       freeSlots: this.countFree(),
       queueLength: this.waiting.length,
       ejected: this.watch.health.isAnnounced(),
+      ...(digest === undefined
+        ? {}
+        : {cachedPrefix: this.prefixes.has(digest)}),
     };
   }
 
@@ -192,6 +200,7 @@
       classes: this.waiting.describe(),
       serviceTimes: this.watch.use.serviceTimes.describe(),
       ejection: this.watch.health.getEjection(),
+      cachedPrefixes: this.prefixes.size,
       leases: this.leases.list(),
     };
   }
@@ -280,7 +289,7 @@
       kind: LeaseEventKind.Granted,
       address: this.server.address,
       priority: computePriority(lease),
-      view: this.getView(),
+      view: this.getView(entry.acquire),
     });
   }
 
--- a/src/dispatcher/engineService.ts
+++ b/src/dispatcher/engineService.ts
@@ -20,7 +20,7 @@
 /** Parts of a member that the service uses. */
 export type EngineServiceNode = Pick<
   DaemonNode,
-  'config' | 'log' | 'membership'
+  'config' | 'log' | 'membership' | 'ownership'
 > & {settings: {keys: Pick<DaemonNode['settings']['keys'], 'engineOrders'>}};
 
 export interface EngineServiceOptions {
@@ -40,6 +40,8 @@
   private readonly commander: EngineCommander;
   private readonly checks = new Map<string, CheckState>();
   private readonly polling = new Set<string>();
+  /** Servers that have been polled since they are owned. */
+  private readonly known = new Set<string>();
 
   constructor(private readonly options: EngineServiceOptions) {
     const {node, engines} = options;
@@ -49,6 +51,9 @@
       orderKey: node.settings.keys.engineOrders,
       log: node.log,
     });
+    // The grace time of a new owner is shorter than the interval.
+    node.ownership.subscribe(() => this.pollAdded());
+    node.config.subscribe(() => this.pollAdded());
   }
 
   /** Polls until the signal aborts. */
@@ -68,18 +73,32 @@
   }
 
   private pollOwned(): void {
-    const configuration = this.options.node.config.getConfiguration();
-    if (!configuration) return;
     const owned = this.options.listOwned();
     this.forgetOthers(new Set(owned.map(({id}) => id)));
-    const addresses = new Set<string>();
+    for (const queue of owned) this.startPoll(queue);
+    const addresses = owned.map(queue => this.findServer(queue)?.address ?? '');
+    this.options.engines.releaseOthers(new Set(addresses));
+  }
+
+  /** Polls the servers that were not owned at the last poll. */
+  private pollAdded(): void {
+    const owned = this.options.listOwned();
+    this.forgetOthers(new Set(owned.map(({id}) => id)));
     for (const queue of owned) {
-      const server = configuration.backendServers[queue.id];
-      if (!server) continue;
-      addresses.add(server.address);
-      void this.pollOnce(queue, server, configuration);
+      if (!this.known.has(queue.id)) this.startPoll(queue);
     }
-    this.options.engines.releaseOthers(addresses);
+  }
+
+  private findServer({id}: BackendServerQueue): BackendServer | undefined {
+    return this.options.node.config.getConfiguration()?.backendServers[id];
+  }
+
+  private startPoll(queue: BackendServerQueue): void {
+    this.known.add(queue.id);
+    const configuration = this.options.node.config.getConfiguration();
+    const server = this.findServer(queue);
+    if (!configuration || !server) return;
+    void this.pollOnce(queue, server, configuration);
   }
 
   /** A slow server is not polled again before it has answered. */
@@ -90,9 +109,32 @@
   ): Promise<void> {
     if (this.polling.has(queue.id)) return;
     this.polling.add(queue.id);
-    await this.checkEngine(queue.id, server, configuration).finally(() =>
-      this.polling.delete(queue.id),
-    );
+    const poll = Promise.all([
+      this.readLoad(queue, server),
+      this.readCacheEvents(queue, server),
+      this.checkEngine(queue.id, server, configuration),
+    ]);
+    await poll.finally(() => this.polling.delete(queue.id));
+  }
+
+  private async readLoad(
+    queue: BackendServerQueue,
+    {address}: BackendServer,
+  ): Promise<void> {
+    const report = await this.options.engines.readLoad(address);
+    if (report.isOk()) queue.applyLoadReport(report.value);
+  }
+
+  private async readCacheEvents(
+    {prefixes}: BackendServerQueue,
+    {kind, address}: BackendServer,
+  ): Promise<void> {
+    if (kind !== BackendServerKind.ModelEngine) return;
+    const after = prefixes.getLastNumber();
+    const events = await this.options.engines.readCacheEvents(address, after);
+    // An engine that has restarted counts its events from the start again.
+    if (events.isErr()) prefixes.reset();
+    else if (prefixes.getLastNumber() === after) prefixes.apply(events.value);
   }
 
   private async checkEngine(
@@ -119,8 +161,9 @@
   }
 
   private forgetOthers(owned: ReadonlySet<string>): void {
-    for (const id of this.checks.keys()) {
+    for (const id of this.known) {
       if (owned.has(id)) continue;
+      this.known.delete(id);
       this.checks.delete(id);
       this.commander.forget(id);
     }
--- a/src/dispatcher/waitingQueue.ts
+++ b/src/dispatcher/waitingQueue.ts
@@ -2,6 +2,7 @@
 import {
   LeaseEventKind,
   LeaseRefusal,
+  type Acquire,
   type BackendServerView,
   type LeaseEvent,
 } from '../protocol/leaseMessages.js';
@@ -19,8 +20,8 @@
   serviceTimes: ServiceTimes;
   /** Slots that serve the queue. */
   countSlots: () => number;
-  /** Counts that events carry. */
-  getView: () => BackendServerView;
+  /** Counts that the events of an acquisition carry. */
+  getView: (acquire: Acquire) => BackendServerView;
 }
 
 /** Queues, evicts and refuses; grants are taken from it by the caller. */
@@ -124,7 +125,7 @@
       kind: LeaseEventKind.Refused,
       refusal,
       retryAfterMs,
-      view: this.options.getView(),
+      view: this.options.getView(entry.acquire),
     });
   }
 
@@ -135,7 +136,7 @@
       kind: LeaseEventKind.Queued,
       position: context.order.indexOf(entry) + 1,
       expectedWaitMs: this.estimator.estimateWaitMs(context, entry),
-      view: this.options.getView(),
+      view: this.options.getView(entry.acquire),
     };
   }
 
--- a/src/protocol/leaseMessages.ts
+++ b/src/protocol/leaseMessages.ts
@@ -7,6 +7,8 @@
   freeSlots: z.number().int(),
   queueLength: z.number().int().nonnegative(),
   ejected: z.boolean(),
+  /** Whether the request's prefix is cached there, where that is known. */
+  cachedPrefix: z.boolean().optional(),
 });
 export type BackendServerView = z.infer<typeof backendServerViewSchema>;
 
