Show waits, held times and refusals in the dispatcher's dump

Cause: the dump told neither why requests were refused nor how long they waited.

Ruled out: to count acquisitions that gateways take back as refusals. With late binding most are taken back, which would hide the refusals.

Change: LeaseStats (histograms of queue wait and held time per class, counts by reason, cancellations apart).

Conclusion: the dump shows queues per class, leases, ejections with their reasons, suspects, learned lengths, waits and refusals.

--- a/src/dispatcher/acquireRules.ts
+++ b/src/dispatcher/acquireRules.ts
@@ -73,9 +73,15 @@
     return !this.suspects.isBlocked(acquire, this.leases.list());
   }
 
-  /** True when a request must not be run any more. */
-  isGuilty(acquire: Acquire): boolean {
-    return this.suspects.isGuilty(acquire);
+  /** Reason to refuse an acquisition that has been queued. */
+  checkWaiting(
+    acquire: Acquire,
+    restricted: boolean,
+  ): LeaseRefusal | undefined {
+    if (this.suspects.isGuilty(acquire)) {
+      return LeaseRefusal.RequestCrashesServers;
+    }
+    return restricted ? LeaseRefusal.Ejected : undefined;
   }
 
   /** When a refused request may come again; undefined: it's up to the queue. */
--- a/src/dispatcher/backendServerQueue.ts
+++ b/src/dispatcher/backendServerQueue.ts
@@ -51,6 +51,7 @@
     this.waiting = new WaitingQueue({
       classes: configuration.classes,
       serviceTimes: this.watch.use.serviceTimes,
+      stats: shared.stats,
       countSlots: () => this.gate.countNormalSlots(),
       getView: acquire => this.getView(acquire),
     });
@@ -175,15 +176,6 @@
     this.advance();
   }
 
-  /** Refuses waiting requests that crash servers, as new marks tell. */
-  refuseGuilty(): void {
-    for (const entry of this.waiting.listEntries()) {
-      if (!this.rules.isGuilty(entry.acquire)) continue;
-      this.refuse(entry, LeaseRefusal.RequestCrashesServers);
-    }
-    this.advance();
-  }
-
   /** Drops the leases and the waiting work of gateways that are dead. */
   dropGateways(isDead: (incarnation: string) => boolean): void {
     this.leases.dropGateways(isDead);
@@ -193,6 +185,13 @@
     this.advance();
   }
 
+  /** Serves the queue after a change of leases, slots, marks or time. */
+  advance(): void {
+    this.refuseUnfit();
+    this.grantWaiting();
+    this.waiting.refuseUnreachable();
+  }
+
   /** State for the dump. */
   describe(): object {
     return {
@@ -230,7 +229,7 @@
       return;
     }
     entry.watchExpiry(() => this.expire(entry));
-    this.waiting.evictExcess(entry, this.getQueueLimit());
+    this.waiting.evictExcess(entry, this.configuration.maxQueueLength);
     this.waiting.refuseUnreachable();
   }
 
@@ -244,25 +243,12 @@
     return this.rules.isRestricted(acquire, this.server, this.configuration);
   }
 
-  private getQueueLimit(): number {
-    const {classes, maxQueueLength} = this.configuration;
-    // With room for one entry a class, some class always has one to spare.
-    return Math.max(maxQueueLength, Object.keys(classes).length);
-  }
-
-  /** Serves the queue after a change of leases, slots or time. */
-  private advance(): void {
-    this.refuseEjected();
-    this.grantWaiting();
-    this.waiting.refuseUnreachable();
-  }
-
-  /** Frees queued requests to go elsewhere while the server is ejected. */
-  private refuseEjected(): void {
-    if (!this.watch.health.getEjection()) return;
+  /** Refuses queued work that new marks or an ejection keep from here. */
+  private refuseUnfit(): void {
     for (const entry of this.waiting.listEntries()) {
-      if (!this.isRestricted(entry.acquire)) continue;
-      this.refuse(entry, LeaseRefusal.Ejected);
+      const restricted = this.isRestricted(entry.acquire);
+      const refusal = this.rules.checkWaiting(entry.acquire, restricted);
+      if (refusal) this.refuse(entry, refusal);
     }
   }
 
@@ -310,7 +296,7 @@
 
   /** Takes back an entry whose gateway no longer waits for it. */
   private cancel(entry: WaitingEntry): void {
-    if (!entry.isSettled) this.refuse(entry, LeaseRefusal.DeadlineExceeded);
+    this.waiting.cancel(entry);
     if (!entry.isGranted) return;
     this.leases.release(entry.acquire.leaseId);
     this.advance();
--- a/src/dispatcher/classScheduler.ts
+++ b/src/dispatcher/classScheduler.ts
@@ -95,6 +95,11 @@
     return length;
   }
 
+  /** Number of classes in the configuration. */
+  countClasses(): number {
+    return this.shares.size;
+  }
+
   /** Tier of a class; a class that isn't configured here yet has the lowest. */
   getTier(className: string): number {
     return Object.hasOwn(this.classes, className)
--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -25,6 +25,7 @@
 import {CustomerBudgets} from './customerBudgets.js';
 import {EjectionBoard} from './ejectionBoard.js';
 import {FleetShare} from './fleetShare.js';
+import {LeaseStats} from './leaseStats.js';
 import {PauseDetector} from './pauseDetector.js';
 import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
@@ -65,6 +66,7 @@
         node.members,
         node.log,
       ),
+      stats: new LeaseStats(),
       engines,
     };
     const fleet = new FleetShare(node.membership);
@@ -73,7 +75,7 @@
       isAllocator: customer => fleet.isAllocator(customer),
       getReachablePart: () => fleet.getReachablePart(),
     });
-    this.shared.suspects.subscribe(() => this.refuseGuilty());
+    this.shared.suspects.subscribe(() => this.advanceAll());
     node.config.subscribe(configuration => this.applyConfig(configuration));
     node.ownership.subscribe(() => this.refreshOwnership());
     node.membership.subscribe(() => this.dropDeadGateways());
@@ -143,6 +145,7 @@
       owned: this.listOwned().map(queue => queue.describe()),
       streamLengths: this.shared.lengths.describe(),
       suspects: this.shared.suspects.listSuspects(),
+      ...this.shared.stats.describe(),
       customerBudgets: this.budgets.describe(),
     };
   }
@@ -196,8 +199,8 @@
     for (const queue of this.queues.values()) queue.dropGateways(isDead);
   }
 
-  private refuseGuilty(): void {
-    for (const queue of this.queues.values()) queue.refuseGuilty();
+  private advanceAll(): void {
+    for (const queue of this.queues.values()) queue.advance();
   }
 
   /** After a pause, other dispatchers may have granted the same slots. */
--- a/src/dispatcher/leaseUse.ts
+++ b/src/dispatcher/leaseUse.ts
@@ -1,6 +1,7 @@
 /** Learns from the use of leases on one backend server. */
 import {LeaseEnd, type Release} from '../protocol/leaseMessages.js';
 import type {HeldLease} from './heldLease.js';
+import type {LeaseStats} from './leaseStats.js';
 import {ServiceTimes} from './serviceTimes.js';
 import type {StreamLengths} from './streamLengths.js';
 
@@ -8,11 +9,16 @@
 export class LeaseUse {
   readonly serviceTimes = new ServiceTimes();
 
-  constructor(private readonly lengths: StreamLengths) {}
+  constructor(
+    private readonly lengths: StreamLengths,
+    private readonly stats: LeaseStats,
+  ) {}
 
   /** Takes the end of a lease into account. */
   recordRelease(lease: HeldLease, {end, tokens}: Release): void {
     if (end === LeaseEnd.Unused || end === LeaseEnd.ConnectFailed) return;
+    const heldMs = Date.now() - lease.grantedAtMs;
+    this.stats.recordHeld(lease.className, heldMs);
     if (end === LeaseEnd.Completed && tokens > 0) {
       this.lengths.record(lease.className, lease.customer, tokens);
     }
--- a/src/dispatcher/serverWatch.ts
+++ b/src/dispatcher/serverWatch.ts
@@ -23,7 +23,7 @@
 
   constructor({id, shared, leases, getAddress}: ServerWatchOptions) {
     this.leases = leases;
-    this.use = new LeaseUse(shared.lengths);
+    this.use = new LeaseUse(shared.lengths, shared.stats);
     this.health = new EjectionGate(id, shared.ejections, leases);
     this.crashes = new CrashDetector({
       isRefusing: () => shared.engines.isRefusing(getAddress()),
--- a/src/dispatcher/sharedState.ts
+++ b/src/dispatcher/sharedState.ts
@@ -3,6 +3,7 @@
 import type {CrashReporter} from './crashReporter.js';
 import type {EjectionBoard} from './ejectionBoard.js';
 import type {EngineClient} from './engineClient.js';
+import type {LeaseStats} from './leaseStats.js';
 import type {StreamLengths} from './streamLengths.js';
 
 export interface SharedState {
@@ -10,5 +11,6 @@
   ejections: EjectionBoard;
   suspects: SuspectRegistry;
   crashes: CrashReporter;
+  stats: LeaseStats;
   engines: Pick<EngineClient, 'isRefusing'>;
 }
--- a/src/dispatcher/waitingQueue.ts
+++ b/src/dispatcher/waitingQueue.ts
@@ -11,6 +11,7 @@
   type ScheduledClass,
   type ScheduledPick,
 } from './classScheduler.js';
+import type {LeaseStats} from './leaseStats.js';
 import type {ServiceTimes} from './serviceTimes.js';
 import {WaitEstimator, type WaitContext} from './waitEstimator.js';
 import type {WaitingEntry} from './waitingEntry.js';
@@ -18,6 +19,7 @@
 export interface WaitingQueueOptions {
   classes: Readonly<Record<string, ScheduledClass>>;
   serviceTimes: ServiceTimes;
+  stats: LeaseStats;
   /** Slots that serve the queue. */
   countSlots: () => number;
   /** Counts that the events of an acquisition carry. */
@@ -77,10 +79,14 @@
   take(entry: WaitingEntry): void {
     this.byLeaseId.delete(entry.acquire.leaseId);
     this.scheduler.take(entry);
+    const waitMs = Date.now() - entry.enqueuedAtMs;
+    this.options.stats.recordGrant(entry.className, waitMs);
   }
 
   /** Evicts entries above the limit; the newcomer may be the one. */
-  evictExcess(newcomer: WaitingEntry, limit: number): void {
+  evictExcess(newcomer: WaitingEntry, maxLength: number): void {
+    // With room for one entry a class, some class always has one to spare.
+    const limit = Math.max(maxLength, this.scheduler.countClasses());
     while (this.length > limit) {
       const victim = this.scheduler.pickVictim() ?? newcomer;
       this.refuse(victim, LeaseRefusal.QueueFull);
@@ -118,15 +124,14 @@
     refusal: LeaseRefusal,
     retryAfterMs = this.estimateRetryAfterMs(),
   ): void {
-    if (this.scheduler.remove(entry)) {
-      this.byLeaseId.delete(entry.acquire.leaseId);
-    }
-    entry.settle({
-      kind: LeaseEventKind.Refused,
-      refusal,
-      retryAfterMs,
-      view: this.options.getView(entry.acquire),
-    });
+    if (!this.settleRefused(entry, refusal, retryAfterMs)) return;
+    this.options.stats.recordRefusal(refusal);
+  }
+
+  /** Ends an entry whose gateway no longer waits for it. */
+  cancel(entry: WaitingEntry): void {
+    const refusal = LeaseRefusal.DeadlineExceeded;
+    if (this.settleRefused(entry, refusal)) this.options.stats.recordCancel();
   }
 
   /** Builds the event that tells of an entry's place. */
@@ -145,6 +150,22 @@
     return this.scheduler.describe();
   }
 
+  private settleRefused(
+    entry: WaitingEntry,
+    refusal: LeaseRefusal,
+    retryAfterMs?: number,
+  ): boolean {
+    if (this.scheduler.remove(entry)) {
+      this.byLeaseId.delete(entry.acquire.leaseId);
+    }
+    return entry.settle({
+      kind: LeaseEventKind.Refused,
+      refusal,
+      ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+      view: this.options.getView(entry.acquire),
+    });
+  }
+
   private estimateRetryAfterMs(): number {
     return this.estimator.estimateRetryAfterMs(
       this.listEntries(),
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -6,6 +6,7 @@
   type BackendServer,
   type Configuration,
 } from '../../src/config/configuration.js';
+import {LeaseStats} from '../../src/dispatcher/leaseStats.js';
 import type {SharedState} from '../../src/dispatcher/sharedState.js';
 import {CrashReporter} from '../../src/dispatcher/crashReporter.js';
 import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
@@ -99,6 +100,7 @@
     ejections: new EjectionBoard(broadcaster, members),
     suspects: new SuspectRegistry(broadcaster),
     crashes: new CrashReporter('dispatcher-1', members, new Log({})),
+    stats: new LeaseStats(),
     engines: {isRefusing: async () => false},
   };
 }
