Admit requests within customers' limits

Cause: the configured limits were not applied; one customer's burst took the queues of all others. Ruled out: one draw a request (a round trip before each, and the dispatcher of a large customer becomes its bottleneck); a common queue for draws, where a burst delays the small customers; holding service calls back for tokens that are owed. Change: CustomerLimits keeps a state a customer. Each of n gateways admits ceil(concurrentRequests / n), which exceeds the limit by less than n. Tokens are charged when an answer has ended and hold back model requests until draws have made up for them. The limit is asked before the body. Figures (fake dispatcher, simulated clock, limit 40/s, 4 gateways): 400/s offered for 10 s admit between 360 and 420 requests; 30/s offered admit at least 295 of 300.

--- a/src/gateway/chatRoute.ts
+++ b/src/gateway/chatRoute.ts
@@ -17,6 +17,7 @@
   readBody,
 } from './bodyReader.js';
 import type {ChatService} from './chatService.js';
+import type {Admission, CustomerLimits} from './customerLimits.js';
 import {buildRefusalResponse} from './refusalResponse.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
 import type {CallerRequest, RequestReader} from './requestReader.js';
@@ -26,6 +27,7 @@
   constructor(
     private readonly reader: RequestReader,
     private readonly chat: Pick<ChatService, 'stream' | 'collect'>,
+    private readonly limits: Pick<CustomerLimits, 'accept'>,
   ) {}
 
   /** Answers one request. */
@@ -33,12 +35,37 @@
     const {requestId} = request;
     const context = this.reader.buildContext(request, ClassKind.Model);
     if (context.isErr()) return buildRefusalResponse(requestId, context.error);
-    const chat = await this.readChatRequest(c.req.raw, context.value);
-    if (chat.isErr()) return buildRefusalResponse(requestId, chat.error);
-    c.header(CallerHeader.RequestId, requestId);
-    if (chat.value.stream) return this.stream(c, context.value, chat.value);
-    const answer = await this.collect(context.value, chat.value);
-    if (answer.isErr()) return buildRefusalResponse(requestId, answer.error);
+    const {customerId, customer} = context.value;
+    const admitted = await this.limits.accept(customerId, customer, true);
+    if (admitted.isErr()) {
+      return buildRefusalResponse(requestId, admitted.error);
+    }
+    const admission = admitted.value;
+    let streaming = false;
+    try {
+      const chat = await this.readChatRequest(c.req.raw, context.value);
+      if (chat.isErr()) return buildRefusalResponse(requestId, chat.error);
+      c.header(CallerHeader.RequestId, requestId);
+      streaming = chat.value.stream;
+      return streaming
+        ? this.stream(c, context.value, chat.value, admission)
+        : await this.answerWhole(c, context.value, chat.value, admission);
+    } finally {
+      if (!streaming) admission.release();
+    }
+  }
+
+  private async answerWhole(
+    c: Context,
+    context: RequestContext,
+    request: ChatRequest,
+    admission: Admission,
+  ): Promise<Response> {
+    const answer = await this.collect(context, request);
+    if (answer.isErr()) {
+      return buildRefusalResponse(context.requestId, answer.error);
+    }
+    admission.release(answer.value.usage.completion_tokens);
     return c.json(answer.value);
   }
 
@@ -54,6 +81,7 @@
     c: Context,
     context: RequestContext,
     request: ChatRequest,
+    admission: Admission,
   ): Response {
     return streamSSE(c, async stream => {
       let chunks = 0;
@@ -65,7 +93,8 @@
         .catch(cause => {
           const outcome = chunks > 0 ? Outcome.Partial : Outcome.MayHaveRun;
           return err(buildExceptionRefusal(context, outcome, cause));
-        });
+        })
+        .finally(() => admission.release(chunks));
       const last = result.isOk()
         ? '[DONE]'
         : JSON.stringify(result.error.toBody(context.requestId));
--- /dev/null
+++ b/src/gateway/customerLimits.ts
@@ -0,0 +1,153 @@
+/** Admission of requests within their customers' limits. */
+import {err, ok, type Result} from 'neverthrow';
+import type {Customer} from '../config/configuration.js';
+import {Outcome} from '../protocol/outcome.js';
+import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {CustomerBudget} from './customerBudget.js';
+import type {LimitSource} from './limitSource.js';
+
+/** Requests of one customer that wait for the same draw. */
+const maxWaiting = 100;
+const concurrencyRetryMs = 200;
+
+/** An admitted request; `release` must be called once it has ended. */
+export interface Admission {
+  /** Ends the request and charges the tokens that it produced. */
+  release(tokens?: number): void;
+}
+
+interface Usage {
+  budget: CustomerBudget;
+  inProgress: number;
+  waiting: number;
+  refused: number;
+}
+
+/** Sizes of the fleet, as this gateway knows them. */
+export interface FleetSizes {
+  /** Gateways that serve, this one included. */
+  countGateways: () => number;
+  /** VMs on the platform's list; 0 before the first read. */
+  countListedVms: () => number;
+}
+
+/**
+ * Each customer has a state of its own, so that the burst of one neither
+ * delays nor refuses another. Concurrent requests are divided equally: each of
+ * n gateways admits ceil(limit / n), which exceeds the limit by less than n.
+ */
+export class CustomerLimits {
+  private readonly usages = new Map<string, Usage>();
+
+  constructor(
+    private readonly source: LimitSource,
+    private readonly fleet: FleetSizes,
+  ) {}
+
+  /**
+   * Admits a request or refuses it; `notRun` is proven here. Tokens that are
+   * owed hold back only requests that use tokens.
+   */
+  async accept(
+    customerId: string,
+    customer: Customer,
+    usesTokens: boolean,
+  ): Promise<Result<Admission, Refusal>> {
+    const usage = this.getUsage(customerId);
+    const share = Math.ceil(customer.concurrentRequests / this.countShares());
+    if (usage.inProgress + usage.waiting >= share) {
+      return this.refuse(usage, 'concurrent requests', concurrencyRetryMs);
+    }
+    if (!usage.budget.tryTake(usesTokens)) {
+      const refusal = await this.waitForBudget(usage, customer, usesTokens);
+      if (refusal) return refusal;
+    }
+    if (usage.budget.shouldDraw()) {
+      void usage.budget.draw(customer, usage.waiting);
+    }
+    return ok(this.createAdmission(usage));
+  }
+
+  /** State for the dump, for the customers that use this gateway. */
+  describe(): object {
+    const entries = [...this.usages].map(([customerId, usage]) => {
+      const {budget, inProgress, waiting, refused} = usage;
+      return [
+        customerId,
+        {...budget.describe(), inProgress, waiting, refused},
+      ] as const;
+    });
+    return Object.fromEntries(entries);
+  }
+
+  private async waitForBudget(
+    usage: Usage,
+    customer: Customer,
+    usesTokens: boolean,
+  ): Promise<Result<Admission, Refusal> | undefined> {
+    const {budget} = usage;
+    const blockedMs = budget.computeBlockedMs(usesTokens);
+    if (blockedMs > 0 || usage.waiting >= maxWaiting) {
+      return this.refuse(usage, 'requests or tokens a second', blockedMs);
+    }
+    usage.waiting += 1;
+    try {
+      await budget.draw(customer, usage.waiting);
+    } finally {
+      usage.waiting -= 1;
+    }
+    if (budget.tryTake(usesTokens)) return undefined;
+    const retryMs = budget.computeBlockedMs(usesTokens);
+    return this.refuse(usage, 'requests or tokens a second', retryMs);
+  }
+
+  private createAdmission(usage: Usage): Admission {
+    usage.inProgress += 1;
+    let released = false;
+    return {
+      release: (tokens = 0) => {
+        if (released) return;
+        released = true;
+        usage.inProgress -= 1;
+        if (tokens > 0) usage.budget.chargeTokens(tokens);
+      },
+    };
+  }
+
+  private refuse(
+    usage: Usage,
+    limit: string,
+    retryAfterMs: number,
+  ): Result<Admission, Refusal> {
+    usage.refused += 1;
+    return err(
+      new Refusal(
+        RefusalReason.CustomerLimit,
+        Outcome.NotRun,
+        `the customer's limit of ${limit} is reached`,
+        {retryAfterMs: Math.max(1, retryAfterMs)},
+      ),
+    );
+  }
+
+  private getUsage(customerId: string): Usage {
+    const known = this.usages.get(customerId);
+    if (known) return known;
+    const usage: Usage = {
+      budget: new CustomerBudget(customerId, this.source, () =>
+        this.countShares(),
+      ),
+      inProgress: 0,
+      waiting: 0,
+      refused: 0,
+    };
+    this.usages.set(customerId, usage);
+    return usage;
+  }
+
+  /** In a partition, the list still counts the gateways of the other side. */
+  private countShares(): number {
+    const {countGateways, countListedVms} = this.fleet;
+    return Math.max(1, countGateways(), countListedVms());
+  }
+}
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -11,11 +11,13 @@
 import {CallerServer} from './callerServer.js';
 import {ChatRoute} from './chatRoute.js';
 import {ChatService} from './chatService.js';
+import {CustomerLimits} from './customerLimits.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
 import {defaultLeaveTimes, GatewayLeave} from './gatewayLeave.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LeaseClient} from './leaseClient.js';
+import {DispatcherLimitSource} from './limitSource.js';
 import {LoadReporter} from './loadReporter.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {Operations} from './operations.js';
@@ -29,6 +31,7 @@
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
   private readonly operations: Operations;
+  private readonly limits: CustomerLimits;
   private readonly chat: ChatService;
   private readonly callers: CallerServer;
   private readonly leaving: GatewayLeave;
@@ -53,6 +56,11 @@
       sender: services,
       peers: new LinkedGatewayPeers(this.node.links),
     });
+    const {membership} = this.node;
+    this.limits = new CustomerLimits(new DispatcherLimitSource(this.node), {
+      countGateways: () => membership.listServing(MemberRole.Gateway).length,
+      countListedVms: () => membership.countListedVms(),
+    });
     this.callers = this.createCallerServer(
       new AddressAnswers({
         membership: this.node.membership,
@@ -123,11 +131,12 @@
       log,
     });
     const addressRoute = new AddressRoute(reader, addresses);
-    const chatRoute = new ChatRoute(reader, this.chat);
+    const chatRoute = new ChatRoute(reader, this.chat, this.limits);
     const serviceRoute = new ServiceRoute(
       reader,
       services,
       this.operations.service,
+      this.limits,
     );
     return new CallerServer(
       {host: settings.address, port: settings.ports.callers, log},
--- a/src/gateway/serviceRoute.ts
+++ b/src/gateway/serviceRoute.ts
@@ -16,6 +16,7 @@
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {bodyDeadlineMs, readBody} from './bodyReader.js';
 import {buildExceptionRefusal} from './chatRoute.js';
+import type {CustomerLimits} from './customerLimits.js';
 import type {OperationService} from './operationService.js';
 import {buildRefusalResponse} from './refusalResponse.js';
 import {computeRemainingMs, type RequestContext} from './requestContext.js';
@@ -31,6 +32,7 @@
     private readonly reader: RequestReader,
     private readonly services: Pick<ServiceDispatcher, 'dispatch'>,
     private readonly operations: Pick<OperationService, 'execute'>,
+    private readonly limits: Pick<CustomerLimits, 'accept'>,
   ) {}
 
   /** Answers one request. */
@@ -38,9 +40,27 @@
     const {requestId} = request;
     const context = this.reader.buildContext(request, ClassKind.Service);
     if (context.isErr()) return buildRefusalResponse(requestId, context.error);
-    const call = await this.readCall(c.req.raw, context.value);
+    const {customerId, customer} = context.value;
+    const admitted = await this.limits.accept(customerId, customer, false);
+    if (admitted.isErr()) {
+      return buildRefusalResponse(requestId, admitted.error);
+    }
+    try {
+      return await this.answer(c, request, context.value);
+    } finally {
+      admitted.value.release();
+    }
+  }
+
+  private async answer(
+    c: Context,
+    request: CallerRequest,
+    context: RequestContext,
+  ): Promise<Response> {
+    const {requestId} = request;
+    const call = await this.readCall(c.req.raw, context);
     if (call.isErr()) return buildRefusalResponse(requestId, call.error);
-    const answer = await this.run(context.value, request, call.value);
+    const answer = await this.run(context, request, call.value);
     if (answer.isErr()) return buildRefusalResponse(requestId, answer.error);
     const {status, contentType, body} = answer.value;
     return new Response(Buffer.from(body, 'base64'), {
--- a/tests/gateway/callerFixture.ts
+++ b/tests/gateway/callerFixture.ts
@@ -12,6 +12,7 @@
 import {ChatRoute} from '../../src/gateway/chatRoute.js';
 import type {ChatService} from '../../src/gateway/chatService.js';
 import type {RequestContext} from '../../src/gateway/requestContext.js';
+import type {Admission} from '../../src/gateway/customerLimits.js';
 import {RequestReader} from '../../src/gateway/requestReader.js';
 import {ServiceRoute} from '../../src/gateway/serviceRoute.js';
 import {Log} from '../../src/node/log.js';
@@ -73,6 +74,10 @@
     await onChunk(buildChunk('hello'));
     return ok(undefined);
   };
+  /** Tokens that were charged when requests ended. */
+  readonly released: number[] = [];
+  admit = (): Result<Admission, Refusal> =>
+    ok({release: (tokens = 0) => this.released.push(tokens)});
   readonly server: CallerServer;
 
   private constructor() {
@@ -81,14 +86,25 @@
       getConfiguration: () => this.configuration,
       log,
     });
-    const chat = new ChatRoute(reader, {
-      stream: (...args) => this.answerChat(...args),
-      collect: async (context, request) => {
-        const result = await this.answerChat(context, request, async () => {});
-        if (result.isErr()) return err(result.error);
-        throw new TypeError('the fake collects nothing');
+    const limits = {
+      accept: async () => this.admit(),
+    };
+    const chat = new ChatRoute(
+      reader,
+      {
+        stream: (...args) => this.answerChat(...args),
+        collect: async (context, request) => {
+          const result = await this.answerChat(
+            context,
+            request,
+            async () => {},
+          );
+          if (result.isErr()) return err(result.error);
+          throw new TypeError('the fake collects nothing');
+        },
       },
-    });
+      limits,
+    );
     const record = (context: RequestContext, call: ServiceCall) => {
       this.calls.push({context, call});
       return this.answerCall(context, call);
@@ -97,6 +113,7 @@
       reader,
       {dispatch: record},
       {execute: (context, call) => record(context, call)},
+      limits,
     );
     const addresses = new AddressRoute(reader, {
       build: () =>
--- a/tests/gateway/callerServer.test.ts
+++ b/tests/gateway/callerServer.test.ts
@@ -314,6 +314,28 @@
     }
   });
 
+  // Guards against work for a customer above its limit, and against limits
+  // that are never given back.
+  it('should ask the limits first and give each admission back', async () => {
+    const {admit} = fixture;
+    fixture.admit = () =>
+      err(
+        new Refusal(RefusalReason.CustomerLimit, Outcome.NotRun, 'limit', {
+          retryAfterMs: 250,
+        }),
+      );
+    await expectRefusal(
+      await fixture.fetchChat(streamBody),
+      RefusalReason.CustomerLimit,
+    );
+    fixture.admit = admit;
+    await (await fixture.fetchChat(streamBody)).text();
+    await (await fixture.fetchChat('{')).text();
+    const init = {headers: {'x-anvilstall-class': 'status'}};
+    await (await fixture.fetch('/v1/services/catalogue/x', init)).text();
+    expect(fixture.released).to.deep.equal([1, 0, 0]);
+  });
+
   describe('streams', () => {
     /** Reads the events of a streamed answer. */
     async function readEvents(): Promise<string[]> {
--- /dev/null
+++ b/tests/gateway/customerLimits.test.ts
@@ -0,0 +1,238 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {err, ok} from 'neverthrow';
+import {
+  CustomerLimits,
+  type Admission,
+} from '../../src/gateway/customerLimits.js';
+import type {LimitDemand, LimitSource} from '../../src/gateway/limitSource.js';
+import {PeerError} from '../../src/protocol/errors.js';
+import {Outcome} from '../../src/protocol/outcome.js';
+import {RefusalReason} from '../../src/protocol/refusal.js';
+import {sampleCustomer} from './operationFakes.js';
+
+const customer = {
+  ...sampleCustomer,
+  requestsPerSecond: 40,
+  tokensPerSecond: 400,
+  concurrentRequests: 1_000,
+};
+
+/** A dispatcher's side: budgets that fill with the time, shared by gateways. */
+class FakeSource implements LimitSource {
+  reachable = true;
+  readonly demands: LimitDemand[] = [];
+  private readonly budgets = new Map<
+    string,
+    {requests: number; tokens: number; atMs: number}
+  >();
+
+  async draw(customerId: string, demand: LimitDemand) {
+    this.demands.push(demand);
+    await new Promise(resolve => setTimeout(resolve, 1));
+    if (!this.reachable) return err(new PeerError('d', 'unreachable'));
+    const nowMs = performance.now();
+    const budget = this.budgets.get(customerId) ?? {
+      requests: 10,
+      tokens: 100,
+      atMs: nowMs,
+    };
+    const seconds = (nowMs - budget.atMs) / 1_000;
+    const requestsHeld = Math.min(10, budget.requests + 40 * seconds);
+    const tokensHeld = Math.min(100, budget.tokens + 400 * seconds);
+    const requests = Math.floor(Math.min(demand.requests, requestsHeld));
+    const tokens = Math.min(demand.tokens, tokensHeld);
+    this.budgets.set(customerId, {
+      requests: requestsHeld - requests,
+      tokens: tokensHeld - tokens,
+      atMs: nowMs,
+    });
+    return ok({requests, tokens, retryAfterMs: requests < 1 ? 25 : 0});
+  }
+}
+
+describe('customer limits', () => {
+  let clock: Clock;
+  let source: FakeSource;
+  let gateways: CustomerLimits[];
+
+  function createGateways(count: number, listedVms = count): void {
+    gateways = Array.from(
+      {length: count},
+      () =>
+        new CustomerLimits(source, {
+          countGateways: () => count,
+          countListedVms: () => listedVms,
+        }),
+    );
+  }
+
+  /** Sends requests at a rate to all gateways; returns how many got in. */
+  async function sendLoad(
+    requestsPerSecond: number,
+    seconds: number,
+    id = 'large',
+  ): Promise<number> {
+    let admitted = 0;
+    const total = requestsPerSecond * seconds;
+    for (let i = 0; i < total; i++) {
+      void gateways[i % gateways.length]
+        .accept(id, customer, true)
+        .then(result => {
+          if (result.isErr()) return;
+          admitted += 1;
+          result.value.release();
+        });
+      await clock.tickAsync(1_000 / requestsPerSecond);
+    }
+    return admitted;
+  }
+
+  beforeEach(() => {
+    clock = FakeTimers.install({now: 1_000_000});
+    source = new FakeSource();
+    createGateways(1);
+  });
+
+  afterEach(() => clock.uninstall());
+
+  // Guards against limits that refuse what is within them.
+  it('should admit demand within the limit', async () => {
+    createGateways(4);
+    expect(await sendLoad(30, 10)).to.be.at.least(295);
+  });
+
+  // Guards against customers that get more than their limit.
+  it('should hold the limit over all gateways in a burst', async () => {
+    createGateways(4);
+    const admitted = await sendLoad(400, 10);
+    // 40 a second for 10 s, a first budget of 10 and at most a slice held.
+    expect(admitted).to.be.within(360, 400 + 10 + 10);
+  });
+
+  // Guards against gateways that each allow the whole limit when the
+  // dispatcher does not answer, and against a stop.
+  it('should use an equal share without an answer', async () => {
+    source.reachable = false;
+    createGateways(2, 8);
+    const admitted = await sendLoad(400, 10);
+    expect(admitted).to.be.within(80, 40 * 10 * (2 / 8) + 2 * 4);
+  });
+
+  // Guards against gateways that count the time of answered draws once more
+  // when the dispatcher goes away.
+  it('should not add a second budget when the dispatcher goes away', async () => {
+    createGateways(8);
+    await sendLoad(400, 2);
+    source.reachable = false;
+    const admitted = await sendLoad(400, 1);
+    expect(admitted).to.be.at.most(40 + 8 * 2);
+  });
+
+  // Guards against callers that don't know when to come back.
+  it('should refuse with notRun and a time to retry', async () => {
+    await sendLoad(400, 1);
+    let refusals = 0;
+    for (let i = 0; i < 20; i++) {
+      const pending = gateways[0].accept('large', customer, true);
+      await clock.tickAsync(2);
+      const result = await pending;
+      if (result.isOk()) continue;
+      refusals += 1;
+      expect(result.error).to.include({
+        reason: RefusalReason.CustomerLimit,
+        outcome: Outcome.NotRun,
+        status: 429,
+      });
+      expect(result.error.retryAfterMs).to.be.within(1, 1_000);
+    }
+    expect(refusals).to.be.greaterThan(10);
+  });
+
+  // Guards against a draw for each request of a burst.
+  it('should not ask the dispatcher for each refused request', async () => {
+    await sendLoad(400, 10);
+    expect(source.demands.length).to.be.lessThan(1_000);
+  });
+
+  // Guards against answers whose tokens nobody pays for.
+  it('should make a customer wait for the tokens it has used', async () => {
+    const accept = async () => {
+      const pending = gateways[0].accept('large', customer, true);
+      await clock.tickAsync(2);
+      return pending;
+    };
+    const first = (await accept())._unsafeUnwrap();
+    // Four seconds of the limit.
+    first.release(1_600);
+    let waitedMs = 0;
+    while ((await accept()).isErr()) {
+      waitedMs += 52;
+      await clock.tickAsync(50);
+    }
+    expect(waitedMs).to.be.within(3_000, 4_500);
+  });
+
+  // Guards against orders that are held back by the tokens of a long answer.
+  it('should admit service calls while tokens are owed', async () => {
+    const first = gateways[0].accept('large', customer, true);
+    await clock.tickAsync(2);
+    (await first)._unsafeUnwrap().release(100_000);
+    for (let i = 0; i < 100; i++) {
+      const pending = gateways[0].accept('large', customer, false);
+      await clock.tickAsync(50);
+      expect((await pending).isOk(), `call ${i}`).to.equal(true);
+    }
+    const chat = gateways[0].accept('large', customer, true);
+    await clock.tickAsync(2);
+    expect((await chat).isErr()).to.equal(true);
+  });
+
+  // Guards against a customer whose burst delays or refuses another one.
+  it('should not let a burst of one customer harm another', async () => {
+    createGateways(2);
+    const refused = {small: 0, large: 0};
+    const send = (id: keyof typeof refused) =>
+      void gateways[0].accept(id, customer, true).then(result => {
+        if (result.isErr()) refused[id] += 1;
+        else result.value.release();
+      });
+    // 500 and 20 requests a second, for 3 s.
+    for (let i = 0; i < 1_500; i++) {
+      send('large');
+      if (i % 25 === 0) send('small');
+      await clock.tickAsync(2);
+    }
+    expect(refused.small).to.equal(0);
+    expect(refused.large).to.be.greaterThan(1_000);
+  });
+
+  // Guards against a sum of concurrent requests far above the limit.
+  it('should divide concurrent requests among the gateways', async () => {
+    createGateways(3);
+    const limited = {
+      ...customer,
+      requestsPerSecond: 10_000,
+      concurrentRequests: 7,
+    };
+    const admissions: Admission[] = [];
+    for (const gateway of gateways) {
+      for (let i = 0; i < 7; i++) {
+        const pending = gateway.accept('large', limited, true);
+        await clock.tickAsync(30);
+        const result = await pending;
+        if (result.isOk()) admissions.push(result.value);
+        else expect(result.error.retryAfterMs).to.be.greaterThan(0);
+      }
+    }
+    expect(admissions).to.have.length(9);
+    admissions[0].release();
+    admissions[0].release();
+    const again = gateways[0].accept('large', limited, true);
+    await clock.tickAsync(30);
+    expect((await again).isOk()).to.equal(true);
+    expect((await gateways[0].accept('large', limited, true)).isErr()).to.equal(
+      true,
+    );
+  });
+});
