--- a/src/dispatcher/leaseTable.ts
+++ b/src/dispatcher/leaseTable.ts
@@ -38,8 +38,8 @@
   }
 
   /** Adds the lease of a grant. */
-  add(source: LeaseSource, tier: number): HeldLease {
-    const lease = buildLease(source, tier);
+  add(source: LeaseSource, tier: number, due = false): HeldLease {
+    const lease = buildLease(source, tier, due);
     this.leases.set(lease.leaseId, lease);
     return lease;
   }
@@ -60,6 +60,7 @@
       lease.adopted = true;
     }
     lease.tokens = renewed.tokens;
+    lease.suspectCount = renewed.suspectCount;
     lease.renewedAtMs = Date.now();
     lease.renewed = true;
     return lease;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -16,6 +16,7 @@
 import {ExpiryClock} from './expiryClock.js';
 import {defaultLeaveTimes, GatewayLeave} from './gatewayLeave.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
+import {LatencyEstimates} from './latencyEstimates.js';
 import {LeaseClient} from './leaseClient.js';
 import {DispatcherLimitSource} from './limitSource.js';
 import {LoadReporter} from './loadReporter.js';
@@ -41,14 +42,16 @@
   private constructor(settings: Settings) {
     this.node = new DaemonNode(settings, MemberRole.Gateway);
     const sealer = new PrefixSealer(settings.keys.peer);
+    const latencies = new LatencyEstimates();
     this.leases = new LeaseClient(
       this.node,
       new PeerDispatcherCalls(this.node.links),
+      {latencies},
     );
     const clock = new ExpiryClock();
     const retries = new RequestBudget(retryBudget);
     const services = new ServiceDispatcher(this.leases, retries);
-    this.chat = new ChatService(this.leases, {retries});
+    this.chat = new ChatService(this.leases, {retries, latencies});
     this.operations = new Operations({
       node: this.node,
       sealer,
@@ -116,9 +119,19 @@
     return this.stop();
   }
 
-  /** State of the process. */
-  dump(): object {
-    return {...this.node.dump(), leasesHeld: this.leases.countHeld()};
+  /** State of the process; with an operation key, also that key's record. */
+  dump(operationKey?: string): object {
+    return {
+      ...this.node.dump(),
+      leasesHeld: this.leases.countHeld(),
+      chat: this.chat.describe(),
+      requests: this.callers.describe(),
+      limits: this.limits.describe(),
+      operations: this.operations.describe(),
+      ...(operationKey === undefined
+        ? {}
+        : {operation: this.operations.describeRecord(operationKey)}),
+    };
   }
 
   private createCallerServer(
@@ -171,7 +184,7 @@
       port: settings.ports.gatewayOperators,
       operatorKey: settings.keys.operator,
       actions: {
-        dump: () => this.dump(),
+        dump: operationKey => this.dump(operationKey),
         isReady: () => this.getConfiguration() !== undefined,
         drain: () => void this.stop(),
       },
--- a/src/gateway/operations.ts
+++ b/src/gateway/operations.ts
@@ -74,4 +74,17 @@
       log,
     });
   }
+
+  /** State for the dump. */
+  describe(): object {
+    return {
+      records: this.records.describe(),
+      authority: this.directory.describe(),
+    };
+  }
+
+  /** State of one record, without its key, body and answer. */
+  describeRecord(operationKey: string): object {
+    return this.records.find(operationKey)?.describe() ?? {known: false};
+  }
 }
--- a/tests/dispatcher/fixtures.ts
+++ b/tests/dispatcher/fixtures.ts
@@ -6,11 +6,15 @@
   type BackendServer,
   type Configuration,
 } from '../../src/config/configuration.js';
-import type {SharedState} from '../../src/dispatcher/backendServerQueue.js';
+import type {SharedState} from '../../src/dispatcher/sharedState.js';
+import {CrashReporter} from '../../src/dispatcher/crashReporter.js';
 import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
 import {StreamLengths} from '../../src/dispatcher/streamLengths.js';
 import {Broadcaster} from '../../src/node/broadcaster.js';
+import {Log} from '../../src/node/log.js';
+import {SuspectRegistry} from '../../src/node/suspectRegistry.js';
 import type {BroadcastItem} from '../../src/protocol/memberMessages.js';
+import {createPropertyOptions} from '../support/properties.js';
 import {
   LeaseEnd,
   LeaseEventKind,
@@ -20,10 +24,7 @@
 } from '../../src/protocol/leaseMessages.js';
 
 /** Seed and number of runs of property tests. */
-export const propertyOptions = {
-  seed: Number(process.env.PROPERTY_SEED ?? 20_260_101),
-  numRuns: Number(process.env.PROPERTY_RUNS ?? 200),
-};
+export const propertyOptions = createPropertyOptions(200);
 
 export interface ClassOptions {
   tier: number;
@@ -96,6 +97,9 @@
   return {
     lengths: new StreamLengths(),
     ejections: new EjectionBoard(broadcaster, members),
+    suspects: new SuspectRegistry(broadcaster),
+    crashes: new CrashReporter('dispatcher-1', members, new Log({})),
+    engines: {isRefusing: async () => false},
   };
 }
 
--- a/tests/support/simulatedFleet.ts
+++ b/tests/support/simulatedFleet.ts
@@ -28,6 +28,7 @@
   readonly bytesSent = new Map<string, number>();
   /** Largest sum of broadcast items in one ping or push. */
   largestItemBytes = 0;
+  private starts = 0;
   private readonly clock: Clock;
   private readonly systemRandom = Math.random;
 
@@ -52,6 +53,8 @@
     const node = new DaemonNode(createSettings(vm, zone), MemberRole.Gateway, {
       links: this.createLinks(vm),
       platform: this.platform.createClient(vm),
+      // Without chance, as the owners and watchers follow from it.
+      incarnation: `${this.starts++}`.padStart(4, '0') + `-${vm}`,
     });
     this.platform.vms.set(vm, VmState.Live);
     this.nodes.set(vm, node);
