--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,12 +12,14 @@
 import {CallerServer} from './callerServer.js';
 import {ChatRoute} from './chatRoute.js';
 import {ChatService} from './chatService.js';
+import {CustomerLimits} from './customerLimits.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
 import {defaultLeaveTimes, GatewayLeave} from './gatewayLeave.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LatencyEstimates} from './latencyEstimates.js';
 import {LeaseClient} from './leaseClient.js';
+import {DispatcherLimitSource} from './limitSource.js';
 import {LoadReporter} from './loadReporter.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {Operations} from './operations.js';
@@ -30,8 +32,9 @@
 export class GatewayDaemon {
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
-  private readonly chat: ChatService;
   private readonly operations: Operations;
+  private readonly limits: CustomerLimits;
+  private readonly chat: ChatService;
   private readonly callers: CallerServer;
   private readonly leaving: GatewayLeave;
   private operatorServer: OperatorServer | undefined;
@@ -61,6 +64,11 @@
       sender: services,
       peers: new LinkedGatewayPeers(this.node.links),
     });
+    const {membership} = this.node;
+    this.limits = new CustomerLimits(new DispatcherLimitSource(this.node), {
+      countGateways: () => membership.listServing(MemberRole.Gateway).length,
+      countListedVms: () => membership.countListedVms(),
+    });
     this.callers = this.createCallerServer(
       new AddressAnswers({
         membership: this.node.membership,
@@ -116,12 +124,18 @@
     return this.stop();
   }
 
-  /** State of the process. */
-  dump(): object {
+  /** State of the process; with an operation key, also that key's record. */
+  dump(operationKey?: string): object {
     return {
       ...this.node.dump(),
       leasesHeld: this.leases.countHeld(),
       chat: this.chat.describe(),
+      requests: this.callers.describe(),
+      limits: this.limits.describe(),
+      operations: this.operations.describe(),
+      ...(operationKey === undefined
+        ? {}
+        : {operation: this.operations.describeRecord(operationKey)}),
     };
   }
 
@@ -135,11 +149,12 @@
       log,
     });
     const addressRoute = new AddressRoute(reader, addresses);
-    const chatRoute = new ChatRoute(reader, this.chat);
+    const chatRoute = new ChatRoute(reader, this.chat, this.limits);
     const serviceRoute = new ServiceRoute(
       reader,
       services,
       this.operations.service,
+      this.limits,
     );
     return new CallerServer(
       {host: settings.address, port: settings.ports.callers, log},
@@ -174,7 +189,7 @@
       port: settings.ports.gatewayOperators,
       operatorKey: settings.keys.operator,
       actions: {
-        dump: () => this.dump(),
+        dump: operationKey => this.dump(operationKey),
         isReady: () => this.getConfiguration() !== undefined,
         drain: () => void this.stop(),
       },
--- a/src/gateway/operationExecutor.ts
+++ b/src/gateway/operationExecutor.ts
@@ -96,7 +96,9 @@
         () => attempt.tryDispatch(),
       );
     } catch (cause) {
-      context.log.raise('operation attempt failed', {error: String(cause)});
+      // The message of an unknown error may quote the request.
+      const error = cause instanceof Error ? cause.name : typeof cause;
+      context.log.raise('operation attempt failed', {error});
       // The record replaces the outcome by what it knows of the dispatch.
       return err(
         new Refusal(
--- a/src/node/operatorServer.ts
+++ b/src/node/operatorServer.ts
@@ -9,7 +9,8 @@
 
 /** What the operators' interface calls in the daemon. */
 export interface OperatorActions {
-  dump(): unknown;
+  /** `operationKey`: also dump the record of this key; gateways only. */
+  dump(operationKey?: string): unknown;
   isReady(): boolean;
   /** Starts a graceful leave. */
   drain(): void;
@@ -81,7 +82,9 @@
   app.get('/ready', context =>
     context.json({ready: actions.isReady()}, actions.isReady() ? 200 : 503),
   );
-  app.get('/dump', context => context.json(actions.dump() as object));
+  app.get('/dump', context =>
+    context.json(actions.dump(context.req.query('operationKey')) as object),
+  );
   app.post('/drain', context => {
     actions.drain();
     return context.json({draining: true}, 202);
