Prove customer limits and a rolling replacement over whole fleets

Cause: limits over several VMs and the replacement of all VMs had no proof over separate processes. Ruled out: the default leave of 32 s in the scenario; it uses the settings' shorter one.

--- a/tests/endToEnd/features.test.ts
+++ b/tests/endToEnd/features.test.ts
@@ -8,6 +8,7 @@
   'configuration.feature',
   'crashing-requests.feature',
   'leaving.feature',
+  'limits.feature',
   'streams.feature',
   'tiers.feature',
 ];
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -33,3 +33,13 @@
     And the dispatcher of VM 1 is told to leave
     Then all answers "asked" are whole
     And the dispatcher of VM 1 has ended with code 0
+
+  # Guards against work that is lost while every process is replaced in turn.
+  Scenario: should lose nothing while all VMs are replaced one after another
+    Given engines that need 20 ms a token
+    And a short leave of gateways
+    And a fleet of 3 VMs, 2 engines and 1 service
+    When requests keep coming as "load" through the addresses that callers get
+    And every VM is replaced gracefully, one after another
+    And the requests stop coming
+    Then all answers "load" are whole
--- a/tests/support/fleetSteps.ts
+++ b/tests/support/fleetSteps.ts
@@ -17,6 +17,7 @@
   addFleetSteps(steps);
   addProcessSteps(steps);
   addRequestSteps(steps);
+  addLoadSteps(steps);
   addAnswerSteps(steps);
   addStandinSteps(steps);
   return steps;
@@ -39,6 +40,17 @@
       }
     });
   });
+  steps.add('a short leave of gateways', world => {
+    world.flags.leave = {listenMs: 4_000, quietMs: 2_000};
+  });
+  steps.add(
+    'a limit of {int} requests per second for customer {string}',
+    (world, requestsPerSecond: number, customer: string) => {
+      world.flags.edits.push(({customers}) => {
+        customers[customer].requestsPerSecond = requestsPerSecond;
+      });
+    },
+  );
   steps.add('services that need {int} ms a call', (world, ms: number) => {
     world.flags.service.serviceMs = ms;
   });
@@ -132,6 +144,36 @@
   );
 }
 
+function addLoadSteps(steps: StepRegistry<FleetWorld>): void {
+  steps.add(
+    'customer {string} sends {int} requests as {string} through each VM at once',
+    (world, customer: string, count: number, name: string) => {
+      for (const vm of world.fleet.vms) {
+        for (let i = 1; i <= count; i++) {
+          world.startChat(`${name} ${vm.name} ${i}`, {
+            className: 'question',
+            customer,
+            vm,
+          });
+        }
+      }
+    },
+  );
+  steps.add(
+    'requests keep coming as {string} through the addresses that callers get',
+    (world, name: string) => world.startRequests(name),
+  );
+  steps.add(
+    'every VM is replaced gracefully, one after another',
+    async world => {
+      for (const vm of world.fleet.vms) {
+        await world.fleet.replaceGracefully(vm);
+      }
+    },
+  );
+  steps.add('the requests stop coming', world => world.stopRequests());
+}
+
 function addAnswerSteps(steps: StepRegistry<FleetWorld>): void {
   steps.add('answer {string} arrives', async (world, name: string) => {
     await world.waitForAnswer(name);
@@ -188,6 +230,27 @@
       async () => (await world.countRuns(suffix)) > 0,
     ),
   );
+  steps.add(
+    'at most {int} of the answers {string} are whole',
+    async (world, most: number, start: string) => {
+      expect(await world.countWhole(start)).to.be.at.most(most);
+    },
+  );
+  steps.add(
+    'at least {int} of the answers {string} are whole',
+    async (world, least: number, start: string) => {
+      expect(await world.countWhole(start)).to.be.at.least(least);
+    },
+  );
+  steps.add(
+    'the others of {string} were refused as {string} because of {string}',
+    async (world, start: string, outcome: string, reason: string) => {
+      for (const name of world.listNames(start)) {
+        if (await world.isWhole(name)) continue;
+        expect(await world.readOutcome(name)).to.deep.equal({outcome, reason});
+      }
+    },
+  );
   steps.add('all answers {string} are whole', async (world, start: string) => {
     const names = world.listNames(start);
     expect(names).not.to.be.empty;
--- a/tests/support/fleetWorld.ts
+++ b/tests/support/fleetWorld.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import type {Configuration} from '../../src/config/configuration.js';
+import type {Settings} from '../../src/config/settings.js';
 import type {AddressAnswer} from '../../src/protocol/callerApi.js';
 import {refusalBodySchema} from '../../src/protocol/refusal.js';
 import {computeExpectedText} from '../../src/standins/answerText.js';
@@ -22,6 +23,10 @@
 /** A leaving backend server gets no new work after this time. */
 const leavingBoundMs = 3_000;
 
+const requestIntervalMs = 100;
+/** Requests that use the same address answer: 1.5 s. */
+const requestsPerAddressAnswer = 15;
+
 /** A request whose answer may still be outstanding. */
 export interface Exchange {
   answer: Promise<CallerAnswer>;
@@ -36,6 +41,7 @@
   engine: Record<string, string | number>;
   service: Record<string, string | number>;
   edits: Array<(configuration: Configuration) => void>;
+  leave?: Settings['leave'];
 }
 
 /** One scenario's fleet. */
@@ -45,6 +51,9 @@
     service: {serviceMs: 5},
     edits: [],
   };
+  private readonly requestsEnd = new AbortController();
+  private requests: Promise<void> = Promise.resolve();
+  private callerUrls: string[] = [];
   private busyEngine: LocalStandin | undefined;
   private startedFleet: LocalFleet | undefined;
   private readonly exchanges = new Map<string, Exchange>();
@@ -59,6 +68,7 @@
   }
 
   async stop(): Promise<void> {
+    this.requestsEnd.abort();
     await this.startedFleet?.stop();
   }
 
@@ -76,6 +86,7 @@
       services,
       engineFlags: this.flags.engine,
       serviceFlags: this.flags.service,
+      leave: this.flags.leave,
       editConfiguration: configuration => {
         for (const edit of this.flags.edits) edit(configuration);
       },
@@ -177,6 +188,47 @@
     );
   }
 
+  /**
+   * Sends requests at an interval until `stopRequests`, each to the first
+   * address of an answer that the caller keeps for a while.
+   */
+  startRequests(start: string): void {
+    this.requests = this.runRequests(start, this.requestsEnd.signal);
+  }
+
+  /** Ends the requests that `startRequests` began. */
+  async stopRequests(): Promise<void> {
+    this.requestsEnd.abort();
+    await this.requests;
+  }
+
+  private async runRequests(start: string, signal: AbortSignal): Promise<void> {
+    const caller = new CallerClient('customer-1');
+    for (let i = 0; !signal.aborted; i++) {
+      if (i % requestsPerAddressAnswer === 0) {
+        this.callerUrls = await this.fetchCallerUrls(caller);
+      }
+      const callerUrl = this.callerUrls[0];
+      const vm = this.fleet.vms.find(known => known.callerUrl === callerUrl);
+      if (!vm) throw new Error(`unknown address ${callerUrl}`);
+      this.startChat(`${start} ${i}`, {className: 'question', vm});
+      await sleep(requestIntervalMs);
+    }
+  }
+
+  /** Asks the VMs in turn, as a caller does whose address fails. */
+  private async fetchCallerUrls(caller: CallerClient): Promise<string[]> {
+    for (const {callerUrl} of this.fleet.vms) {
+      try {
+        const {addresses} = await caller.fetchAddresses(callerUrl);
+        return addresses.map(({url}) => url);
+      } catch {
+        continue;
+      }
+    }
+    throw new Error('no VM gave addresses');
+  }
+
   /** Waits for an answer. */
   async waitForAnswer(name: string): Promise<CallerAnswer> {
     const exchange = this.exchanges.get(name);
@@ -217,6 +269,20 @@
     expect(text, name).to.equal(expected);
   }
 
+  /** True when an answer ended as whole. */
+  async isWhole(name: string): Promise<boolean> {
+    const {body} = await this.waitForAnswer(name);
+    return splitEvents(body).at(-1) === '[DONE]';
+  }
+
+  /** Counts the whole answers among those whose names begin with a text. */
+  async countWhole(start: string): Promise<number> {
+    const whole = await Promise.all(
+      this.listNames(start).map(name => this.isWhole(name)),
+    );
+    return whole.filter(Boolean).length;
+  }
+
   /** Reads the outcome that an answer states, from header or last event. */
   async readOutcome(
     name: string,
--- a/tools/localFleet.ts
+++ b/tools/localFleet.ts
@@ -39,6 +39,8 @@
   /** Changes the configuration before the platform publishes it. */
   editConfiguration?: (configuration: Configuration) => void;
   logLevel?: Settings['logLevel'];
+  /** Times of a gateway's graceful leave. */
+  leave?: Settings['leave'];
 }
 
 /** An entry VM: a gateway and a dispatcher on an address of their own. */
@@ -132,6 +134,17 @@
     await this.waitForReady(vm);
   }
 
+  /** Lets both daemons of a VM leave, and starts them again. */
+  async replaceGracefully(vm: LocalVm): Promise<void> {
+    vm.gateway.signal('SIGTERM');
+    vm.dispatcher.signal('SIGTERM');
+    await vm.gateway.waitForExit();
+    await vm.dispatcher.waitForExit();
+    vm.gateway = this.spawn('gateway', ['--settings', vm.settingsFile]);
+    vm.dispatcher = this.spawn('dispatcher', ['--settings', vm.settingsFile]);
+    await this.waitForReady(vm);
+  }
+
   /** Reads a daemon's dump over the operators' interface. */
   async readDump(
     vm: LocalVm,
@@ -259,6 +272,7 @@
       ports,
       platform: {configUrl: this.platform.url, vmListUrl: this.platform.url},
       keys: this.keys,
+      leave: this.options.leave,
       logLevel: this.options.logLevel ?? 'warn',
     };
     const settingsFile = this.writeFile(`${name}.json`, settings);
