Use the gateway's own share when no dispatcher allocates a limit

Cause: a dispatcher that does not allocate a customer's budget, or does not know the customer yet, answered a draw with nothing; the gateway took that for a used-up limit and refused with customerLimit, which was untrue. Ruled out: a limit that is really reached (10 requests a second under a limit of 1,000). Change: such an answer counts as no answer, so that the gateway uses its equal share of the limit; unknown customers are answered with 'moved'. The new unit test fails without the check.

--- a/src/dispatcher/customerBudgets.ts
+++ b/src/dispatcher/customerBudgets.ts
@@ -42,7 +42,10 @@
       return {requests: 0, tokens: 0, retryAfterMs: sliceMs, moved: true};
     }
     const limits = this.findLimits(customer);
-    if (!limits) return {requests: 0, tokens: 0, retryAfterMs: sliceMs};
+    if (!limits) {
+      // The gateway's configuration may be newer than the one here.
+      return {requests: 0, tokens: 0, retryAfterMs: sliceMs, moved: true};
+    }
     const part = this.options.getReachablePart();
     const budget = this.getBudget(customer, limits, part);
     budget.drawnAtMs = Date.now();
--- a/src/gateway/customerBudget.ts
+++ b/src/gateway/customerBudget.ts
@@ -93,7 +93,8 @@
   ): Promise<void> {
     const demand = this.computeDemand(waiting);
     const drawn = await this.source.draw(this.customerId, demand);
-    if (drawn.isErr()) return this.addShare(rates);
+    // A dispatcher that doesn't allocate says nothing about the limit.
+    if (drawn.isErr() || drawn.value.moved) return this.addShare(rates);
     // A later failure of the source must not count this time again.
     this.sharedAtMs = performance.now();
     const {requests, tokens, retryAfterMs} = drawn.value;
--- a/tests/dispatcher/customerBudgets.test.ts
+++ b/tests/dispatcher/customerBudgets.test.ts
@@ -107,7 +107,11 @@
 
   // Guards against a customer that the configuration doesn't list.
   it('should give nothing to an unknown customer', () => {
-    expect(draw(1, 1, 'constructor')).to.include({requests: 0, tokens: 0});
+    expect(draw(1, 1, 'constructor')).to.include({
+      requests: 0,
+      tokens: 0,
+      moved: true,
+    });
   });
 });
 
--- a/tests/gateway/customerLimits.test.ts
+++ b/tests/gateway/customerLimits.test.ts
@@ -21,6 +21,7 @@
 /** A dispatcher's side: budgets that fill with the time, shared by gateways. */
 class FakeSource implements LimitSource {
   reachable = true;
+  allocates = true;
   readonly demands: LimitDemand[] = [];
   private readonly budgets = new Map<
     string,
@@ -31,6 +32,9 @@
     this.demands.push(demand);
     await new Promise(resolve => setTimeout(resolve, 1));
     if (!this.reachable) return err(new PeerError('d', 'unreachable'));
+    if (!this.allocates) {
+      return ok({requests: 0, tokens: 0, retryAfterMs: 250, moved: true});
+    }
     const nowMs = performance.now();
     const budget = this.budgets.get(customerId) ?? {
       requests: 10,
@@ -131,6 +135,13 @@
     expect(admitted).to.be.within(80, 40 * 10 * (2 / 8) + 2 * 4);
   });
 
+  // Guards against the refusal of a customer far below its limit, because the
+  // gateway and the dispatcher don't agree yet on who allocates its budget.
+  it('should use an equal share when the dispatcher does not allocate', async () => {
+    source.allocates = false;
+    expect(await sendLoad(4, 5)).to.equal(20);
+  });
+
   // Guards against gateways that count the time of answered draws once more
   // when the dispatcher goes away.
   it('should not add a second budget when the dispatcher goes away', async () => {
