--- a/src/gateway/chatSession.ts
+++ b/src/gateway/chatSession.ts
@@ -3,7 +3,6 @@
 import {BackendServerKind} from '../config/configuration.js';
 import type {ChatChunk, ChatRequest} from '../protocol/callerApi.js';
 import {computePrefixDigest, type EngineChunk} from '../protocol/engineApi.js';
-import {waitFor} from '../node/delay.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {AttemptRace, type EndedAttempt} from './attemptRace.js';
 import {AttemptRecorder} from './attemptRecorder.js';
@@ -16,6 +15,7 @@
 import type {AcquireOptions, Lease} from './lease.js';
 import {OutcomeTracker} from './outcomeTracker.js';
 import type {RequestContext} from './requestContext.js';
+import {RequestSuspicion} from './requestSuspicion.js';
 import {ServerFailures} from './serverFailures.js';
 import {SessionEnding} from './sessionEnding.js';
 import {describeEnding, isTransient} from './sessionRules.js';
@@ -23,12 +23,6 @@
 /** Most attempts of one request, the first included. */
 const maxAttempts = 8;
 const retryAfterMs = 1_000;
-/**
- * Time from a broken connection until the marks of a crash are known here. A
- * dispatcher collects the signs of a crash for 500 ms at most.
- */
-const crashVerdictMs = 600;
-
 /** Takes the chunks of the answer; rejects when the caller is gone. */
 export type ChatChunkHandler = (chunk: ChatChunk) => Promise<void>;
 
@@ -37,15 +31,13 @@
   private readonly tracker = new OutcomeTracker();
   private readonly failures = new ServerFailures();
   private readonly ending: SessionEnding;
-  private readonly fingerprint: string;
+  private readonly suspicion: RequestSuspicion;
   private readonly prefixDigest: string;
   /** Times as the caller sees them. */
   private readonly times: AttemptTimes;
   private readonly recorder: AttemptRecorder;
   private race: AttemptRace | undefined;
   private attempts = 0;
-  /** Attempts whose connection broke, perhaps because the server crashed. */
-  private brokenAttempts = 0;
   /** Chunks that the caller holds: the index of the token that is due. */
   private passedOn = 0;
 
@@ -56,7 +48,10 @@
     private readonly onChunk: ChatChunkHandler,
   ) {
     this.ending = new SessionEnding(context);
-    this.fingerprint = computeFingerprint(context.customerId, request);
+    this.suspicion = new RequestSuspicion(
+      parts.suspects,
+      computeFingerprint(context.customerId, request),
+    );
     this.prefixDigest = computePrefixDigest(request.messages);
     this.times = new AttemptTimes(context.arrivedAtMs);
     const {className} = context;
@@ -97,7 +92,7 @@
         this.release(ended);
         return ok();
       }
-      if (end.kind === AttemptEndKind.Broken) this.brokenAttempts += 1;
+      if (end.kind === AttemptEndKind.Broken) this.suspicion.noteBroken();
       const tryAgain = this.failures.add(attempt.lease.backendServer, end.kind);
       const refusal = this.chargeRetry(end);
       // A silent connection says nothing against the slot; after all other
@@ -111,13 +106,9 @@
   }
 
   private async acquire(): Promise<Result<Lease, Refusal>> {
-    const {leases, suspects, metrics} = this.parts;
-    if (this.shouldWaitForMarks()) {
-      await waitFor(crashVerdictMs, this.ending.signal);
-    }
-    if (suspects.isGuilty(this.fingerprint)) {
-      return err(this.refuseGuilty());
-    }
+    const {leases, metrics} = this.parts;
+    await this.suspicion.waitForMarks(this.ending.signal);
+    if (this.suspicion.isGuilty()) return err(this.refuseGuilty());
     const startedAtMs = performance.now();
     const acquired = await leases.acquire(
       this.context,
@@ -143,31 +134,15 @@
   }
 
   private buildAcquireOptions(): AcquireOptions {
-    const {fingerprint, prefixDigest} = this;
+    const {suspicion, prefixDigest} = this;
     return {
       signal: this.ending.signal,
-      fingerprint,
+      fingerprint: suspicion.fingerprint,
       prefixDigest,
-      suspectCount: this.countSuspectCrashes(),
+      suspectCount: suspicion.countCrashes(),
     };
   }
 
-  /**
-   * Crashes that count against the request. A broken attempt counts before
-   * the dispatcher's mark arrives, or all requests of a crash would run side
-   * by side again; but never as the second one, which would make it guilty.
-   */
-  private countSuspectCrashes(): number {
-    const marks = this.parts.suspects.countCrashes(this.fingerprint);
-    return Math.max(marks, Math.min(this.brokenAttempts, 1));
-  }
-
-  /** True when the last broken attempt may bring a second mark. */
-  private shouldWaitForMarks(): boolean {
-    const marks = this.parts.suspects.countCrashes(this.fingerprint);
-    return marks > 0 && this.brokenAttempts > 1;
-  }
-
   private sendAttempt(lease: Lease): Promise<EndedAttempt> {
     const primary = this.createAttempt(lease);
     if (this.attempts > 1) this.parts.metrics.countRetry();
@@ -200,11 +175,11 @@
 
   /** Only a first attempt is hedged, and never a request that is suspected. */
   private computeHedgeDelayMs(): number | undefined {
-    const {suspects, hedges} = this.parts;
+    const {hedges} = this.parts;
     const mayHedge =
       this.attempts === 1 &&
       this.context.requestClass.repeatable &&
-      suspects.countCrashes(this.fingerprint) === 0;
+      this.suspicion.countCrashes() === 0;
     return mayHedge ? hedges.getDelayMs(this.context.className) : undefined;
   }
 
@@ -300,7 +275,7 @@
       RefusalReason.RequestCrashesServers,
       this.tracker.decide(),
       'backend servers crashed while they ran this request',
-      {retryAfterMs: this.parts.suspects.getRemainingMs?.(this.fingerprint)},
+      {retryAfterMs: this.suspicion.getRemainingMs()},
     );
   }
 
--- a/tests/gateway/hedging.test.ts
+++ b/tests/gateway/hedging.test.ts
@@ -9,6 +9,7 @@
 import {GatewayMetrics} from '../../src/gateway/gatewayMetrics.js';
 import {HedgePolicy} from '../../src/gateway/hedgePolicy.js';
 import {LatencyEstimates} from '../../src/gateway/latencyEstimates.js';
+import {RequestSuspicion} from '../../src/gateway/requestSuspicion.js';
 import {LeaseEnd} from '../../src/protocol/leaseMessages.js';
 import {RefusalReason, type Refusal} from '../../src/protocol/refusal.js';
 import {
@@ -280,6 +281,32 @@
     expect(text).to.equal(answerText);
   });
 
+  // Guards against a third crash while the marks of the second are on their way,
+  // and against innocent requests that count as guilty by a cut connection.
+  it('should wait for the marks after a suspect broke again', async () => {
+    let marks = 0;
+    const suspicion = new RequestSuspicion(
+      {countCrashes: () => marks, isGuilty: () => marks > 1},
+      'f',
+    );
+    const {signal} = new AbortController();
+    suspicion.noteBroken();
+    await suspicion.waitForMarks(signal);
+    expect(suspicion.countCrashes()).to.equal(1);
+    suspicion.noteBroken();
+    await suspicion.waitForMarks(signal);
+    expect(suspicion.countCrashes()).to.equal(1);
+    marks = 1;
+    let waited = false;
+    const waiting = suspicion.waitForMarks(signal).then(() => (waited = true));
+    await clock.tickAsync(599);
+    expect(waited).to.equal(false);
+    marks = 2;
+    await clock.tickAsync(1);
+    await waiting;
+    expect(suspicion.isGuilty()).to.equal(true);
+  });
+
   // Guards against new priorities that never reach the engine.
   it('should send a new priority to the engine of the stream', async () => {
     await start([call => call.sendTokens(1)]);
