Report the finished runs of an interrupted bench

Cause: a signal threw the measures of all finished runs away, and a caller that left at the deadline itself could not see a refusal at the deadline.

Change: the session ends after the run in progress, prints and writes what was measured and exits with 1; it does so after a failed run, too.

Conclusion: the bench's own tests pass.

--- a/tools/bench/bench.ts
+++ b/tools/bench/bench.ts
@@ -81,10 +81,11 @@
     rows,
   });
   printLine(`written to ${file}`);
+  if (result.isInterrupted || result.failures.length > 0) process.exitCode = 1;
 }
 
 async function runBench(flags: BenchFlags): Promise<void> {
-  // The first signal lets the session end its processes.
+  // The first signal lets the session end its processes and report its runs.
   const interrupt = () => interruption.abort(new Error('interrupted'));
   process.once('SIGINT', interrupt);
   process.once('SIGTERM', interrupt);
--- a/tools/bench/benchSession.ts
+++ b/tools/bench/benchSession.ts
@@ -42,6 +42,8 @@
   capacity: EngineCapacity;
   runs: RunMeasures[];
   failures: RunFailure[];
+  /** True when a signal ended the session before its last run. */
+  isInterrupted: boolean;
 }
 
 /** Runs one system after the other against the same stand-ins. */
@@ -56,7 +58,10 @@
     private readonly signal: AbortSignal,
   ) {}
 
-  /** Starts all processes, runs all experiments and ends all processes. */
+  /**
+   * Starts all processes, runs all experiments and ends all processes. After
+   * an abort the run in progress is the last one.
+   */
   static async run(
     options: BenchSessionOptions,
     signal: AbortSignal,
@@ -80,8 +85,15 @@
       );
       const runner = new ExperimentRunner({fleet, driver, capacity, seed});
       const session = new BenchSession(options, fleet, runner, signal);
-      for (const system of options.systems) await session.runSystem(system);
-      return {capacity, runs: session.runs, failures: session.failures};
+      for (const system of options.systems) {
+        if (!signal.aborted) await session.runSystem(system);
+      }
+      return {
+        capacity,
+        runs: session.runs,
+        failures: session.failures,
+        isInterrupted: signal.aborted,
+      };
     } finally {
       await driver.stop();
       await fleet?.stop();
@@ -123,7 +135,7 @@
     const warmUp = buildWarmUp(this.options.isSmall);
     await this.runner.run(warmUp, system, entryUrls);
     for (const experiment of this.options.experiments) {
-      this.signal.throwIfAborted();
+      if (this.signal.aborted) return;
       if (!this.isRunOn(experiment, system)) continue;
       await this.runOne(experiment, system, entryUrls);
     }
--- a/tools/bench/load/loadRun.ts
+++ b/tools/bench/load/loadRun.ts
@@ -17,6 +17,9 @@
  */
 const earlyWakeMs = 2;
 
+/** Callers wait this much longer for the system's own answer. */
+const refusalGraceMs = 500;
+
 /** A request of this worker, with the way that it takes. */
 export interface DueRequest {
   arrival: Arrival;
@@ -128,7 +131,7 @@
     this.controllers.add(controller);
     const timer = setTimeout(
       () => controller.abort(RequestEnd.GaveUp),
-      this.getDeadlineMs(arrival),
+      this.getDeadlineMs(arrival) + refusalGraceMs,
     );
     const result = await this.sendByRoute(request, controller.signal);
     clearTimeout(timer);
