--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -38,6 +38,17 @@
     /** Shown to engines that verify who sends them an order. */
     engineOrders: z.string().min(minKeyLength).optional(),
   }),
+  /** Graceful leave of a gateway, in milliseconds. */
+  leave: z
+    .strictObject({
+      /** Longest leave; what is then in progress is cut off. */
+      boundMs: z.number().positive().optional(),
+      /** Longest time for which a leaving gateway goes on listening. */
+      listenMs: z.number().positive().optional(),
+      /** Without callers for this time, it stops listening earlier. */
+      quietMs: z.number().positive().optional(),
+    })
+    .optional(),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
 export type Settings = z.infer<typeof settingsSchema>;
@@ -49,12 +60,27 @@
  * readSettings('/etc/anvilstall/settings.json')
  */
 export function readSettings(file: string): Result<Settings, ValidationError> {
-  let document: unknown;
+  let text: string;
   try {
-    document = JSON.parse(fs.readFileSync(file, 'utf8'));
+    text = fs.readFileSync(file, 'utf8');
   } catch (cause) {
     const reason = cause instanceof Error ? cause.message : String(cause);
     return err(new ValidationError(file, [{path: '', reason}]));
   }
+  let document: unknown;
+  try {
+    document = JSON.parse(text);
+  } catch (cause) {
+    const reason = `not valid JSON${describePosition(text, cause)}`;
+    return err(new ValidationError(file, [{path: '', reason}]));
+  }
   return validateDocument(file, settingsSchema, document);
 }
+
+/** Line and column of a syntax error; its message would show parts of keys. */
+function describePosition(text: string, cause: unknown): string {
+  const match = /position (\d+)/.exec(String(cause));
+  if (!match) return '';
+  const lines = text.slice(0, Number(match[1])).split('\n');
+  return ` at line ${lines.length}, column ${lines.at(-1)!.length + 1}`;
+}
--- a/src/gateway/engineStream.ts
+++ b/src/gateway/engineStream.ts
@@ -12,6 +12,8 @@
 import {EngineResponse, ReadKind} from './engineResponse.js';
 import type {OutcomeTracker} from './outcomeTracker.js';
 
+/** Longest event of an engine in characters; a chunk takes a few hundred. */
+const maxEventLength = 256 * 1024;
 /** Time for the end of a response whose answer is whole. */
 const drainLimitMs = 1_000;
 
@@ -59,7 +61,8 @@
   resumeFrom: number;
   /** Milliseconds until the caller's deadline. */
   deadlineMs: number;
-  limits: SilenceLimits;
+  /** Asked again for each wait, because a slot may be demoted meanwhile. */
+  getLimits: () => SilenceLimits;
   connection: EngineConnection;
   tracker: OutcomeTracker;
   signal: AbortSignal;
@@ -146,7 +149,8 @@
       case ReadKind.Failed:
         return {kind: AttemptEndKind.Broken, error: result.error};
       case ReadKind.Silent:
-        return buildSilent();
+        if (reader.computeLimitMs() === 0) return buildSilent();
+        break;
       case ReadKind.Aborted:
         return {kind: AttemptEndKind.Aborted};
     }
@@ -159,7 +163,12 @@
   private readonly pending: string[] = [];
   private readonly parser = createParser({
     onEvent: event => this.pending.push(event.data),
+    onError: ({type}) => {
+      if (type === 'max-buffer-size-exceeded') this.isOverlong = true;
+    },
+    maxBufferSize: maxEventLength,
   });
+  private isOverlong = false;
   private nextIndex: number;
   private lastTokenAtMs = performance.now();
   private hasToken = false;
@@ -170,7 +179,7 @@
 
   /** Milliseconds until the connection counts as silent. */
   computeLimitMs(): number {
-    const {firstTokenMs, betweenTokensMs} = this.options.limits;
+    const {firstTokenMs, betweenTokensMs} = this.options.getLimits();
     const limitMs = this.hasToken ? betweenTokensMs : firstTokenMs;
     return Math.max(0, this.lastTokenAtMs + limitMs - performance.now());
   }
@@ -179,6 +188,9 @@
   async accept(batch: readonly Buffer[]): Promise<AttemptEnd | undefined> {
     for (const bytes of batch) {
       this.parser.feed(this.decoder.decode(bytes, {stream: true}));
+      if (this.isOverlong) {
+        return buildBroken(`an event is longer than ${maxEventLength}`);
+      }
     }
     for (const data of this.pending.splice(0)) {
       const end = await this.acceptEvent(data);
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,34 +1,42 @@
 /** The gateway process: caller side of an entry VM. */
+import type {Configuration} from '../config/configuration.js';
 import type {Settings} from '../config/settings.js';
 import {DaemonNode} from '../node/daemonNode.js';
 import {OperatorServer} from '../node/operatorServer.js';
-import {PeerServer} from '../node/peerServer.js';
 import {RestartPolicy} from '../node/supervisor.js';
+import {SuspectRegistry} from '../node/suspectRegistry.js';
 import {MemberRole} from '../protocol/memberMessages.js';
 import {createGatewayRouter} from '../protocol/peerRouter.js';
 import {AddressAnswers} from './addressAnswers.js';
+import {AddressRoute} from './addressRoute.js';
 import {CallerServer} from './callerServer.js';
+import {ChatRoute} from './chatRoute.js';
 import {ChatService} from './chatService.js';
+import {CustomerLimits} from './customerLimits.js';
 import {PeerDispatcherCalls} from './dispatcherCalls.js';
 import {ExpiryClock} from './expiryClock.js';
+import {defaultLeaveTimes, GatewayLeave} from './gatewayLeave.js';
 import {LinkedGatewayPeers} from './gatewayPeers.js';
 import {LatencyEstimates} from './latencyEstimates.js';
 import {LeaseClient} from './leaseClient.js';
+import {DispatcherLimitSource} from './limitSource.js';
+import {LoadReporter} from './loadReporter.js';
 import {PrefixSealer} from './operationPrefix.js';
 import {Operations} from './operations.js';
-import {ServiceDispatcher} from './serviceDispatcher.js';
-
-/** Time for callers and peers to hear of the leave. */
-const leaveNoticeMs = 1_000;
+import {RequestBudget} from './requestBudget.js';
+import {RequestReader} from './requestReader.js';
+import {retryBudget, ServiceDispatcher} from './serviceDispatcher.js';
+import {ServiceRoute} from './serviceRoute.js';
 
 /** Runs the gateway side on top of a member of the fleet. */
 export class GatewayDaemon {
   readonly node: DaemonNode;
   private readonly leases: LeaseClient;
-  private readonly chat: ChatService;
   private readonly operations: Operations;
+  private readonly limits: CustomerLimits;
+  private readonly chat: ChatService;
   private readonly callers: CallerServer;
-  private peerServer: PeerServer | undefined;
+  private readonly leaving: GatewayLeave;
   private operatorServer: OperatorServer | undefined;
   private stopping: Promise<void> | undefined;
 
@@ -41,9 +49,14 @@
       new PeerDispatcherCalls(this.node.links),
       {latencies},
     );
-    this.chat = new ChatService(this.leases, {latencies});
     const clock = new ExpiryClock();
-    const services = new ServiceDispatcher(this.leases);
+    const retries = new RequestBudget(retryBudget);
+    const services = new ServiceDispatcher(this.leases, retries);
+    this.chat = new ChatService(this.leases, {
+      latencies,
+      retries,
+      suspects: new SuspectRegistry(this.node.broadcaster),
+    });
     this.operations = new Operations({
       node: this.node,
       sealer,
@@ -51,12 +64,31 @@
       sender: services,
       peers: new LinkedGatewayPeers(this.node.links),
     });
-    this.callers = new CallerServer(this.node, {
-      addresses: new AddressAnswers(this.node, sealer, clock),
-      chat: this.chat,
-      services,
-      operations: this.operations.service,
+    const {membership} = this.node;
+    this.limits = new CustomerLimits(new DispatcherLimitSource(this.node), {
+      countGateways: () => membership.listServing(MemberRole.Gateway).length,
+      countListedVms: () => membership.countListedVms(),
     });
+    this.callers = this.createCallerServer(
+      new AddressAnswers({
+        membership: this.node.membership,
+        getConfiguration: () => this.getConfiguration(),
+        sealer,
+        clock,
+        isLeaving: () => !this.operations.records.isAccepting(),
+      }),
+      services,
+    );
+    this.leaving = new GatewayLeave(
+      {
+        announceLeaving: () => this.node.announceLeaving(),
+        callers: this.callers,
+        handover: this.operations.handover,
+        chat: this.chat,
+        log: this.node.log,
+      },
+      {...defaultLeaveTimes, ...settings.leave},
+    );
   }
 
   /** Starts listening and joins the fleet. */
@@ -69,6 +101,14 @@
       restart: RestartPolicy.Always,
       run: signal => daemon.leases.run(signal),
     });
+    const load = new LoadReporter(daemon.node.membership, () =>
+      daemon.callers.countInProgress(),
+    );
+    daemon.node.root.spawn({
+      name: 'load',
+      restart: RestartPolicy.Always,
+      run: signal => load.run(signal),
+    });
     return daemon;
   }
 
@@ -78,40 +118,79 @@
     return this.stopping;
   }
 
-  /** State of the process. */
-  dump(): object {
+  /** Ends a leave that is in progress, or leaves at once. */
+  stopNow(): Promise<void> {
+    this.leaving.end();
+    return this.stop();
+  }
+
+  /** State of the process; with an operation key, also that key's record. */
+  dump(operationKey?: string): object {
     return {
       ...this.node.dump(),
       leasesHeld: this.leases.countHeld(),
       chat: this.chat.describe(),
+      requests: this.callers.describe(),
+      limits: this.limits.describe(),
+      operations: this.operations.describe(),
+      ...(operationKey === undefined
+        ? {}
+        : {operation: this.operations.describeRecord(operationKey)}),
     };
   }
 
+  private createCallerServer(
+    addresses: AddressAnswers,
+    services: ServiceDispatcher,
+  ): CallerServer {
+    const {log, settings} = this.node;
+    const reader = new RequestReader({
+      getConfiguration: () => this.getConfiguration(),
+      log,
+    });
+    const addressRoute = new AddressRoute(reader, addresses);
+    const chatRoute = new ChatRoute(reader, this.chat, this.limits);
+    const serviceRoute = new ServiceRoute(
+      reader,
+      services,
+      this.operations.service,
+      this.limits,
+    );
+    return new CallerServer(
+      {host: settings.address, port: settings.ports.callers, log},
+      {
+        addresses: (c, request) => addressRoute.handle(c, request),
+        chat: (c, request) => chatRoute.handle(c, request),
+        services: (c, request) => serviceRoute.handle(c, request),
+      },
+    );
+  }
+
+  /** The configuration, once it is known to be the newest reachable one. */
+  private getConfiguration(): Configuration | undefined {
+    return this.node.isReady()
+      ? this.node.config.getConfiguration()
+      : undefined;
+  }
+
   private async leave(): Promise<void> {
-    this.node.announceLeaving();
-    await new Promise(resolve => setTimeout(resolve, leaveNoticeMs));
-    await this.callers.stop();
-    await this.chat.drain();
+    await this.leaving.run();
     await this.node.stop();
-    await this.peerServer?.stop();
     await this.operatorServer?.stop();
   }
 
   private async listen(): Promise<void> {
     const {settings} = this.node;
-    this.peerServer = await PeerServer.start({
-      host: settings.address,
-      port: settings.ports.gatewayPeers,
-      peerKey: settings.keys.peer,
-      router: createGatewayRouter(this.node.members, this.operations.service),
-    });
+    await this.node.startPeerServer(
+      createGatewayRouter(this.node.members, this.operations.service),
+    );
     this.operatorServer = await OperatorServer.start({
       host: settings.operatorAddress,
       port: settings.ports.gatewayOperators,
       operatorKey: settings.keys.operator,
       actions: {
-        dump: () => this.dump(),
-        isReady: () => this.node.config.getConfiguration() !== undefined,
+        dump: operationKey => this.dump(operationKey),
+        isReady: () => this.getConfiguration() !== undefined,
         drain: () => void this.stop(),
       },
     });
--- a/src/gateway/operationRecord.ts
+++ b/src/gateway/operationRecord.ts
@@ -89,10 +89,6 @@
     return this.attempt === attempt && this.state === OperationState.Accepted;
   }
 
-  countWaiters(): number {
-    return this.waiters.size;
-  }
-
   /** Memory of the record without what an attempt needs, in bytes. */
   computeBytes(): number {
     const answer = this.result?.isOk() ? this.result.value.body.length : 0;
@@ -104,6 +100,24 @@
     return Math.max(0, ...[...this.waiters].map(w => w.deadlineAtMs));
   }
 
+  /** State for the dump, without key, body and answer. */
+  describe(): object {
+    const {issuer, customerId, bodyDigest, expiresAtMs} = this.identity;
+    return {
+      known: true,
+      state: this.state,
+      running: this.isRunning(),
+      waiters: this.waiters.size,
+      sealed: this.sealed,
+      issuer,
+      customerId,
+      bodyDigest,
+      expiresAt: new Date(expiresAtMs).toISOString(),
+      ...(this.result?.isOk() ? {status: this.result.value.status} : {}),
+      ...(this.result?.isErr() ? {reason: this.result.error.reason} : {}),
+    };
+  }
+
   /** Restores a record that another gateway handed over. */
   adoptResult(result: OperationAnswer): void {
     this.result = result;
