Close the driver's idle connections before the servers do

Cause: one of 414 requests at half load ended with UND_ERR_SOCKET while the machine was busy. The driver could keep connections as long as the gateways do, so that a request can meet a connection that is being closed.

Ruled out: nothing else was examined; the error was seen once.

Change: idle connections of the driver end after 2 s; Node.js servers keep them for 5 s.

--- a/tools/bench/load/loadRun.ts
+++ b/tools/bench/load/loadRun.ts
@@ -32,7 +32,10 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
-    keepAliveTimeout: 10_000,
+    // Shorter than that of Node.js servers, 5 s: a request must not meet a
+    // connection that is being closed.
+    keepAliveTimeout: 2_000,
+    keepAliveMaxTimeout: 2_000,
   });
   private readonly random: SeededRandom;
   private readonly records: RequestRecord[] = [];
