Accept customer ids with dots in callers' keys

Cause: the key was split at its first dot, but configured ids may hold dots. Ruled out: the last dot; secrets may hold dots too. Change: the longest customer id that exists counts. A test covers draws for waiting requests above a slice; it fails when they are capped.

--- a/src/gateway/authenticator.ts
+++ b/src/gateway/authenticator.ts
@@ -24,8 +24,8 @@
   header: string | undefined,
   configuration: Configuration,
 ): Result<AuthenticatedCustomer, Refusal> {
-  const match = /^Bearer ([^.\s]+)\.(\S+)$/.exec(header ?? '');
-  const [, customerId = '', secret = ''] = match ?? [];
+  const [, text = ''] = /^Bearer (\S+)$/.exec(header ?? '') ?? [];
+  const {customerId, secret} = splitKey(text, configuration);
   const customer = Object.hasOwn(configuration.customers, customerId)
     ? configuration.customers[customerId]
     : undefined;
@@ -44,3 +44,16 @@
     ),
   );
 }
+
+/** Customer ids may contain dots; the longest one that exists counts. */
+function splitKey(
+  text: string,
+  {customers}: Configuration,
+): {customerId: string; secret: string} {
+  let end = text.lastIndexOf('.');
+  while (end > 0 && !Object.hasOwn(customers, text.slice(0, end))) {
+    end = text.lastIndexOf('.', end - 1);
+  }
+  if (end <= 0) return {customerId: '', secret: text};
+  return {customerId: text.slice(0, end), secret: text.slice(end + 1)};
+}
--- a/tests/gateway/customerLimits.test.ts
+++ b/tests/gateway/customerLimits.test.ts
@@ -114,6 +114,18 @@
     }
   });
 
+  // Guards against throwing away what was drawn for requests that wait.
+  it('should use all that was drawn for a burst above a slice', async () => {
+    const slow = {...customer, requestsPerSecond: 4};
+    const pending = Array.from({length: 8}, () =>
+      gateways[0].accept('large', slow, true),
+    );
+    await clock.tickAsync(10);
+    for (const result of await Promise.all(pending)) {
+      expect(result.isOk()).to.equal(true);
+    }
+  });
+
   // Guards against customers that get more than their limit.
   it('should hold the limit over all gateways in a burst', async () => {
     createGateways(4);
