Make grant decisions cheaper and bound timer delays

Cause: each pick asked every waiting entry for its eligibility and every entry for a grant in excess; a deadline beyond 2^31 ms made its timer fire at once. Ruled out: caching the order itself, which changes with every credit. Change: the head of a customer queue is kept until an entry comes or goes; the answer about grants in excess is kept per tier; longer delays set no timer.

--- a/src/dispatcher/acquireRules.ts
+++ b/src/dispatcher/acquireRules.ts
@@ -70,7 +70,7 @@
   /** False for guilty requests, and for a suspect beside another one. */
   isRunnable(acquire: Acquire): boolean {
     if (this.suspects.isGuilty(acquire)) return false;
-    return !this.suspects.isBlocked(acquire, this.leases.list());
+    return !this.suspects.isBlocked(acquire, this.leases);
   }
 
   /** Reason to refuse an acquisition that has been queued. */
--- a/src/dispatcher/classScheduler.ts
+++ b/src/dispatcher/classScheduler.ts
@@ -122,13 +122,13 @@
   }
 
   /** Returns the entry to serve next, without a change of state. */
-  pickNext(
-    isEligible: (entry: E) => boolean = () => true,
-  ): ScheduledPick<E> | undefined {
+  pickNext(isEligible?: (entry: E) => boolean): ScheduledPick<E> | undefined {
     let best: {state: ClassState<E>; entry: E} | undefined;
     for (const state of this.states.values()) {
       if (state.queue.length === 0) continue;
-      const entry = state.queue.findHead(isEligible);
+      const entry = isEligible
+        ? state.queue.findHead(isEligible)
+        : state.queue.getHead();
       if (!entry) continue;
       const candidate = {state, entry};
       if (!best || isBefore(candidate, best)) best = candidate;
--- a/src/dispatcher/fairQueue.ts
+++ b/src/dispatcher/fairQueue.ts
@@ -17,6 +17,8 @@
   private finishTags = new Map<string, number>();
   private virtualTime = 0;
   private size = 0;
+  /** Kept until an entry is added or removed. */
+  private head: E | undefined;
 
   /** Number of waiting entries. */
   get length(): number {
@@ -26,6 +28,7 @@
   /** Adds an entry behind the others of its customer. */
   push(entry: E): void {
     this.size += 1;
+    this.head = undefined;
     const waiting = this.customers.get(entry.customer);
     if (waiting) {
       waiting.entries.push(entry);
@@ -36,6 +39,12 @@
     this.customers.set(entry.customer, {entries: [entry], startTag});
   }
 
+  /** Returns the entry to serve next. */
+  getHead(): E | undefined {
+    this.head ??= this.findHead(() => true);
+    return this.head;
+  }
+
   /** Returns the entry to serve next among the eligible ones. */
   findHead(isEligible: (entry: E) => boolean): E | undefined {
     let head: E | undefined;
@@ -67,6 +76,7 @@
     if (!waiting || index < 0) return false;
     waiting.entries.splice(index, 1);
     this.size -= 1;
+    this.head = undefined;
     if (waiting.entries.length === 0) this.customers.delete(entry.customer);
     if (this.size === 0) this.resetTags();
     return true;
--- a/src/dispatcher/slotGate.ts
+++ b/src/dispatcher/slotGate.ts
@@ -66,8 +66,14 @@
     if (!mayOverGrant || this.grace.isActive(nowMs)) return undefined;
     // Only engines pause work of a lower priority; plain services don't.
     if (this.server.kind !== BackendServerKind.ModelEngine) return undefined;
-    const canOverGrant = (entry: WaitingEntry) =>
-      this.slots.allowOverGrant(waiting.getTier(entry.className));
+    // The answer depends on the tier alone, and many entries may be asked for.
+    const byTier = new Map<number, boolean>();
+    const canOverGrant = (entry: WaitingEntry) => {
+      const tier = waiting.getTier(entry.className);
+      const allowed = byTier.get(tier) ?? this.slots.allowOverGrant(tier);
+      byTier.set(tier, allowed);
+      return allowed;
+    };
     // A class whose minimum share is due must not be overtaken by excess work.
     if (next.due) return canOverGrant(next.entry) ? next : undefined;
     return waiting.pickNext(entry => isEligible(entry) && canOverGrant(entry));
--- a/src/dispatcher/suspectRules.ts
+++ b/src/dispatcher/suspectRules.ts
@@ -5,6 +5,7 @@
   type SuspectRegistry,
 } from '../node/suspectRegistry.js';
 import type {HeldLease} from './heldLease.js';
+import type {LeaseTable} from './leaseTable.js';
 
 /** What the rules need to know of a request. */
 export type SuspectSource = Pick<HeldLease, 'fingerprint' | 'suspectCount'>;
@@ -26,9 +27,9 @@
   }
 
   /** True when a request would run beside another suspect. */
-  isBlocked(source: SuspectSource, inFlight: readonly HeldLease[]): boolean {
+  isBlocked(source: SuspectSource, leases: LeaseTable): boolean {
     if (this.countCrashes(source) === 0) return false;
-    return inFlight.some(lease => this.countCrashes(lease) > 0);
+    return leases.list().some(lease => this.countCrashes(lease) > 0);
   }
 
   /** Time until a guilty request may run again. */
--- a/src/dispatcher/waitingEntry.ts
+++ b/src/dispatcher/waitingEntry.ts
@@ -6,6 +6,9 @@
 } from '../protocol/leaseMessages.js';
 import type {SchedulerEntry} from './classScheduler.js';
 
+/** Longest delay of a timer of the runtime, in milliseconds. */
+const maxTimerMs = 2 ** 31 - 1;
+
 /** A grant or a refusal. */
 export type FinalLeaseEvent = Exclude<
   LeaseEvent,
@@ -68,6 +71,8 @@
   private watchTime(endAtMs: number, handler: () => void): void {
     clearTimeout(this.timer);
     const delayMs = Math.max(0, endAtMs - Date.now());
+    // A longer delay would overflow and end at once.
+    if (delayMs > maxTimerMs) return;
     this.timer = setTimeout(handler, delayMs).unref();
   }
 }
--- a/tests/dispatcher/backendServerQueue.test.ts
+++ b/tests/dispatcher/backendServerQueue.test.ts
@@ -131,6 +131,19 @@
     expect(first.getResult()).to.equal(LeaseRefusal.DeadlineExceeded);
   });
 
+  // Guards against a timer that overflows and refuses at once.
+  it('should let a request wait that names no end', async () => {
+    const queue = buildQueue(twoTiers);
+    startCaller(queue, 'urgent');
+    const endless = {deadlineMs: 1e12, latestStartMs: 1e12};
+    // The first of a class is treated in another way.
+    const callers = [1, 2].map(() => startCaller(queue, 'urgent', endless));
+    await clock.tickAsync(1_000);
+    for (const caller of callers) {
+      expect(caller.getResult()).to.equal(undefined);
+    }
+  });
+
   // Guards against a full queue of low tiers that locks urgent work out.
   it('should evict lower tiers for urgent work, but not their last', async () => {
     const queue = buildQueue(twoTiers, {maxQueueLength: 2});
