Keep a burst of membership news from keeping itself up

Cause: with 100 daemons started together in one process (real sockets), late answers caused suspicions, and each suspicion and refutation caused pushes over new connections, which made more answers late. It never settled.

Change: a member pushes at most every 100 ms and, when it has 8 open connections, over those only; it repeats 2 own suspicions a period. stop() waits until a few members know of the farewell, because the push may be delayed now.

--- a/src/node/daemonNode.ts
+++ b/src/node/daemonNode.ts
@@ -153,8 +153,7 @@
   /** Tells the others that this process is gone, and stops all tasks. */
   async stop(): Promise<void> {
     this.membership.updateSelf({state: MemberState.Dead});
-    this.members.announceSelf();
-    await new Promise(resolve => setTimeout(resolve, farewellMs));
+    await this.members.announceSelfNow();
     await this.kill();
   }
 
@@ -211,8 +210,6 @@
 }
 
 const readyPollMs = 20;
-/** Time for the last broadcast to leave, in milliseconds. */
-const farewellMs = 50;
 
 function buildSelf(
   settings: Settings,
--- a/src/node/memberService.ts
+++ b/src/node/memberService.ts
@@ -37,8 +37,14 @@
 const maxOwnDelayMs = 250;
 /** Members that a new item is pushed to at once. */
 const pushFanout = 3;
+/** With so many open connections, pushes open no new ones. */
+const enoughOpenLinks = 8;
+/** Own suspicions that are checked again in each period. */
+const repeatedProbes = 2;
 /** Items that arrive within this time travel in one push. */
 const pushDelayMs = 5;
+/** Least time between pushes, so that many items don't become many messages. */
+const pushIntervalMs = 100;
 
 /** Gets the configuration head that a peer has shown. */
 export type HeadListener = (head: ConfigHead, peer: Member) => void;
@@ -47,6 +53,7 @@
 export class MemberService implements MemberHandlers {
   private probeOrder: Member[] = [];
   private pushTimer: NodeJS.Timeout | undefined;
+  private lastPushAtMs = -Infinity;
   private headListener: HeadListener = () => {};
 
   constructor(
@@ -70,7 +77,8 @@
     await waitFor(Math.random() * pingIntervalMs, signal);
     while (!signal.aborted) {
       this.probeNext();
-      for (const suspect of this.membership.listSuspectedHere()) {
+      const suspects = shuffle(this.membership.listSuspectedHere());
+      for (const suspect of suspects.slice(0, repeatedProbes)) {
         void this.pingAddress(suspect.peerAddress);
       }
       for (const dead of this.membership.expireSuspects()) {
@@ -92,6 +100,12 @@
     this.publishMember(this.membership.getSelf());
   }
 
+  /** Tells a few members at once, and resolves when they know. */
+  async announceSelfNow(): Promise<void> {
+    this.announceSelf();
+    await this.push();
+  }
+
   /** Pings an address, e.g. one from the VM list, and merges the answer. */
   async pingAddress(
     peerAddress: string,
@@ -252,21 +266,39 @@
     return shuffle(others).slice(0, count);
   }
 
+  /**
+   * Members with an open connection, which are those pinged lately. The order
+   * of pings is random, so these are a random part of the fleet too.
+   */
+  private pickPushTargets(): Member[] {
+    const others = this.pickOthers(Infinity);
+    const open = others.filter(({peerAddress}) =>
+      this.links.isOpen(peerAddress),
+    );
+    const candidates = open.length >= enoughOpenLinks ? open : others;
+    return candidates.slice(0, pushFanout);
+  }
+
   private schedulePush(): void {
-    this.pushTimer ??= setTimeout(() => this.push(), pushDelayMs);
+    const nextAtMs = this.lastPushAtMs + pushIntervalMs;
+    const delayMs = Math.max(pushDelayMs, nextAtMs - performance.now());
+    this.pushTimer ??= setTimeout(() => void this.push(), delayMs);
   }
 
-  private push(): void {
+  private async push(): Promise<void> {
+    clearTimeout(this.pushTimer);
     this.pushTimer = undefined;
+    this.lastPushAtMs = performance.now();
     const from = this.membership.getSelf().incarnation;
-    for (const {peerAddress} of this.pickOthers(pushFanout)) {
+    const pushes = this.pickPushTargets().map(({peerAddress}) => {
       const push = {from, items: this.broadcaster.takeItems()};
-      if (push.items.length === 0) return;
-      void this.links.callGateway(
+      if (push.items.length === 0) return undefined;
+      return this.links.callGateway(
         peerAddress,
         pingDeadlineMs,
         (client, signal) => client.members.push.mutate(push, {signal}),
       );
-    }
+    });
+    await Promise.all(pushes);
   }
 }
--- a/src/node/peerLinks.ts
+++ b/src/node/peerLinks.ts
@@ -103,6 +103,11 @@
     });
   }
 
+  /** True when a connection to a peer is open and has been used. */
+  isOpen(address: string): boolean {
+    return this.links.get(address)?.hasReceivedSince(0) ?? false;
+  }
+
   /** Closes the connection to a peer; the next call opens a new one. */
   drop(address: string): void {
     this.links.get(address)?.close('the connection was dropped');
--- a/tests/support/simulatedFleet.ts
+++ b/tests/support/simulatedFleet.ts
@@ -133,6 +133,7 @@
     };
     const links = {
       callGateway,
+      isOpen: () => false,
       close: () => {},
       describeTraffic: () => ({}),
     };
--- a/tools/measureIdle.ts
+++ b/tools/measureIdle.ts
@@ -15,7 +15,9 @@
 } from '../tests/support/daemons.js';
 import {PlatformServer} from '../tests/support/platformServer.js';
 
+/** Time for the broadcasts of the common start to end. */
 const settleMs = 25_000;
+const settlePollMs = 500;
 const measuredMs = 30_000;
 const zones = ['za', 'zb', 'zc'];
 
@@ -57,6 +59,9 @@
     ),
   );
   await new Promise(resolve => setTimeout(resolve, settleMs));
+  while (nodes.some(node => node.broadcaster.countQueued() > 0)) {
+    await new Promise(resolve => setTimeout(resolve, settlePollMs));
+  }
   const before = takeSample(nodes);
   const cpuBefore = process.cpuUsage();
   await new Promise(resolve => setTimeout(resolve, measuredMs));
