Share the lease service's test fixture and name the call gap detector

Cause: three test files set the lease service up in the same lines, and two classes were named PauseDetector. Ruled out: one detector for both; the member's ticks on a timer that may fire after the first message.

--- a/src/dispatcher/leaseService.ts
+++ b/src/dispatcher/leaseService.ts
@@ -26,7 +26,7 @@
 import {EjectionBoard} from './ejectionBoard.js';
 import {FleetShare} from './fleetShare.js';
 import {LeaseStats} from './leaseStats.js';
-import {PauseDetector} from './pauseDetector.js';
+import {CallGapDetector} from './callGapDetector.js';
 import type {SharedState} from './sharedState.js';
 import {StreamLengths} from './streamLengths.js';
 
@@ -50,7 +50,7 @@
   private readonly queues = new Map<string, BackendServerQueue>();
   private readonly shared: SharedState;
   private readonly budgets: CustomerBudgets;
-  private readonly pauses = new PauseDetector();
+  private readonly pauses = new CallGapDetector();
   private leavingServers = new Set<string>();
 
   constructor(
--- a/tests/dispatcher/crashSuspects.test.ts
+++ b/tests/dispatcher/crashSuspects.test.ts
@@ -1,11 +1,10 @@
-import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {crashWindowMs} from '../../src/dispatcher/crashDetector.js';
 import {EngineClient} from '../../src/dispatcher/engineClient.js';
-import {graceMs} from '../../src/dispatcher/graceLimit.js';
-import {LeaseService} from '../../src/dispatcher/leaseService.js';
+import type {LeaseService} from '../../src/dispatcher/leaseService.js';
 import {Broadcaster} from '../../src/node/broadcaster.js';
 import {
   suspectMarkLifetimeMs,
@@ -21,7 +20,7 @@
   BroadcastKind,
   type SuspectMark,
 } from '../../src/protocol/memberMessages.js';
-import {FakeNode} from './fakeNode.js';
+import type {FakeNode} from './fakeNode.js';
 import {
   buildAcquire,
   buildConfiguration,
@@ -29,38 +28,22 @@
   Caller,
   settlePromises,
 } from './fixtures.js';
+import {LeaseServiceFixture} from './leaseServiceFixture.js';
 
 describe('requests that crash servers', () => {
-  let clock: FakeTimers.Clock;
+  let fixture: LeaseServiceFixture;
+  let clock: Clock;
   let node: FakeNode;
   let service: LeaseService;
-  let refusing: boolean;
-  let stop: AbortController;
-  let running: Promise<void>;
 
   beforeEach(async () => {
-    clock = FakeTimers.install({
-      now: 1_000_000,
-      toFake: ['Date', 'setTimeout', 'clearTimeout'],
-    });
-    node = new FakeNode();
-    refusing = false;
-    service = new LeaseService(node as never, {
-      isRefusing: async () => refusing,
-    });
-    node.applyConfig(
+    fixture = await LeaseServiceFixture.start(
       buildConfiguration({c: {tier: 0}}, {slots: 4, engines: 2}),
     );
-    stop = new AbortController();
-    running = service.run(stop.signal);
-    await clock.tickAsync(graceMs);
+    ({clock, node, service} = fixture);
   });
 
-  afterEach(async () => {
-    stop.abort();
-    await running;
-    clock.uninstall();
-  });
+  afterEach(() => fixture.stop());
 
   async function startCaller(
     fingerprint: string,
@@ -95,9 +78,9 @@
     for (const fingerprint of fingerprints) {
       callers.push(await startCaller(fingerprint, {backendServer}));
     }
-    refusing = true;
+    fixture.refusing = true;
     for (const caller of callers) await release(caller, LeaseEnd.Broken);
-    refusing = false;
+    fixture.refusing = false;
   }
 
   // Guards against innocent requests that are refused for a broken connection.
@@ -119,7 +102,7 @@
       await release(caller, LeaseEnd.Broken);
     }
     clock.tick(2 * crashWindowMs);
-    refusing = true;
+    fixture.refusing = true;
     await release(callers[3], LeaseEnd.Broken);
     const marks = listMarks();
     expect(marks.map(mark => mark.fingerprint)).to.have.members([
--- a/tests/dispatcher/leaseService.test.ts
+++ b/tests/dispatcher/leaseService.test.ts
@@ -1,8 +1,8 @@
-import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {BackendServerState} from '../../src/config/configuration.js';
 import {graceMs} from '../../src/dispatcher/graceLimit.js';
-import {LeaseService} from '../../src/dispatcher/leaseService.js';
+import type {LeaseService} from '../../src/dispatcher/leaseService.js';
 import {firstRenewalMs} from '../../src/dispatcher/leaseTable.js';
 import {
   LeaseEventKind,
@@ -11,7 +11,7 @@
 } from '../../src/protocol/leaseMessages.js';
 import {MemberRole, MemberState} from '../../src/protocol/memberMessages.js';
 import {VmState} from '../../src/protocol/platformApi.js';
-import {buildMember, FakeNode} from './fakeNode.js';
+import {buildMember, type FakeNode} from './fakeNode.js';
 import {
   buildAcquire,
   buildConfiguration,
@@ -19,34 +19,22 @@
   Caller,
   settlePromises,
 } from './fixtures.js';
+import {LeaseServiceFixture} from './leaseServiceFixture.js';
 
 describe('lease service', () => {
-  let clock: FakeTimers.Clock;
+  let fixture: LeaseServiceFixture;
+  let clock: Clock;
   let node: FakeNode;
   let service: LeaseService;
-  let stop: AbortController;
-  let running: Promise<void>;
 
   beforeEach(async () => {
-    clock = FakeTimers.install({
-      now: 1_000_000,
-      toFake: ['Date', 'setTimeout', 'clearTimeout'],
-    });
-    node = new FakeNode();
-    service = new LeaseService(node as never, {
-      isRefusing: async () => false,
-    });
-    node.applyConfig(buildConfiguration({c: {tier: 0}}, {slots: 2}));
-    stop = new AbortController();
-    running = service.run(stop.signal);
-    await clock.tickAsync(graceMs);
+    fixture = await LeaseServiceFixture.start(
+      buildConfiguration({c: {tier: 0}}, {slots: 2}),
+    );
+    ({clock, node, service} = fixture);
   });
 
-  afterEach(async () => {
-    stop.abort();
-    await running;
-    clock.uninstall();
-  });
+  afterEach(() => fixture.stop());
 
   function startCaller(change: Partial<Acquire> = {}): Caller {
     return new Caller(service, buildAcquire('c', change));
--- a/tests/dispatcher/serverHealth.test.ts
+++ b/tests/dispatcher/serverHealth.test.ts
@@ -1,8 +1,7 @@
-import FakeTimers from '@sinonjs/fake-timers';
+import type {Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {EjectionBoard} from '../../src/dispatcher/ejectionBoard.js';
-import {graceMs} from '../../src/dispatcher/graceLimit.js';
-import {LeaseService} from '../../src/dispatcher/leaseService.js';
+import type {LeaseService} from '../../src/dispatcher/leaseService.js';
 import {
   probeIntervalMs,
   probeRequestMs,
@@ -14,7 +13,7 @@
   type Release,
 } from '../../src/protocol/leaseMessages.js';
 import {BroadcastKind} from '../../src/protocol/memberMessages.js';
-import {FakeNode} from './fakeNode.js';
+import type {FakeNode} from './fakeNode.js';
 import {
   buildAcquire,
   buildConfiguration,
@@ -22,40 +21,26 @@
   Caller,
   settlePromises,
 } from './fixtures.js';
+import {LeaseServiceFixture} from './leaseServiceFixture.js';
 
 const slow: Partial<Release> = {slowness: 10};
 const normal: Partial<Release> = {slowness: 1};
 const unreachable: Partial<Release> = {end: LeaseEnd.ConnectFailed};
 
 describe('health of backend servers', () => {
-  let clock: FakeTimers.Clock;
+  let fixture: LeaseServiceFixture;
+  let clock: Clock;
   let node: FakeNode;
   let service: LeaseService;
-  let stop: AbortController;
-  let running: Promise<void>;
 
   beforeEach(async () => {
-    clock = FakeTimers.install({
-      now: 1_000_000,
-      toFake: ['Date', 'setTimeout', 'clearTimeout'],
-    });
-    node = new FakeNode();
-    service = new LeaseService(node as never, {
-      isRefusing: async () => false,
-    });
-    node.applyConfig(
+    fixture = await LeaseServiceFixture.start(
       buildConfiguration({c: {tier: 0}}, {slots: 2, engines: 3}),
     );
-    stop = new AbortController();
-    running = service.run(stop.signal);
-    await clock.tickAsync(graceMs);
+    ({clock, node, service} = fixture);
   });
 
-  afterEach(async () => {
-    stop.abort();
-    await running;
-    clock.uninstall();
-  });
+  afterEach(() => fixture.stop());
 
   /** Acquires at once and releases as told; returns the result. */
   async function runOnce(
