Draw again for tokens that were charged during a draw

Cause: an answer that ended while a draw was on its way left the budget below zero after it, which was taken for a refused draw; the customer was then refused with customerLimit for 250 ms, far below its limit. Change: a draw blocks the budget only when it gave less than it was asked for. Seen: the new test fails without the change.

--- a/src/gateway/customerBudget.ts
+++ b/src/gateway/customerBudget.ts
@@ -108,7 +108,8 @@
     this.add(rates, requests, tokens);
     const afterMs = performance.now() + (retryAfterMs || defaultRetryMs);
     if (requests < Math.min(1, demand.requests)) this.requestsAfterMs = afterMs;
-    if (this.tokens < 0) this.tokensAfterMs = afterMs;
+    // Answers that ended during the draw may owe more than it asked for.
+    if (tokens < demand.tokens) this.tokensAfterMs = afterMs;
   }
 
   /** Asks for what the last slice took, and for what is owed or waits. */
--- a/tests/gateway/customerLimits.test.ts
+++ b/tests/gateway/customerLimits.test.ts
@@ -154,6 +154,22 @@
     expect(await sendLoad(4, 5)).to.equal(20);
   });
 
+  // Guards against the refusal of a customer far below its limit, because an
+  // answer ended while a draw for the tokens of another one was on its way.
+  it('should draw again for tokens that were charged during a draw', async () => {
+    const accept = () => gateways[0].accept('large', customer, true);
+    const pending = [accept(), accept()];
+    await clock.tickAsync(5);
+    const [first, second] = (await Promise.all(pending)).map(result =>
+      result._unsafeUnwrap(),
+    );
+    first.release(20);
+    const third = accept();
+    second.release(60);
+    await clock.tickAsync(10);
+    expect((await third).isOk()).to.equal(true);
+  });
+
   // Guards against the refusal of a customer far below its limit, because one
   // draw had no answer right after another one.
   it('should wait for its share after a failed draw', async () => {
