--- a/src/node/configStore.ts
+++ b/src/node/configStore.ts
@@ -1,7 +1,7 @@
 /** The numbered configuration that a process holds. */
-import jsonPatch from 'fast-json-patch';
 import {err, ok, type Result} from 'neverthrow';
 import {computeConfigDigest} from '../protocol/configDigest.js';
+import {applyOperations} from '../config/applyOperations.js';
 import {
   configurationSchema,
   type Configuration,
@@ -222,27 +222,15 @@
 /** Applies a change to a copy of a document and checks the digest. */
 function applyPatch(
   document: unknown,
-  change: ConfigChange,
+  {number, operations, digest}: ConfigChange,
 ): Result<unknown, PatchError> {
-  try {
-    const copy: unknown = structuredClone(document);
-    const operations = change.operations as jsonPatch.Operation[];
-    const patched: unknown = jsonPatch.applyPatch(
-      copy,
-      operations,
-      true,
-    ).newDocument;
-    if (computeConfigDigest(patched) !== change.digest) {
-      return err(
-        new PatchError(
-          `the result of change ${change.number} has another digest`,
-        ),
-      );
-    }
-    return ok(patched);
-  } catch (cause) {
-    return err(
-      new PatchError(`change ${change.number} does not apply`, {cause}),
+  return applyOperations(document, operations)
+    .mapErr(cause => new PatchError(`change ${number} does not apply`, {cause}))
+    .andThen(patched =>
+      computeConfigDigest(patched) === digest
+        ? ok(patched)
+        : err(
+            new PatchError(`the result of change ${number} has another digest`),
+          ),
     );
-  }
 }
