Rank requests at engines by customer tier, then by route tier

Log with tiers: customers of this site have tiers 0 and 1, which replace those of routes, so queries (route tier 0) and captions (route tier 1) of one customer had the same rank, and the newest of them was stopped, a query while captions ran on. Ruled out: memory of the engines (64 short streams use about a third of it); ranks in the wrong order (tier-0 requests waited 40 to 110 ms, tier-1 requests 300 to 700 ms at the same moment). Change: UrgencyScale ranks by the customer's tier and, within it, by the route's. The log lines of a request name its rank.

--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -41,11 +41,6 @@
 const finalFailureCostMs = 600;
 /** Status from which an answer of a backend server is its failure. */
 const firstServerError = 500;
-/** The most urgent rank that the router gives, and the least. */
-const firstUrgency = 2;
-const lastUrgency = 8;
-/** Ranks from one tier to the next. */
-const urgencyStep = 2;
 /**
  * Callers leave a stream after a gap of two seconds, four times the target or
  * eight times the longest pause, whichever is longest.
@@ -77,7 +72,8 @@
   readonly route: Route;
   readonly service: string;
   readonly customer?: string;
-  readonly tier: number;
+  /** Rank at an engine from 0, the most urgent, to 9. */
+  readonly urgency: number;
   readonly body: Buffer;
   /** Longest answer that is taken, in bytes. */
   readonly maxAnswerBytes: number;
@@ -277,7 +273,7 @@
         deadlineMs: this.remainingMs,
         customer: this.request.customer,
         lastEventId: resumesAfter,
-        urgency: isEngine ? this.computeUrgency() : undefined,
+        urgency: isEngine ? this.request.urgency : undefined,
         fetchFrom,
       }),
       body,
@@ -441,12 +437,6 @@
     });
   }
 
-  /** Rank at an engine: tiers in order, so that none yields to a lesser one. */
-  private computeUrgency(): number {
-    const rank = firstUrgency + Math.max(0, this.request.tier) * urgencyStep;
-    return Math.min(lastUrgency, rank);
-  }
-
   private noteAnswer(selection: Selection, status: number): void {
     const {exchange, route} = this.request;
     const ms = performance.now() - exchange.startedAtMs;
@@ -465,6 +455,7 @@
       requestId: exchange.request.attemptId,
       route: route.name,
       server: selection.server.id,
+      urgency: this.request.urgency,
       cause,
       sends: this.sends,
       unreadTokens: selection.unreadTokens,
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -39,7 +39,8 @@
   readonly route: Route;
   readonly table: RouteTable;
   readonly customer?: string;
-  readonly tier: number;
+  /** Rank at an engine from 0, the most urgent, to 9. */
+  readonly urgency: number;
 }
 
 /** HTTP server of callers. */
@@ -143,7 +144,7 @@
       this.refuse(exchange, admission);
       return;
     }
-    const {route, table, customer, tier} = admission;
+    const {route, table, customer, urgency} = admission;
     const {limits} = table.deployment;
     const body = await this.readBody(exchange, limits.maxBodyBytes);
     if (body === undefined) return;
@@ -159,7 +160,7 @@
       route,
       service,
       customer,
-      tier,
+      urgency,
       body,
       maxAnswerBytes: limits.maxBodyBytes,
     });
@@ -200,8 +201,8 @@
       const message = 'key is missing or belongs to no customer';
       return new Refusal(RefusalReason.BadKey, Outcome.NotRun, message);
     }
-    const tier = customer?.tier ?? route.tier;
-    return {route, table, customer: customer?.name, tier};
+    const urgency = table.getUrgency(route, customer);
+    return {route, table, customer: customer?.name, urgency};
   }
 
   /** Reads a body; undefined when it is too long or its caller has gone. */
--- a/src/router/routeTable.ts
+++ b/src/router/routeTable.ts
@@ -5,6 +5,7 @@
   Route,
   WeightedService,
 } from './deployment.js';
+import {UrgencyScale} from './urgencyScale.js';
 
 /**
  * Index over one version of the deployment.
@@ -15,8 +16,10 @@
 export class RouteTable {
   private readonly routesByHost = new Map<string, Route[]>();
   private readonly customersByKey = new Map<string, Customer>();
+  private readonly urgencies: UrgencyScale;
 
   constructor(readonly deployment: Deployment) {
+    this.urgencies = new UrgencyScale(deployment);
     for (const route of deployment.routes) {
       const host = route.host.toLowerCase();
       const routes = this.routesByHost.get(host) ?? [];
@@ -43,6 +46,11 @@
     return this.customersByKey.get(key);
   }
 
+  /** Rank of a request at an engine from 0, the most urgent, to 9. */
+  getUrgency(route: Route, customer?: Customer): number {
+    return this.urgencies.compute(route, customer);
+  }
+
   /** True when requests of routes that aren't public carry a key. */
   get requiresKeys(): boolean {
     return this.deployment.customers !== undefined;
--- a/tests/router/plainCodec.ts
+++ b/tests/router/plainCodec.ts
@@ -58,10 +58,11 @@
   }
 
   encodeRequest(headers: RawHeaders, request: BackendRequest): string[] {
-    const {serverId, deadlineMs, customer, lastEventId} = request;
+    const {serverId, deadlineMs, customer, lastEventId, urgency} = request;
     const encoded = [...copy(headers), 'x-server', serverId];
     encoded.push('x-left', String(Math.floor(deadlineMs)));
     if (customer !== undefined) encoded.push('x-customer', customer);
+    if (urgency !== undefined) encoded.push('x-urgency', `${urgency}`);
     if (lastEventId !== undefined) encoded.push('x-after', `${lastEventId}`);
     return encoded;
   }
