Log the longest pause of a stream and the load of its engine

Cause: a log could not tell why an answer was late whose first event came in time, and nothing said what the engine had to do when it was chosen. Change: StreamProgress keeps the first event and the longest pause; log lines of requests name it with the requests and short streams at the server. No figure of the service changes by it.

--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -39,6 +39,9 @@
 /** Where a prompt goes. */
 export interface EngineChoice {
   readonly serverId: string;
+  /** Requests that the engine has, and streams of short prompts among them. */
+  readonly requests: number;
+  readonly shortStreams: number;
   /** Prompt tokens that the engine has to read. */
   readonly unreadTokens: number;
   /** Expected time until the prompt is read, in milliseconds. */
@@ -181,6 +184,8 @@
     const backlogMs = candidate.promptTokens * msPerToken;
     choices.set(candidate, {
       serverId,
+      requests: candidate.requests,
+      shortStreams: candidate.shortStreams,
       unreadTokens,
       readyMs: backlogMs + readMs,
       backlogMs,
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -30,6 +30,7 @@
 import type {LoadTicket, ServerLoads} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 import type {Selection, ServerSelector} from './serverSelector.js';
+import {StreamProgress} from './streamProgress.js';
 
 /** Least time that a send must have left, in milliseconds. */
 const minSendMs = 40;
@@ -111,8 +112,7 @@
   private ticket: LoadTicket | undefined;
   private sentAtMs = 0;
   private hasEvents = false;
-  /** From the arrival of the request, over all sends. */
-  private firstEventMs: number | undefined;
+  private readonly progress: StreamProgress;
 
   constructor(
     private readonly options: RequestForwarderOptions,
@@ -129,6 +129,7 @@
       route.kind === RouteKind.Idempotent ||
       (route.kind === RouteKind.Stream && route.isResumable);
     this.lastEventId = exchange.request.lastEventId;
+    this.progress = new StreamProgress(exchange.startedAtMs);
     const path = exchange.incoming.url ?? '';
     this.fingerprint = computeFingerprint(path, customer, body);
     this.budget = options.budgets.get(request.service);
@@ -170,6 +171,7 @@
     resume: () => void,
   ): boolean {
     this.options.outcomes.recordEvent(this.selection!.server.id);
+    this.progress.recordEvents();
     if (!this.hasEvents) this.noteFirstEvent();
     const after = this.lastEventId ?? -Infinity;
     const news = events.filter(({id}) => id === undefined || id > after);
@@ -181,11 +183,9 @@
   private noteFirstEvent(): void {
     this.hasEvents = true;
     this.ticket?.finishPrompt();
-    const {exchange, service} = this.request;
-    this.firstEventMs ??= performance.now() - exchange.startedAtMs;
     this.options.selector.recordFirstEvent(
       this.selection!,
-      service,
+      this.request.service,
       performance.now() - this.sentAtMs,
     );
   }
@@ -440,7 +440,7 @@
   private noteAnswer(selection: Selection, status: number): void {
     const {exchange, route} = this.request;
     const ms = performance.now() - exchange.startedAtMs;
-    const targetMs = this.firstEventMs ?? ms;
+    const targetMs = this.progress.firstEventMs ?? ms;
     this.options.metrics.recordAnswer(route.name, status, targetMs);
     this.note('answered', selection, status);
   }
@@ -451,6 +451,7 @@
     cause?: string | number,
   ): void {
     const {exchange, route} = this.request;
+    const {firstEventMs, maxPauseMs} = this.progress;
     this.options.log.note(event, {
       requestId: exchange.request.attemptId,
       route: route.name,
@@ -463,7 +464,10 @@
       viewAgeMs: Math.round(this.options.directory.measureAgeMs()),
       expectedMs: Math.round(selection.expectedMs),
       admission: this.admission,
-      firstEventMs: this.firstEventMs && Math.round(this.firstEventMs),
+      firstEventMs: firstEventMs && Math.round(firstEventMs),
+      maxPauseMs: maxPauseMs > 0 ? Math.round(maxPauseMs) : undefined,
+      serverRequests: selection.serverRequests,
+      shortStreams: selection.shortStreams,
       ms: Math.round(performance.now() - exchange.startedAtMs),
     });
   }
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -53,6 +53,10 @@
   readonly expectedMs: number;
   /** Part of it until the engine has read what it has, in milliseconds. */
   readonly backlogMs: number;
+  /** Requests of all routers at the server when it was chosen. */
+  readonly serverRequests: number;
+  /** Streams of short prompts among them. */
+  readonly shortStreams: number;
 }
 
 export interface ServerSelectorOptions {
@@ -202,6 +206,8 @@
       this.build(
         {
           serverId: chosen.serverId,
+          requests: chosen.requests,
+          shortStreams: chosen.shortStreams,
           unreadTokens: 0,
           readyMs: workMs,
           backlogMs: 0,
@@ -258,6 +264,8 @@
       fetchFrom: source && `${source.host}:${source.port}`,
       expectedMs,
       backlogMs: choice.backlogMs,
+      serverRequests: choice.requests,
+      shortStreams: choice.shortStreams,
     };
   }
 
--- a/tests/router/placement.test.ts
+++ b/tests/router/placement.test.ts
@@ -141,6 +141,8 @@
     )!;
     expect(choice).to.deep.equal({
       serverId: 'engine-5',
+      requests: 0,
+      shortStreams: 0,
       unreadTokens: 3_000,
       readyMs: 60,
       backlogMs: 0,
