Count attainment, repeats, waits, budgets and what is passed over

Cause: the metrics address told answers and quantiles by route only; late starts, long pauses, budgets, servers passed over, calls to the store, timers that run late and lost log lines could be seen in logs at best. No figure of the service changes by it.

--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -25,7 +25,7 @@
   holdCheckMs,
 } from './promptAdmission.js';
 import type {RetryBudgets} from './retryBudgets.js';
-import type {RouterMetrics} from './routerMetrics.js';
+import {RepeatCause, type RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {LoadTicket, ServerLoads} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
@@ -250,6 +250,10 @@
     this.selection = selection;
     this.sends += 1;
     this.sentAtMs = performance.now();
+    if (this.sends === 1) {
+      const waitMs = this.sentAtMs - exchange.startedAtMs;
+      this.options.metrics.recordWait(route.name, waitMs);
+    }
     this.hasEvents = false;
     const isEngine = exchange.request.promptParts.length > 0;
     this.ticket = loads.add(server.id, {
@@ -310,7 +314,7 @@
   /** Decides what follows a try; true when the caller has its answer. */
   private settle(selection: Selection, result: AttemptResult): boolean {
     const {exchange, service} = this.request;
-    const {outcomes, selector, directory, suspects} = this.options;
+    const {outcomes, selector, directory, suspects, metrics} = this.options;
     const {id} = selection.server;
     const isAnswered =
       result.kind === AttemptKind.Answered ||
@@ -348,6 +352,7 @@
         outcomes.recordUnwilling(id);
         this.excluded.add(id);
         if (this.budget.take()) {
+          metrics.countRepeat(service, RepeatCause.NotRun);
           this.note('not run, sent elsewhere', selection, result.status);
           return false;
         }
@@ -356,6 +361,7 @@
       case AttemptKind.Unreachable:
         outcomes.recordUnreachable(id);
         this.excluded.add(id);
+        metrics.countRepeat(service, RepeatCause.Unreachable);
         this.note('server unreachable', selection, result.error.message);
         return false;
       case AttemptKind.Broken:
@@ -379,6 +385,8 @@
     this.runs += 1;
     this.failed.add(selection.server.id);
     this.budget.take();
+    const {service} = this.request;
+    this.options.metrics.countRepeat(service, RepeatCause.Failed);
     this.note('failed, sent elsewhere', selection, cause);
     return true;
   }
@@ -440,8 +448,8 @@
   private noteAnswer(selection: Selection, status: number): void {
     const {exchange, route} = this.request;
     const ms = performance.now() - exchange.startedAtMs;
-    const targetMs = this.progress.firstEventMs ?? ms;
-    this.options.metrics.recordAnswer(route.name, status, targetMs);
+    const {firstEventMs: startMs = ms, maxPauseMs} = this.progress;
+    this.options.metrics.recordAnswer(route, {status, startMs, maxPauseMs});
     this.note('answered', selection, status);
   }
 
--- a/src/router/retryBudgets.ts
+++ b/src/router/retryBudgets.ts
@@ -42,6 +42,14 @@
     return budget;
   }
 
+  /** Lists requests that may be sent again now, by service. */
+  list(): Array<[service: string, left: number]> {
+    return [...this.budgets].map(([service, budget]) => [
+      service,
+      budget.describe(),
+    ]);
+  }
+
   /** Adds what comes back in a part of the window. */
   refill(elapsedMs: number): void {
     const slack = this.computeSlack();
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,6 +1,7 @@
 /** Builds a router from its parts and runs it. */
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
+import type {LogSinkCounts} from '../node/logSink.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {listAddresses} from './addressBook.js';
 import {computeKey} from './compactKey.js';
@@ -19,6 +20,7 @@
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
 import {RetryBudgets} from './retryBudgets.js';
+import {registerGauges} from './routerGauges.js';
 import {RouterMetrics} from './routerMetrics.js';
 import type {RouterSettings} from './routerSettings.js';
 import {ServerDirectory} from './serverDirectory.js';
@@ -57,6 +59,8 @@
 export interface RouterPlatform {
   readonly codec: MessageCodec;
   readonly reader: PublishedStateReader;
+  /** Counts of log lines, for metrics. */
+  readonly logCounts?: Readonly<LogSinkCounts>;
 }
 
 /** One router: the only process on its VM. */
@@ -246,7 +250,19 @@
   private async listen(): Promise<void> {
     const {listen, address} = this.settings;
     const {signal} = this.supervisor;
-    this.registerMetrics();
+    const {deployments, directory, outcomes, intake, fleet} = this;
+    const {exchange, budgets, platform} = this;
+    registerGauges(this.metrics, {
+      deployments,
+      directory,
+      outcomes,
+      intake,
+      fleet,
+      exchange,
+      budgets,
+      calls: platform.reader.calls,
+      logCounts: platform.logCounts,
+    });
     this.control.addReady(listen.ready);
     this.control.addAddresses(listen.addresses);
     this.control.addPeers(listen.peers);
@@ -284,7 +300,10 @@
   /** Drops what belongs to servers that have left. */
   private async runSweep(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const startedAtMs = performance.now();
       await waitFor(sweepIntervalMs, signal);
+      const waitedMs = performance.now() - startedAtMs;
+      this.metrics.recordLag(waitedMs - sweepIntervalMs);
       this.fleet.refresh();
       this.budgets.refill(sweepIntervalMs);
       this.forgetEndedServers();
@@ -359,33 +378,4 @@
       serversAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
     };
   }
-
-  private registerMetrics(): void {
-    const {metrics, directory, deployments, intake, fleet} = this;
-    metrics.register({
-      name: 'anvilstall_active_requests',
-      help: 'Requests without a whole answer',
-      measure: () => intake.active,
-    });
-    metrics.register({
-      name: 'anvilstall_deployment_version',
-      help: 'Version of the deployment in force',
-      measure: () => deployments.version,
-    });
-    metrics.register({
-      name: 'anvilstall_server_view_age_ms',
-      help: 'Age of the view of backend servers',
-      measure: () => directory.measureAgeMs(),
-    });
-    metrics.register({
-      name: 'anvilstall_peers_alive',
-      help: 'Other routers that were heard lately',
-      measure: () => fleet.listAlive().length,
-    });
-    metrics.register({
-      name: 'anvilstall_memory_bytes',
-      help: 'Resident memory of the process',
-      measure: () => process.memoryUsage.rss(),
-    });
-  }
 }
--- /dev/null
+++ b/src/router/routerGauges.ts
@@ -0,0 +1,105 @@
+/** Gauges of a router's state, measured when metrics are scraped. */
+import type {LogSinkCounts} from '../node/logSink.js';
+import type {DeploymentStore} from './deploymentStore.js';
+import type {FleetView} from './fleetView.js';
+import type {PeerExchange} from './peerExchange.js';
+import type {PublishedStateCalls} from './publishedState.js';
+import type {RequestIntake} from './requestIntake.js';
+import type {RetryBudgets} from './retryBudgets.js';
+import type {RouterMetrics} from './routerMetrics.js';
+import type {ServerDirectory} from './serverDirectory.js';
+import type {ServerOutcomes} from './serverOutcomes.js';
+
+export interface GaugeSources {
+  readonly deployments: DeploymentStore;
+  readonly directory: ServerDirectory;
+  readonly outcomes: ServerOutcomes;
+  readonly intake: RequestIntake;
+  readonly fleet: FleetView;
+  readonly exchange: PeerExchange;
+  readonly budgets: RetryBudgets;
+  readonly calls: PublishedStateCalls;
+  /** Absent where lines don't go through a sink. */
+  readonly logCounts?: Readonly<LogSinkCounts>;
+}
+
+/** Adds the gauges of one router to its metrics. */
+export function registerGauges(
+  metrics: RouterMetrics,
+  sources: GaugeSources,
+): void {
+  const {deployments, directory, outcomes, intake, fleet} = sources;
+  const {exchange, budgets, calls, logCounts} = sources;
+  metrics.register({
+    name: 'anvilstall_active_requests',
+    help: 'Requests without a whole answer',
+    measure: () => intake.active,
+  });
+  metrics.register({
+    name: 'anvilstall_deployment_version',
+    help: 'Version of the deployment in force',
+    measure: () => deployments.version,
+  });
+  metrics.register({
+    name: 'anvilstall_server_view_age_ms',
+    help: 'Age of the view of backend servers',
+    measure: () => directory.measureAgeMs(),
+  });
+  metrics.registerByLabel({
+    name: 'anvilstall_backend_servers',
+    help: 'Usable backend servers, and those of them that are passed over',
+    label: 'state',
+    measure: () => {
+      const servers = [...directory.listAll()];
+      const count = (isPassedOver: (id: string) => boolean) =>
+        servers.filter(({id}) => isPassedOver(id)).length;
+      return [
+        ['usable', servers.length],
+        ['unreachable', count(id => outcomes.isUnreachable(id))],
+        ['unwilling', count(id => outcomes.isUnwilling(id))],
+      ];
+    },
+  });
+  metrics.registerByLabel({
+    name: 'anvilstall_retry_budget',
+    help: 'Requests that this router may send again now',
+    label: 'service',
+    measure: () => budgets.list(),
+  });
+  metrics.registerByLabel({
+    name: 'anvilstall_platform_calls',
+    help: 'Calls to the platform since the start',
+    label: 'kind',
+    measure: () => [
+      ['read', calls.reads],
+      ['watch', calls.watches],
+      ['failed', calls.failed],
+    ],
+  });
+  metrics.register({
+    name: 'anvilstall_peers_alive',
+    help: 'Other routers that were heard lately',
+    measure: () => fleet.listAlive().length,
+  });
+  metrics.registerByLabel({
+    name: 'anvilstall_peer_reports',
+    help: 'Datagrams to other routers since the start, and their bytes',
+    label: 'unit',
+    measure: () => [
+      ['datagrams', exchange.counts.sent],
+      ['bytes', exchange.counts.sentBytes],
+    ],
+  });
+  metrics.register({
+    name: 'anvilstall_memory_bytes',
+    help: 'Resident memory of the process',
+    measure: () => process.memoryUsage.rss(),
+  });
+  if (!logCounts) return;
+  metrics.registerByLabel({
+    name: 'anvilstall_log_lines',
+    help: 'Log lines since the start by what became of them',
+    label: 'fate',
+    measure: () => Object.entries(logCounts),
+  });
+}
--- a/src/router/routerMetrics.ts
+++ b/src/router/routerMetrics.ts
@@ -10,10 +10,76 @@
   readonly measure: () => number;
 }
 
+/** Values by one label that are read when metrics are scraped. */
+export interface MeasuredValues {
+  readonly name: string;
+  readonly help: string;
+  readonly label: string;
+  readonly measure: () => Iterable<readonly [labelValue: string, number]>;
+}
+
+/** How an answer stands against the targets of its route. */
+export enum Attainment {
+  OnTime = 'onTime',
+  /** The answer, or its first event, came after the target. */
+  LateStart = 'lateStart',
+  /** The first event was in time; a pause was longer than the route allows. */
+  LongPause = 'longPause',
+  /** A backend server's failure was passed on. */
+  Failed = 'failed',
+}
+
+/** Why a request is sent to another backend server. */
+export enum RepeatCause {
+  Failed = 'failed',
+  NotRun = 'notRun',
+  Unreachable = 'unreachable',
+}
+
+/** Targets of a route, in milliseconds. */
+export interface RouteTargets {
+  readonly name: string;
+  readonly targetMs: number;
+  readonly maxPauseMs?: number;
+}
+
+/** An answer that was passed on. */
+export interface AnswerTimes {
+  readonly status: number;
+  /** Time to the answer or the first event. */
+  readonly startMs: number;
+  /** Longest pause between events. */
+  readonly maxPauseMs: number;
+}
+
+/** Status from which an answer is a failure. */
+const firstFailure = 500;
+
+/**
+ * Compares an answer with the targets of its route.
+ *
+ * @example
+ * compareAnswer({name: 'ask', targetMs: 500, maxPauseMs: 200},
+ *     {status: 200, startMs: 90, maxPauseMs: 340}) === Attainment.LongPause
+ */
+export function compareAnswer(
+  {targetMs, maxPauseMs = Infinity}: RouteTargets,
+  answer: AnswerTimes,
+): Attainment {
+  if (answer.status >= firstFailure) return Attainment.Failed;
+  if (answer.startMs > targetMs) return Attainment.LateStart;
+  if (answer.maxPauseMs > maxPauseMs) return Attainment.LongPause;
+  return Attainment.OnTime;
+}
+
 /** Metrics of one router. */
 export class RouterMetrics {
   private readonly registry = new Registry();
   private readonly latencies = new Map<string, LatencyHistogram>();
+  private readonly waits = new Map<string, LatencyHistogram>();
+  private readonly lags = new LatencyHistogram(2);
+  private readonly attainment: Counter<'route' | 'outcome'>;
+  private readonly repeats: Counter<'service' | 'cause'>;
   private readonly answers: Counter<'route' | 'status'>;
   private readonly refusals: Counter<'route' | 'reason'>;
 
@@ -31,19 +97,32 @@
       labelNames: ['route', 'reason'],
       registers,
     });
-    const quantiles = new Gauge({
-      name: 'anvilstall_answer_ms',
-      help: 'Time to the answer or the first event by quantile',
-      labelNames: ['route', 'quantile'],
+    this.attainment = new Counter({
+      name: 'anvilstall_attainment_total',
+      help: 'Answers against the targets of their routes',
+      labelNames: ['route', 'outcome'],
       registers,
-      collect: () => {
-        for (const [route, histogram] of this.latencies) {
-          const {p50Ms, p95Ms, p99Ms} = histogram.describe();
-          quantiles.set({route, quantile: '0.5'}, p50Ms);
-          quantiles.set({route, quantile: '0.95'}, p95Ms);
-          quantiles.set({route, quantile: '0.99'}, p99Ms);
-        }
-      },
+    });
+    this.repeats = new Counter({
+      name: 'anvilstall_repeats_total',
+      help: 'Requests sent to another backend server by cause',
+      labelNames: ['service', 'cause'],
+      registers,
+    });
+    this.registerQuantiles(
+      'anvilstall_answer_ms',
+      'Time to the answer or the first event by quantile',
+      this.latencies,
+    );
+    this.registerQuantiles(
+      'anvilstall_wait_ms',
+      'Time from the arrival of a request to its first send by quantile',
+      this.waits,
+    );
+    this.register({
+      name: 'anvilstall_event_loop_lag_p99_ms',
+      help: 'Delay of timers, 99th percentile since the start',
+      measure: () => this.lags.describe().p99Ms,
     });
   }
 
@@ -57,15 +136,40 @@
     });
   }
 
-  /** @param ms - time to the answer or the first event */
-  recordAnswer(route: string, status: number, ms: number): void {
-    this.answers.inc({route, status: String(status)});
-    let histogram = this.latencies.get(route);
-    if (!histogram) {
-      histogram = new LatencyHistogram(2);
-      this.latencies.set(route, histogram);
-    }
-    histogram.record(ms);
+  /** Adds a gauge with one value for each value of a label. */
+  registerByLabel({name, help, label, measure}: MeasuredValues): void {
+    const gauge: Gauge = new Gauge({
+      name,
+      help,
+      labelNames: [label],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset();
+        for (const [key, value] of measure()) gauge.set({[label]: key}, value);
+      },
+    });
+  }
+
+  recordAnswer(route: RouteTargets, answer: AnswerTimes): void {
+    const {name} = route;
+    this.answers.inc({route: name, status: String(answer.status)});
+    const outcome = compareAnswer(route, answer);
+    this.attainment.inc({route: name, outcome});
+    recordTime(this.latencies, name, answer.startMs);
+  }
+
+  /** @param ms - from the arrival of a request to its first send */
+  recordWait(route: string, ms: number): void {
+    recordTime(this.waits, route, ms);
+  }
+
+  /** @param ms - by which a timer was late */
+  recordLag(ms: number): void {
+    this.lags.record(Math.max(0, ms));
+  }
+
+  countRepeat(service: string, cause: RepeatCause): void {
+    this.repeats.inc({service, cause});
   }
 
   countRefusal(route: string, reason: RefusalReason): void {
@@ -76,4 +180,38 @@
   format(): Promise<string> {
     return this.registry.metrics();
   }
+
+  private registerQuantiles(
+    name: string,
+    help: string,
+    histograms: ReadonlyMap<string, LatencyHistogram>,
+  ): void {
+    const gauge: Gauge<'route' | 'quantile'> = new Gauge({
+      name,
+      help,
+      labelNames: ['route', 'quantile'],
+      registers: [this.registry],
+      collect: () => {
+        for (const [route, histogram] of histograms) {
+          const {p50Ms, p95Ms, p99Ms} = histogram.describe();
+          gauge.set({route, quantile: '0.5'}, p50Ms);
+          gauge.set({route, quantile: '0.95'}, p95Ms);
+          gauge.set({route, quantile: '0.99'}, p99Ms);
+        }
+      },
+    });
+  }
+}
+
+function recordTime(
+  histograms: Map<string, LatencyHistogram>,
+  route: string,
+  ms: number,
+): void {
+  let histogram = histograms.get(route);
+  if (!histogram) {
+    histogram = new LatencyHistogram(2);
+    histograms.set(route, histogram);
+  }
+  histogram.record(ms);
 }
--- a/tests/router/fakePublishedState.ts
+++ b/tests/router/fakePublishedState.ts
@@ -77,6 +77,7 @@
 
   readServers(): ResultAsync<PublishedServers, PlatformError> {
     this.serverReads += 1;
+    this.calls.reads += 1;
     this.revision += 1;
     const {servers, revision} = this;
     return okAsync({servers, revision});
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -86,6 +86,8 @@
   readonly callers: string;
   readonly ready: string;
   readonly addresses: string;
+  /** Empty without `hasMetrics`. */
+  readonly metrics: string;
 }
 
 /** Settings of a router that differ between tests. */
@@ -95,6 +97,7 @@
   readonly zone?: string;
   /** Retries of the whole fleet beyond the ratio. */
   readonly retrySlack?: number;
+  readonly hasMetrics?: boolean;
 }
 
 /** Starts and stops everything of a test. */
@@ -143,7 +146,7 @@
       addresses: await endpoint(),
       peers: await endpoint(),
       exchangePort: this.exchangePort,
-      metricsPort: 0,
+      metricsPort: options.hasMetrics ? await findFreePort(address) : 0,
     };
     const daemon = await RouterDaemon.start(
       {
@@ -164,7 +167,10 @@
       },
       {codec: new PlainCodec(), reader: this.platform.openReader(name)},
     );
-    const router = {daemon, ...listen};
+    const metrics = options.hasMetrics
+      ? `${address}:${listen.metricsPort}`
+      : '';
+    const router = {daemon, ...listen, metrics};
     this.routers.push(router);
     return router;
   }
