Weigh copies, rereads and other zones at their price, pauses at half

Cause: in bursts of long prompts the engines that run short streams idled while the others had backlogs of a second, since ten streams made a prompt as dear as 1.8 s of waiting; logs with pauses show that prompts beside few streams rarely make a pause too long (p75 132 ms at 5 to 15 streams, 200 ms allowed). Copies, rereads and traffic between zones weighed less than half of what operators pay for them on the scale of late answers. Change: four constants of placement.ts, three tests that failed before.

--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -56,22 +56,24 @@
 const priorAnswers = 1.5;
 /**
  * Cost of a request to another zone in milliseconds of waiting for each
- * kilobyte of its body, at least the cost of a kilobyte.
+ * kilobyte of its body, at least the cost of a kilobyte. This cost and those of
+ * copies and rereads are operators' prices, on a scale where the loss of an
+ * answer that misses a target of 500 ms is 500 ms of waiting.
  */
-const farCostMsPerKb = 1.2;
+const farCostMsPerKb = 2.5;
 /** Fixed delay of copying KV cache between engines, in milliseconds. */
 const fetchDelayMs = 8;
 /**
  * Cost of copying KV cache in milliseconds of waiting for each thousand
  * tokens.
  */
-const fetchCostMsPerKiloToken = 4;
+const fetchCostMsPerKiloToken = 10;
 /**
  * Cost of reading tokens that another engine holds or reads already, in
  * milliseconds of waiting for each thousand tokens. Operators pay about eight
  * times as much for it as for a copy.
  */
-const rereadCostMsPerKiloToken = 40;
+const rereadCostMsPerKiloToken = 80;
 /** Fewer tokens are read sooner than copied. */
 const minFetchTokens = 512;
 /**
@@ -79,7 +81,7 @@
  * the reading time. Streams at an engine that goes on reading last six times as
  * long and pile up there, so a few of them keep long prompts away.
  */
-const pauseCostRatio = 1;
+const pauseCostRatio = 0.5;
 /** Cost of an engine with all slots taken against an empty one, in milliseconds. */
 const occupancyCostMs = 12;
 /**
--- a/tests/router/placement.test.ts
+++ b/tests/router/placement.test.ts
@@ -132,6 +132,38 @@
     expect(choice.serverId).to.equal('engine-3');
   });
 
+  // In a burst the engines that run short streams are the only ones with time.
+  it('should use an engine with some streams when all others read for long', () => {
+    const engines = buildCandidates(4, index => ({
+      requests: 10,
+      shortStreams: index === 3 ? 10 : 0,
+      promptTokens: index === 3 ? 0 : 60_000,
+    }));
+    const choice = chooseEngine(engines, buildDemand(), noJitter)!;
+    expect(choice.serverId).to.equal('engine-3');
+  });
+
+  it('should not send a large body to another zone for a small wait', () => {
+    const engines = buildCandidates(4, index => ({
+      isNear: index === 0,
+      promptTokens: index === 0 ? 1_800 : 0,
+    }));
+    const demand = buildDemand({bodyBytes: 18_000});
+    const choice = chooseEngine(engines, demand, noJitter)!;
+    expect(choice.serverId).to.equal('engine-0');
+  });
+
+  it('should wait shortly at the holder of a prompt rather than copy it', () => {
+    const engines = buildCandidates(13, index => ({
+      promptTokens: index === 5 ? 2_500 : 0,
+    }));
+    const heldTokens = new Map([[5, 6_000]]);
+    const demand = buildDemand({heldTokens, copyableTokens: heldTokens});
+    const choice = chooseEngine(engines, demand, noJitter)!;
+    expect(choice.serverId).to.equal('engine-5');
+    expect(choice.fetchFrom).to.equal(undefined);
+  });
+
   it('should go to the engine that holds most of the prompt', () => {
     const heldTokens = new Map([[5, 6_000]]);
     const choice = chooseEngine(
