Put relays and callers on VMs with fast links

Change: settings and reports name the bandwidth of the link; relays are chosen among links of a quarter of the fastest one or more, and callers are given only such routers while these have half of the bandwidth. Datagrams: version 6. Fleets of like VMs behave as before.

--- a/src/router/datagramCodec.ts
+++ b/src/router/datagramCodec.ts
@@ -20,7 +20,7 @@
 export class DatagramError extends AnvilstallError {}
 
 /** Format of datagrams; a change of the format takes another number. */
-const formatVersion = 5;
+const formatVersion = 6;
 
 export enum DatagramKind {
   /** From a router that tells of itself. */
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -96,6 +96,7 @@
     this.choice = new RelayChoice(fleet, {
       host: address,
       zone: endpoints.zone,
+      linkMbps: endpoints.linkMbps,
       getStatus: () => reports.status,
     });
   }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -17,6 +17,7 @@
   z.string(),
   z.string(),
   z.string(),
+  z.number(),
   z.array(z.string()),
   z.boolean(),
 ]);
@@ -52,6 +53,8 @@
   readonly callers: string;
   /** `host:port` for reads by peers. */
   readonly peers: string;
+  /** Bandwidth of the VM's link in Mbit/s. */
+  readonly linkMbps: number;
 }
 
 /** Who sends a report, and how to reach it. */
@@ -112,6 +115,7 @@
           identity.zone,
           identity.callers,
           identity.peers,
+          identity.linkMbps,
           [...identity.contacts],
           identity.wantsAnswer,
         ]
@@ -139,8 +143,9 @@
           zone: identity[1],
           callers: identity[2],
           peers: identity[3],
-          contacts: identity[4],
-          wantsAnswer: identity[5],
+          linkMbps: identity[4],
+          contacts: identity[5],
+          wantsAnswer: identity[6],
         }
       : undefined,
   };
--- a/src/router/relayChoice.ts
+++ b/src/router/relayChoice.ts
@@ -1,7 +1,12 @@
-/** Which router of a zone is the relay of the others there. */
+/**
+ * Which router of a zone is the relay of the others there. A relay sends all
+ * sums to each member, some hundred KB/s in a large zone, so that routers with
+ * slow links are chosen only where there are no others.
+ */
 import {pickByWeight} from '../node/rendezvous.js';
 import type {FleetView} from './fleetView.js';
 import {RouterStatus} from './peerReport.js';
+import {selectFast} from './vmLinks.js';
 
 /**
  * A relay that sent nothing for this long is replaced, in milliseconds; three
@@ -15,6 +20,8 @@
   /** IP address. */
   readonly host: string;
   readonly zone: string;
+  /** Bandwidth of the VM's link in Mbit/s. */
+  readonly linkMbps: number;
   readonly getStatus: () => RouterStatus;
 }
 
@@ -58,12 +65,18 @@
       .listAlive()
       .filter(({identity}) => identity.zone === zone)
       .filter(({host}) => (this.silentUntilMs.get(host) ?? 0) <= nowMs)
-      .map(({host, status}) => ({host, status}));
+      .map(({host, status, identity: {linkMbps}}) => ({
+        host,
+        status,
+        linkMbps,
+      }));
     if (zone === own.zone) {
-      routers.push({host: own.host, status: own.getStatus()});
+      const {host, linkMbps} = own;
+      routers.push({host, status: own.getStatus(), linkMbps});
     }
     const ready = routers.filter(({status}) => status === RouterStatus.Ready);
     const candidates = ready.length > 0 ? ready : routers;
-    return pickByWeight('relay', candidates, ({host}) => host)?.host;
+    const fast = selectFast(candidates);
+    return pickByWeight('relay', fast, ({host}) => host)?.host;
   }
 }
--- a/src/router/relayDuty.ts
+++ b/src/router/relayDuty.ts
@@ -66,8 +66,8 @@
   ): boolean {
     const {status, sequence, servers, identity} = report;
     const known = this.members.get(host);
-    const {vm, zone, callers, peers} = endpoints;
-    const member: Member = {host, status, vm, zone, callers, peers};
+    const {vm, zone, callers, peers, linkMbps} = endpoints;
+    const member: Member = {host, status, vm, zone, callers, peers, linkMbps};
     const heardAtMs = performance.now();
     this.members.set(host, {member, sequence, heardAtMs});
     this.heard.add(host);
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -63,6 +63,7 @@
       z.string(),
       z.string(),
       z.string(),
+      z.number(),
     ]),
   ),
 ]);
@@ -87,6 +88,7 @@
       member.zone,
       member.callers,
       member.peers,
+      member.linkMbps,
     ]),
   ];
 }
@@ -111,6 +113,7 @@
       zone: member[3],
       callers: member[4],
       peers: member[5],
+      linkMbps: member[6],
     })),
   };
 }
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -92,7 +92,7 @@
     private settings: RouterSettings,
     private readonly platform: RouterPlatform,
   ) {
-    const {address, listen, seeds, vm, zone} = settings;
+    const {address, listen, seeds, vm, zone, linkMbps} = settings;
     this.log = new Log({vm});
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
@@ -118,7 +118,13 @@
     this.exchange = new PeerExchange({
       address,
       port: listen.exchangePort,
-      endpoints: {vm, zone, callers: listen.callers, peers: listen.peers},
+      endpoints: {
+        vm,
+        zone,
+        callers: listen.callers,
+        peers: listen.peers,
+        linkMbps,
+      },
       reports,
       seeds,
       fleet,
@@ -353,9 +359,10 @@
   }
 
   private listAddresses(zone: string | undefined): string[] {
-    const {listen, zone: ownZone} = this.settings;
+    const {listen, zone: ownZone, linkMbps} = this.settings;
     const isReady = this.status === RouterStatus.Ready;
-    const own = {callers: listen.callers, zone: ownZone, isReady};
+    const {callers} = listen;
+    const own = {callers, zone: ownZone, linkMbps, isReady};
     return listAddresses(own, this.fleet, zone);
   }
 
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -11,6 +11,8 @@
   zone: z.string().min(1),
   /** IP address of the VM. */
   address: z.ipv4(),
+  /** Bandwidth of the VM's link in Mbit/s. */
+  linkMbps: z.number().positive(),
   listen: z.object({
     /** Requests of callers. */
     callers: endpointSchema,
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -32,8 +32,13 @@
   };
 }
 
+/** Bandwidth of VMs that are alike. */
+const linkMbps = 490;
+
 function buildEndpoints(host: string, zone = 'a') {
-  return {vm: `vm-${host}`, zone, callers: `${host}:80`, peers: `${host}:81`};
+  const callers = `${host}:80`;
+  const peers = `${host}:81`;
+  return {vm: `vm-${host}`, zone, callers, peers, linkMbps};
 }
 
 function buildReport(
@@ -166,6 +171,7 @@
     const choice = new RelayChoice(fleet, {
       host: ownHost,
       zone: 'a',
+      linkMbps,
       getStatus,
     });
     const hosts = [relayHost, otherHost, '10.0.0.4', '10.0.0.5', '10.0.0.6'];
@@ -192,9 +198,34 @@
         if (host !== own) fleet.record(host, buildReport(host, 0));
       }
       const getStatus = () => RouterStatus.Ready;
-      const choice = new RelayChoice(fleet, {host: own, zone: 'a', getStatus});
+      const identity = {host: own, zone: 'a', linkMbps, getStatus};
+      const choice = new RelayChoice(fleet, identity);
       return choice.chooseOwn() ?? own;
     });
     expect(new Set(relays).size).to.equal(1);
   });
+
+  // The relay of 25 routers sends them two MB a second; on a link of 7 Mbit/s
+  // reports came seconds late, and routers chose engines that were full.
+  it('should be chosen among routers with fast links', () => {
+    const hosts = Array.from({length: 25}, (_, i) => `10.0.1.${i}`);
+    const getLink = (host: string) => (hosts.indexOf(host) < 2 ? 140 : 7);
+    for (const own of hosts) {
+      const fleet = new FleetView(own);
+      for (const host of hosts) {
+        if (host === own) continue;
+        const endpoints = {...buildEndpoints(host), linkMbps: getLink(host)};
+        const identity = {...endpoints, contacts: [], wantsAnswer: false};
+        fleet.record(host, buildReport(host, 0, {identity}));
+      }
+      const getStatus = () => RouterStatus.Ready;
+      const choice = new RelayChoice(fleet, {
+        host: own,
+        zone: 'a',
+        linkMbps: getLink(own),
+        getStatus,
+      });
+      expect(getLink(choice.chooseOwn() ?? own)).to.equal(140);
+    }
+  });
 });
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -153,6 +153,7 @@
         vm: name,
         zone: options.zone ?? 'a',
         address,
+        linkMbps: 490,
         listen,
         seeds: number === 1 ? [] : ['127.0.0.11:1'],
         store: '127.0.0.1:1',
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -58,6 +58,7 @@
       zone: 'a',
       callers: '127.0.0.2:80',
       peers: '127.0.0.2:81',
+      linkMbps: 490,
       contacts: ['127.0.0.3'],
       wantsAnswer: false,
     },
@@ -86,6 +87,7 @@
         zone: 'a',
         callers: '127.0.0.2:80',
         peers: '127.0.0.2:81',
+        linkMbps: 490,
       },
     ],
     ...change,
@@ -197,7 +199,7 @@
 
   it('should offer near routers only when there are enough', () => {
     const fleet = new FleetView();
-    const own = {callers: 'own', zone: 'a', isReady: true};
+    const own = {callers: 'own', zone: 'a', linkMbps: 490, isReady: true};
     const add = (address: string, zone: string) => {
       const identity = {...buildReport().identity!, zone, callers: address};
       fleet.record(address, buildReport({identity}));
@@ -209,9 +211,31 @@
     expect(listAddresses(own, fleet, 'b')).to.have.length(3);
   });
 
+  // Callers choose at random, so that a slow link gets as much as a fast one.
+  it('should leave out routers with slow links while fast ones can carry the requests', () => {
+    const fleet = new FleetView();
+    const own = {callers: 'own', zone: 'a', linkMbps: 7, isReady: true};
+    const add = (address: string, linkMbps: number) => {
+      const identity = {
+        ...buildReport().identity!,
+        callers: address,
+        linkMbps,
+      };
+      fleet.record(address, buildReport({identity}));
+    };
+    for (let i = 0; i < 20; i++) add(`slow-${i}`, 7);
+    add('fast-1', 140);
+    expect(listAddresses(own, fleet, 'a')).to.have.length(22);
+    add('fast-2', 120);
+    const fast = ['fast-1', 'fast-2'];
+    expect(listAddresses(own, fleet, 'a')).to.have.members(fast);
+    for (let i = 20; i < 50; i++) add(`slow-${i}`, 7);
+    expect(listAddresses(own, fleet, 'a')).to.have.length(53);
+  });
+
   it('should not offer routers that are starting, leaving or silent', () => {
     const fleet = new FleetView();
-    const own = {callers: 'own', zone: 'a', isReady: true};
+    const own = {callers: 'own', zone: 'a', linkMbps: 490, isReady: true};
     fleet.record('1', buildReport({status: RouterStatus.Starting}));
     fleet.record('2', buildReport({status: RouterStatus.Leaving}));
     expect(listAddresses(own, fleet, 'a')).to.deep.equal(['own']);
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -42,6 +42,7 @@
     const settings = {
       vm: `vm-${number}`,
       zone: 'a',
+      linkMbps: 1_000,
       address: this.address,
       listen: {
         callers: at(ports.callers),
