--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -79,7 +79,8 @@
 /**
  * Cost of a prompt's reading for each short stream that it pauses, as a part of
  * the reading time. Streams at an engine that goes on reading last six times as
- * long and pile up there, so a few of them keep long prompts away.
+ * long and pile up there, so some of them keep long prompts away. Measured beside
+ * 1 and 0.25 (docs/measurements.md, trials e1 to e6).
  */
 const pauseCostRatio = 0.5;
 /** Cost of an engine with all slots taken against an empty one, in milliseconds. */
