Use the shared histogram and one table of final events in anvilstall-ctl

Cause: the read-through of the change since found that the report built its own hdr histogram beside LatencyHistogram, because src/ctl could not import src/node, and that the report and the explanation each listed the events that end a request. Change: src/ctl may import src/node; the report records into LatencyHistogram; the explanation uses the table of the report and names 'request failed', which has no outcome there, by itself. Left as they are: Attainment and RequestOutcome share their shape only (the one is by route and knows pauses, the other is read from logs with one target).

--- a/src/ctl/explainRequest.ts
+++ b/src/ctl/explainRequest.ts
@@ -1,5 +1,6 @@
 /** The story of one request, told from the log lines of several VMs. */
 import {readLogLines, type LogLine} from './logLines.js';
+import {finalEvents} from './requestStatistics.js';
 
 /** Events that change what a process believes, shown around the request. */
 const contextEvents = new Set([
@@ -15,14 +16,8 @@
 ]);
 /** Time before the request's first line in which context is shown, in ms. */
 const contextBeforeMs = 5_000;
-/** Events after which a request has its answer. */
-const finalEvents = new Set([
-  'answered',
-  'refused',
-  'stream broken off',
-  'caller gone',
-  'request failed',
-]);
+/** The end of a request by an error of the daemon itself; it has no outcome. */
+const failedEvent = 'request failed';
 
 export interface RequestStory {
   readonly requestId: string;
@@ -73,7 +68,7 @@
 ): string[] {
   const gaps: string[] = [];
   if (lines.length === 0) gaps.push('no line names the request');
-  else if (!lines.some(line => finalEvents.has(line.event))) {
+  else if (!lines.some(({event}) => isFinal(event))) {
     gaps.push('no line says how the request ended');
   }
   for (const line of leftOut) {
@@ -81,3 +76,7 @@
   }
   return gaps;
 }
+
+function isFinal(event: string): boolean {
+  return finalEvents.has(event) || event === failedEvent;
+}
--- a/src/ctl/requestStatistics.ts
+++ b/src/ctl/requestStatistics.ts
@@ -1,12 +1,10 @@
 /** What log lines say of many requests, by time. */
-import {build, type Histogram} from 'hdr-histogram-js';
+import {LatencyHistogram} from '../node/latencyHistogram.js';
 import type {LogLine} from './logLines.js';
 
 /** Periods that a report is divided into. */
 const periods = 40;
 const minPeriodMs = 1_000;
-/** Longest time that a histogram holds, in milliseconds. */
-const longestMs = 600_000;
 /** Route of lines that name none. */
 const noRoute = '(none)';
 /** Routes that are shown by themselves, and the name of all others. */
@@ -58,7 +56,8 @@
   readonly leftOut: number;
 }
 
-const finalEvents = new Map([
+/** Events after which a request has its answer, and what became of it. */
+export const finalEvents: ReadonlyMap<string, RequestOutcome> = new Map([
   ['answered', RequestOutcome.Answered],
   ['refused', RequestOutcome.Refused],
   ['stream broken off', RequestOutcome.Unfinished],
@@ -82,7 +81,7 @@
   const outcomes = new Counter<Omit<OutcomeCount, 'count'>>();
   const servers = new Counter<Omit<ServerCount, 'count'>>();
   const reasons = new Counter<Omit<ReasonCount, 'count'>>();
-  const waits = new Map<string, Histogram>();
+  const waits = new Map<string, LatencyHistogram>();
   let leftOut = 0;
   for (const line of lines) {
     if (line.event === 'lines left out') leftOut += line.count ?? 0;
@@ -96,9 +95,9 @@
     if (outcome === RequestOutcome.Answered && waitMs !== undefined) {
       if (waitMs > targetMs) outcome = RequestOutcome.Late;
       const key = JSON.stringify([time, route]);
-      const histogram = waits.get(key) ?? buildHistogram();
+      const histogram = waits.get(key) ?? new LatencyHistogram(2);
       waits.set(key, histogram);
-      histogram.recordValue(Math.max(0, Math.round(waitMs)));
+      histogram.record(waitMs);
     }
     outcomes.add({time, route, outcome});
     if (server !== undefined) servers.add({time, server});
@@ -125,22 +124,16 @@
   return new Set(sorted.slice(0, maxRoutes).map(([route]) => route));
 }
 
-function buildHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: longestMs,
-    numberOfSignificantValueDigits: 2,
-  });
-}
-
-function listQuantiles(key: string, histogram: Histogram): WaitQuantile[] {
+function listQuantiles(
+  key: string,
+  histogram: LatencyHistogram,
+): WaitQuantile[] {
   const [time, route] = JSON.parse(key) as [string, string];
-  return [50, 95].map(percent => ({
-    time,
-    route,
-    quantile: `p${percent}`,
-    ms: histogram.getValueAtPercentile(percent),
-  }));
+  const {p50Ms, p95Ms} = histogram.describe();
+  return [
+    {time, route, quantile: 'p50', ms: p50Ms},
+    {time, route, quantile: 'p95', ms: p95Ms},
+  ];
 }
 
 /** Returns the start of the period that a line is in. */
