Keep urgent requests coming in the test of a draft's share

Cause, from 18 runs beside load with the answers printed: the test sent 60 urgent requests at once. Their expected wait passed the class's target of the first token, so the dispatchers refused 1 to 37 of them (targetUnreachable, notRun), which is what the target asks for; the slower the machine, the more. With fewer than 40 left, the draft's turn (one grant in 20 at each engine) came after the last urgent one. In one of 18 runs 37 were refused and the test failed. Ruled out: refusals for the customer's limit (none seen), a wrong schedule (the draft's turn came within 20 grants in every run). Change: eight urgent requests are always in progress, one token of draft is asked for, and at most 44 urgent answers may come meanwhile: one grant in 20 at each of two engines, and four requests that run already. The bound doesn't depend on the machine's speed; the old one did.

--- a/tests/features/tiers.feature
+++ b/tests/features/tiers.feature
@@ -13,10 +13,14 @@
     Then all answers "urgent" are whole
     And all answers "urgent" arrived before half of the answers "draft"
 
-  # Guards against drafts that starve while urgent work never ends.
+  # Guards against drafts that starve while urgent work never ends. A class with
+  # a minimum share of 0.05 gets one of 20 grants of each of the two engines; four
+  # more requests had their slots when the draft came.
   Scenario: should serve a draft while urgent requests keep coming
-    When 60 requests of class "question" with long deadlines start as "urgent" through VM 1
+    When 8 requests of class "question" are always in progress as "urgent" through VM 1
     And an engine has generated 8 tokens
-    And 1 request of class "caption" starts as "draft" through VM 2
-    Then all answers "draft" are whole
-    And all answers "draft" arrived before the last of the answers "urgent"
+    And 1 request of class "caption" for 1 token starts as "draft" through VM 2
+    And answer "draft 1" arrives
+    And the requests stop coming
+    Then answer "draft 1" is whole after 1 token
+    And at most 44 of the answers "urgent" came whole while "draft 1" waited
--- a/tests/support/fleetSteps.ts
+++ b/tests/support/fleetSteps.ts
@@ -122,14 +122,16 @@
     },
   );
   steps.add(
-    '{int} requests of class {string} with long deadlines start as {string} through VM {int}',
-    (world, count: number, className: string, name: string, vm: number) => {
+    '{int} requests of class {string} are always in progress as {string} through VM {int}',
+    (world, count: number, className: string, name: string, vm: number) =>
+      world.keepInProgress(name, {count, className, vm: world.getVm(vm)}),
+  );
+  steps.add(
+    '{int} request(s) of class {string} for {int} token(s) start(s) as {string} through VM {int}',
+    (world, count, className: string, maxTokens: number, name, vm: number) => {
       for (let i = 1; i <= count; i++) {
-        world.startChat(`${name} ${i}`, {
-          className,
-          vm: world.getVm(vm),
-          deadlineMs: 120_000,
-        });
+        const chat = {className, maxTokens, vm: world.getVm(vm)};
+        world.startChat(`${name} ${i}`, chat);
       }
     },
   );
@@ -204,13 +206,6 @@
       expect(lastEarlyMs).to.be.lessThan(await world.readArrivals(late, 0.5));
     },
   );
-  steps.add(
-    'all answers {string} arrived before the last of the answers {string}',
-    async (world, early: string, late: string) => {
-      const lastEarlyMs = await world.readArrivals(early, 1);
-      expect(lastEarlyMs).to.be.lessThan(await world.readArrivals(late, 1));
-    },
-  );
   steps.add(
     'answers {string} and {string} are equal',
     async (world, first: string, second: string) => {
@@ -251,6 +246,18 @@
       }
     },
   );
+  steps.add(
+    'answer {string} is whole after {int} token(s)',
+    (world, name: string, tokens: number) =>
+      world.expectWholeAnswer(name, tokens),
+  );
+  steps.add(
+    'at most {int} of the answers {string} came whole while {string} waited',
+    async (world, most: number, start: string, waited: string) => {
+      const count = await world.countWholeDuring(start, waited);
+      expect(count).to.be.at.most(most);
+    },
+  );
   steps.add('all answers {string} are whole', async (world, start: string) => {
     const names = world.listNames(start);
     expect(names).not.to.be.empty;
--- a/tests/support/fleetWorld.ts
+++ b/tests/support/fleetWorld.ts
@@ -29,6 +29,8 @@
 
 /** A request whose answer may still be outstanding. */
 export interface Exchange {
+  /** `performance.now()` at the start. */
+  startedAtMs: number;
   answer: Promise<CallerAnswer>;
   /** Set when the answer has arrived. */
   arrived?: CallerAnswer;
@@ -196,7 +198,26 @@
     this.requests = this.runRequests(start, this.requestsEnd.signal);
   }
 
-  /** Ends the requests that `startRequests` began. */
+  /** Sends a request for each that ends, until `stopRequests`. */
+  keepInProgress(
+    start: string,
+    chat: {count: number; className: string; vm: LocalVm},
+  ): void {
+    const {signal} = this.requestsEnd;
+    let started = 0;
+    const repeat = async () => {
+      while (!signal.aborted) {
+        started += 1;
+        const name = `${start} ${started}`;
+        this.startChat(name, chat);
+        await this.waitForAnswer(name);
+      }
+    };
+    const workers = Array.from({length: chat.count}, repeat);
+    this.requests = Promise.all(workers).then(() => undefined);
+  }
+
+  /** Ends the requests that `startRequests` or `keepInProgress` began. */
   async stopRequests(): Promise<void> {
     this.requestsEnd.abort();
     await this.requests;
@@ -283,6 +304,19 @@
     return whole.filter(Boolean).length;
   }
 
+  /** Counts whole answers that arrived between start and end of another. */
+  async countWholeDuring(start: string, waited: string): Promise<number> {
+    const {startedAtMs, arrivedAtMs = Infinity} = this.getExchange(waited);
+    const isDuring = async (name: string) => {
+      const exchange = this.getExchange(name);
+      const isWhole = await this.isWhole(name);
+      const atMs = exchange.arrivedAtMs ?? Infinity;
+      return isWhole && atMs >= startedAtMs && atMs <= arrivedAtMs;
+    };
+    const during = await Promise.all(this.listNames(start).map(isDuring));
+    return during.filter(Boolean).length;
+  }
+
   /** Reads the outcome that an answer states, from header or last event. */
   async readOutcome(
     name: string,
@@ -370,7 +404,7 @@
   }
 
   private track(name: string, answer: Promise<CallerAnswer>): void {
-    const exchange: Exchange = {answer};
+    const exchange: Exchange = {startedAtMs: performance.now(), answer};
     this.exchanges.set(name, exchange);
     // A broken connection is an answer too: status 0 without an outcome.
     exchange.answer = answer.catch((error: unknown) => ({
