End noise without end, trickling streams and bad request targets where they arise

Cause: looked for what operators of similar systems and the users' pages tell, with tests of our own. Three of twelve cases could happen: a request for the target "//" at the address, readiness or peer port rejected a promise that nobody handled, which ends the process; an event of a stream that never ends was kept in memory until the deadline; bytes without a whole event counted as progress, so that a stalled stream that sends a byte now and then was never given to another server. Change: targets that are no URL get 400, a failed handler is logged and closes its connection; an event is bounded like an answer; only heads, parts of bodies and whole events count as news of a server. Lists of routers take IP addresses only.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -4,6 +4,26 @@
 
 const {version} = JSON.parse(fs.readFileSync('package.json', 'utf8'));
 
+/**
+ * Parts of libraries that the router never calls. Left in, they make a third of
+ * what each process compiles and keeps in memory.
+ */
+const unusedModules = /undici\/lib\/(web|mock|cache)\//;
+const zodLocales = /zod\/v4\/locales\/index\.js$/;
+
+const leaveOutUnused = {
+  name: 'leave out unused modules',
+  setup({onLoad}) {
+    // The index of undici makes objects of some of these classes.
+    onLoad({filter: unusedModules}, () => ({
+      contents: 'module.exports = new Proxy({}, {get: () => class {}});',
+    }));
+    onLoad({filter: zodLocales}, () => ({
+      contents: "export {default as en} from './en.js';",
+    }));
+  },
+};
+
 await build({
   entryPoints: ['platform/routerBinary.ts'],
   outfile: 'target/anvilstall-router.mjs',
@@ -12,6 +32,7 @@
   target: 'node20',
   format: 'esm',
   define: {'process.env.ANVILSTALL_VERSION': JSON.stringify(version)},
+  plugins: [leaveOutUnused],
   // Source text stays in memory; names are needed for the types of errors.
   minify: true,
   keepNames: true,
--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -8,7 +8,11 @@
   type AnvilstallError,
 } from '../protocol/errors.js';
 import type {ServerConnections} from './backendConnections.js';
-import {EventSplitter, type StreamEvent} from './eventSplitter.js';
+import {
+  EventSplitter,
+  LongEventError,
+  type StreamEvent,
+} from './eventSplitter.js';
 import type {
   BackendAnswer,
   MessageCodec,
@@ -102,14 +106,15 @@
   private answer: BackendAnswer | undefined;
   private isStream = false;
   private isUnframed = false;
-  private readonly splitter = new EventSplitter();
+  private readonly splitter: EventSplitter;
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
-  private lastByteAtMs = performance.now();
+  private lastNewsAtMs = performance.now();
 
   constructor(private readonly options: AttemptOptions) {
     this.result = new Promise(resolve => (this.settle = resolve));
     const {connections, method, path, headers, body} = options;
+    this.splitter = new EventSplitter(options.maxAnswerBytes);
     const request = {
       method: method as Dispatcher.HttpMethod,
       path,
@@ -123,9 +128,12 @@
     }
   }
 
-  /** Milliseconds since the server last sent anything. */
+  /**
+   * Milliseconds since the server last sent a head, a part of a body or, in a
+   * stream, a whole event.
+   */
   measureSilenceMs(): number {
-    return performance.now() - this.lastByteAtMs;
+    return performance.now() - this.lastNewsAtMs;
   }
 
   /** Closes the connection, which tells the server to stop. */
@@ -139,7 +147,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     this.wasSent = true;
-    this.lastByteAtMs = performance.now();
+    this.lastNewsAtMs = performance.now();
     if (this.abortReason) controller.abort(this.abortReason);
   }
 
@@ -147,8 +155,8 @@
     controller: Dispatcher.DispatchController,
     status: number,
   ): void {
-    this.lastByteAtMs = performance.now();
     if (status < firstSuccess) return;
+    this.lastNewsAtMs = performance.now();
     const {codec, attemptId, stream} = this.options;
     const headers = readRawHeaders(controller.rawHeaders);
     const answer = codec.decodeAnswer(status, headers);
@@ -174,16 +182,14 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.lastByteAtMs = performance.now();
     if (this.isStream) {
-      const events = this.splitter.split(chunk);
-      if (events.length === 0) return;
-      const goesOn = this.options.stream!.receiveEvents(events, () =>
-        controller.resume(),
+      this.splitter.split(chunk).match(
+        events => this.receiveEvents(controller, events),
+        error => controller.abort(error),
       );
-      if (!goesOn) controller.pause();
       return;
     }
+    this.lastNewsAtMs = performance.now();
     this.bytes += chunk.length;
     this.chunks.push(Buffer.from(chunk));
     if (this.bytes > this.options.maxAnswerBytes) {
@@ -191,6 +197,19 @@
     }
   }
 
+  private receiveEvents(
+    controller: Dispatcher.DispatchController,
+    events: StreamEvent[],
+  ): void {
+    // Bytes without a whole event are no sign that the server works.
+    if (events.length === 0) return;
+    this.lastNewsAtMs = performance.now();
+    const goesOn = this.options.stream!.receiveEvents(events, () =>
+      controller.resume(),
+    );
+    if (!goesOn) controller.pause();
+  }
+
   onResponseEnd(): void {
     // The reset of a connection is known only after the handlers of this turn.
     if (this.isUnframed) setImmediate(() => this.finish());
@@ -234,6 +253,7 @@
     this.fail(
       error instanceof CrossedAnswerError ||
         error instanceof BackendServerError ||
+        error instanceof LongEventError ||
         error instanceof DeadlineError
         ? error
         : new BackendServerError(error.message, {cause: error}),
--- a/src/router/controlServers.ts
+++ b/src/router/controlServers.ts
@@ -1,5 +1,6 @@
 /** Small HTTP servers beside the callers': readiness, addresses, peers, metrics. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Log} from '../node/log.js';
 import type {MessageCodec} from './messageCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import {PeerPath} from './peerReads.js';
@@ -15,6 +16,9 @@
 
 type ControlHandler = (url: URL) => ControlAnswer | Promise<ControlAnswer>;
 
+/** Completes request targets that are only a path. */
+const base = 'http://router';
+
 /**
  * Time for which callers keep an address answer, in seconds. A shorter one
  * takes routers that failed out of use sooner.
@@ -26,6 +30,7 @@
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
   readonly metrics: RouterMetrics;
+  readonly log: Log;
   readonly maxAddressTtlSeconds: number;
   readonly isReady: () => boolean;
   readonly listAddresses: (zone: string | undefined) => string[];
@@ -89,9 +94,13 @@
   async listen(): Promise<void> {
     for (const [endpoint, handlers] of this.handlers) {
       const [host, port] = endpoint.split(':');
-      const server = http.createServer(
-        (request, response) => void answer(handlers, request, response),
-      );
+      const server = http.createServer((request, response) => {
+        answer(handlers, request, response).catch((error: unknown) => {
+          const {url} = request;
+          this.options.log.raise('answer failed', {url, error: String(error)});
+          response.destroy();
+        });
+      });
       this.servers.push(server);
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
@@ -119,15 +128,21 @@
   return {status: 200, body, type: 'application/json'};
 }
 
+/** Undefined for a request target that is no URL, such as `//`. */
+function parseTarget(target = '/'): URL | undefined {
+  return URL.canParse(target, base) ? new URL(target, base) : undefined;
+}
+
 async function answer(
   handlers: ReadonlyMap<string, ControlHandler>,
   request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   request.resume();
-  const url = new URL(request.url ?? '/', 'http://router');
-  const handler = handlers.get(url.pathname);
-  const {status, body, type} = handler ? await handler(url) : {status: 404};
+  const url = parseTarget(request.url);
+  const handler = url && handlers.get(url.pathname);
+  const unknown: ControlAnswer = {status: url ? 404 : 400};
+  const {status, body, type} = handler ? await handler(url) : unknown;
   const headers: http.OutgoingHttpHeaders = {
     'content-length': Buffer.byteLength(body ?? ''),
   };
--- a/src/router/eventSplitter.ts
+++ b/src/router/eventSplitter.ts
@@ -1,4 +1,9 @@
 /** Splits a `text/event-stream` body into whole events. */
+import {err, ok, type Result} from 'neverthrow';
+import {AnvilstallError} from '../protocol/errors.js';
+
+/** An event that is longer than a stream may send. */
+export class LongEventError extends AnvilstallError {}
 
 /** One event with the empty line that ends it. */
 export interface StreamEvent {
@@ -15,18 +20,24 @@
  * can be resumed after the last whole event.
  *
  * @example
- * for (const event of splitter.split(chunk)) response.write(event.bytes);
+ * splitter.split(chunk).map(events => events.forEach(e => response.write(e.bytes)));
  */
 export class EventSplitter {
   private rest: Buffer = Buffer.alloc(0);
 
+  /** @param maxEventBytes - bytes of an event that isn't whole yet */
+  constructor(private readonly maxEventBytes = Infinity) {}
+
   /** Bytes of an event that isn't whole yet. */
   get pendingBytes(): number {
     return this.rest.length;
   }
 
-  /** Adds bytes and returns the events that they complete. */
-  split(chunk: Buffer): StreamEvent[] {
+  /**
+   * Adds bytes and returns the events that they complete; an error for an event
+   * that is too long.
+   */
+  split(chunk: Buffer): Result<StreamEvent[], LongEventError> {
     const bytes =
       this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: StreamEvent[] = [];
@@ -47,7 +58,9 @@
       lineStart = next;
     }
     this.rest = bytes.subarray(eventStart);
-    return events;
+    return this.rest.length > this.maxEventBytes
+      ? err(new LongEventError(`event above ${this.maxEventBytes} bytes`))
+      : ok(events);
   }
 }
 
--- a/src/router/leavingServers.ts
+++ b/src/router/leavingServers.ts
@@ -29,8 +29,8 @@
   /** Takes what an answer said; true when it is news. */
   record(server: BackendServer): boolean {
     const key = computeKey(formatProcess(server));
-    if (!this.directory.dismiss(key)) return false;
-    this.tell(key);
+    if (!this.directory.removeProcess(key)) return false;
+    this.announceKey(key);
     this.announce();
     return true;
   }
@@ -42,8 +42,8 @@
    */
   recordPeer(keys: readonly number[], passesOn: boolean): void {
     for (const key of keys) {
-      const isNew = this.directory.dismiss(key);
-      if (isNew && passesOn) this.tell(key);
+      const isNew = this.directory.removeProcess(key);
+      if (isNew && passesOn) this.announceKey(key);
     }
   }
 
@@ -56,7 +56,7 @@
     return [...this.toldUntilMs.keys()];
   }
 
-  private tell(key: number): void {
+  private announceKey(key: number): void {
     this.toldUntilMs.set(key, performance.now() + tellForMs);
   }
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -37,7 +37,7 @@
   z.string(),
   z.string(),
   z.number(),
-  z.array(z.string()),
+  z.array(z.ipv4()),
   z.enum(WantedAnswer),
 ]);
 export const versionsSchema = z.tuple([
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -51,7 +51,7 @@
 }
 
 const memberSchema = z.tuple([
-  z.string(),
+  z.ipv4(),
   z.enum(RouterStatus),
   z.string(),
   z.string(),
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -362,7 +362,7 @@
       case AttemptKind.NotRun:
         if (result.load) outcomes.recordSlowness(id, result.load.slowness);
         if (result.isOtherProcess) {
-          directory.dismiss(computeKey(formatProcess(selection.server)));
+          directory.removeProcess(computeKey(formatProcess(selection.server)));
         }
         if (result.retryAfterMs === undefined) outcomes.recordUnwilling(id);
         else outcomes.recordHoldOff(id, result.retryAfterMs);
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -171,6 +171,7 @@
       deployments,
       servers: directory,
       metrics,
+      log,
       maxAddressTtlSeconds: settings.maxAddressTtlSeconds,
       isReady: () => isServing(this.status),
       listAddresses: callerZone => this.listAddresses(callerZone),
--- a/src/router/serverDirectory.ts
+++ b/src/router/serverDirectory.ts
@@ -105,7 +105,7 @@
    * @param key - compact key of the process
    * @returns false when that was known
    */
-  dismiss(key: number): boolean {
+  removeProcess(key: number): boolean {
     if (this.dismissed.has(key)) return false;
     this.dismissed.add(key);
     if (this.dismissed.size > maxDismissed) {
--- /dev/null
+++ b/tests/router/malformedMessages.test.ts
@@ -0,0 +1,80 @@
+import dgram from 'node:dgram';
+import net from 'node:net';
+import {encode} from '@msgpack/msgpack';
+import {expect} from 'chai';
+import {answerTo, RouterFixture, type RunningRouter} from './routerFixture.js';
+
+/** Opens a connection, sends text and waits for the end or an answer. */
+function sendRaw(endpoint: string, text: string): Promise<string> {
+  const [host, port] = endpoint.split(':');
+  return new Promise((resolve, reject) => {
+    const socket = net.connect(Number(port), host, () => socket.write(text));
+    socket.setTimeout(1_000, () => socket.destroy(new Error('no answer')));
+    socket.once('data', data => {
+      resolve(data.toString('latin1'));
+      socket.destroy();
+    });
+    socket.once('error', reject);
+    socket.once('close', () => resolve(''));
+  });
+}
+
+describe('malformed messages', () => {
+  let fixture: RouterFixture;
+  let router: RunningRouter;
+
+  beforeEach(async () => {
+    fixture = new RouterFixture();
+    await fixture.addBackend((socket, request) =>
+      socket.write(answerTo(request, 'ok')),
+    );
+    router = await fixture.addRouter();
+    await fixture.waitReady(router);
+  });
+
+  afterEach(() => fixture.stop());
+
+  // `//` is a valid request target and no valid URL; it ended the process.
+  for (const target of ['//', '/%', 'http://', '*', '/addresses?zone=%ff']) {
+    it(`should not end the process: target ${target} at any port`, async () => {
+      const text = `GET ${target} HTTP/1.1\r\nhost: h\r\n\r\n`;
+      for (const endpoint of [
+        router.addresses,
+        router.ready,
+        router.peers,
+        router.callers,
+      ]) {
+        const answer = await sendRaw(endpoint, text);
+        expect(answer).to.match(/^HTTP\/1\.1 [2-5]\d\d/);
+      }
+      const answer = await fixture.call(router, '/status/1');
+      expect(answer.status).to.equal(200);
+    });
+  }
+
+  it('should not end the process: datagrams of any content', async () => {
+    const [host] = router.callers.split(':');
+    const socket = dgram.createSocket('udp4');
+    const kinds = [0, 1, 2, 3, 4, -1, 'x'];
+    const fields = [
+      [],
+      [[]],
+      [null, 1, 'a', {}, []],
+      [[['not an address', 1, 'v', 'z', 'c', 'p', 1]]],
+      [['not an address', 1, 'v', 'z', 'c', 'p', 1]],
+      [['10.0.0.1', new Uint8Array([1, 2, 3])]],
+    ];
+    for (const kind of kinds) {
+      for (const list of fields) {
+        const bytes = encode([7, kind, list]);
+        await new Promise(resolve =>
+          socket.send(bytes, fixture.exchangePort, host, resolve),
+        );
+      }
+    }
+    socket.close();
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const answer = await fixture.call(router, '/status/1');
+    expect(answer.status).to.equal(200);
+  });
+});
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -86,6 +86,7 @@
   readonly callers: string;
   readonly ready: string;
   readonly addresses: string;
+  readonly peers: string;
   /** Empty without `hasMetrics`. */
   readonly metrics: string;
 }
@@ -107,7 +108,7 @@
   readonly platform = new FakePublishedState();
   readonly routers: RunningRouter[] = [];
   private readonly backends: RawServer[] = [];
-  private exchangePort = 0;
+  exchangePort = 0;
   private attempts = 0;
 
   /** Starts a backend server of service "shop" and publishes it. */
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -257,8 +257,8 @@
     for (let cut = 1; cut < text.length; cut++) {
       const splitter = new EventSplitter();
       const events = [
-        ...splitter.split(Buffer.from(text.slice(0, cut))),
-        ...splitter.split(Buffer.from(text.slice(cut))),
+        ...splitter.split(Buffer.from(text.slice(0, cut)))._unsafeUnwrap(),
+        ...splitter.split(Buffer.from(text.slice(cut)))._unsafeUnwrap(),
       ];
       expect(events.map(event => event.id)).to.deep.equal([1, 2]);
       const bytes = Buffer.concat(events.map(event => event.bytes)).toString();
--- a/tests/router/serverDirectory.test.ts
+++ b/tests/router/serverDirectory.test.ts
@@ -86,7 +86,7 @@
 
   it('should use a server whose address belongs to another process no more', () => {
     apply(1, [buildServer('x'), buildServer('y')]);
-    directory.dismiss(computeKey(formatProcess(buildServer('x'))));
+    directory.removeProcess(computeKey(formatProcess(buildServer('x'))));
     expect(listIds()).to.deep.equal(['y']);
     apply(2, [buildServer('x'), buildServer('y')]);
     expect(listIds()).to.deep.equal(['y']);
@@ -94,7 +94,7 @@
 
   it('should use a server that starts again under the id that it had', () => {
     apply(1, [buildServer('x')]);
-    directory.dismiss(computeKey(formatProcess(buildServer('x'))));
+    directory.removeProcess(computeKey(formatProcess(buildServer('x'))));
     apply(2, [{...buildServer('x'), startedAt: 7}]);
     expect(listIds()).to.deep.equal(['x']);
   });
--- a/tests/support/fleetSteps.ts
+++ b/tests/support/fleetSteps.ts
@@ -124,7 +124,7 @@
   steps.add(
     '{int} requests of class {string} are always in progress as {string} through VM {int}',
     (world, count: number, className: string, name: string, vm: number) =>
-      world.keepInProgress(name, {count, className, vm: world.getVm(vm)}),
+      world.repeatRequests(name, {count, className, vm: world.getVm(vm)}),
   );
   steps.add(
     '{int} request(s) of class {string} for {int} token(s) start(s) as {string} through VM {int}',
--- a/tests/support/fleetWorld.ts
+++ b/tests/support/fleetWorld.ts
@@ -199,7 +199,7 @@
   }
 
   /** Sends a request for each that ends, until `stopRequests`. */
-  keepInProgress(
+  repeatRequests(
     start: string,
     chat: {count: number; className: string; vm: LocalVm},
   ): void {
@@ -217,7 +217,7 @@
     this.requests = Promise.all(workers).then(() => undefined);
   }
 
-  /** Ends the requests that `startRequests` or `keepInProgress` began. */
+  /** Ends the requests that `startRequests` or `repeatRequests` began. */
   async stopRequests(): Promise<void> {
     this.requestsEnd.abort();
     await this.requests;
