Don't believe a peer that is cut off when a router starts

Cause: shown by a test. A router that starts takes servers and deployment of the first peer that answers, also of one that the platform has turned away for seconds, and is ready with them: a key that was withdrawn before the start was accepted (statuses 503, 200, 401 in the first 1.5 s). Ruled out: a router that goes on running (a deployment never goes back there). Change: until a read of its own has failed, a router without state takes only that of peers whose view is younger than the bound of leaving servers; otherwise it reads within 0.75 s. A router looks four times a second whether it watches the deployment, not fourteen. Measured: the test failed before, passes now; a second one shows that a fleet that the platform turns away whole still starts.

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -63,6 +63,8 @@
   readonly leaving: LeavingServers;
   readonly reader: PublishedStateReader;
   readonly log: Log;
+  /** Time by which all routers know of a change, in milliseconds. */
+  readonly leaveBoundMs: number;
   readonly reports: OwnReports;
   /** Takes a prompt part that another router has placed, by keys. */
   readonly recordPlacement: (part: number, server: number) => void;
--- a/src/router/peerReads.ts
+++ b/src/router/peerReads.ts
@@ -40,6 +40,8 @@
   readonly servers: ServerDirectory;
   readonly reader: PublishedStateReader;
   readonly log: Log;
+  /** Time by which all routers know of a change, in milliseconds. */
+  readonly leaveBoundMs: number;
   /** Tells the others of newer state. */
   readonly announce: () => void;
 }
@@ -55,6 +57,7 @@
   /** Adopts newer state of a peer. */
   follow(versions: StateVersions, peer: string, signal: AbortSignal): void {
     const {deployments, servers} = this.options;
+    if (this.isFirst() && !this.isTrusted(versions)) return;
     if (versions.deploymentVersion > deployments.version) {
       this.pull(PeerPath.Deployment, peer, signal);
     }
@@ -67,6 +70,22 @@
     }
   }
 
+  private isFirst(): boolean {
+    const {deployments, servers} = this.options;
+    return deployments.version === 0 || servers.measureAgeMs() === Infinity;
+  }
+
+  /**
+   * A router that starts doesn't believe a peer that is cut off: it may have
+   * servers that left and keys that were withdrawn. Once a read of its own has
+   * failed, it has nothing better.
+   */
+  private isTrusted({serversAgeMs}: StateVersions): boolean {
+    const {leaveBoundMs, reader} = this.options;
+    if (reader.calls.failed > 0) return true;
+    return serversAgeMs >= 0 && serversAgeMs <= leaveBoundMs;
+  }
+
   private pull(path: PeerPath, peer: string, signal: AbortSignal): void {
     if (this.pulls.has(path)) return;
     this.pulls.add(path);
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -142,6 +142,7 @@
       leaving,
       reader,
       log,
+      leaveBoundMs: settings.leaveBoundMs,
       recordPlacement: (part, server) =>
         this.selector.recordPeerPlacement(part, server),
     });
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -41,6 +41,8 @@
 const startWaitMs = 450;
 /** Random part of the same. */
 const startSpreadMs = 300;
+/** Interval at which a router looks whether it watches, in milliseconds. */
+const turnPollMs = 250;
 /** Shortest wait of a task for its turn, in milliseconds. */
 const minTurnWaitMs = 5;
 
@@ -122,7 +124,7 @@
     while (!signal.aborted) {
       if (!this.isReader()) {
         revision = undefined;
-        await waitFor(readStaggerMs, signal);
+        await waitFor(turnPollMs, signal);
         continue;
       }
       const call =
--- a/tests/router/fakePublishedState.ts
+++ b/tests/router/fakePublishedState.ts
@@ -23,14 +23,27 @@
 
   /** A reader that can be turned away by its name. */
   openReader(name: string): PublishedStateReader {
+    let failed = 0;
     const run = <T>(
       read: () => ResultAsync<T, PlatformError>,
-    ): ResultAsync<T, PlatformError> =>
-      this.isDown || this.turnedAway.has(name)
-        ? errAsync(new PlatformError('turned away'))
-        : read();
+    ): ResultAsync<T, PlatformError> => {
+      if (!this.isDown && !this.turnedAway.has(name)) return read();
+      failed += 1;
+      return errAsync(new PlatformError('turned away'));
+    };
+    const {calls} = this;
     return {
-      calls: this.calls,
+      calls: {
+        get reads() {
+          return calls.reads;
+        },
+        get watches() {
+          return calls.watches;
+        },
+        get failed() {
+          return failed;
+        },
+      },
       readDeployment: signal => run(() => this.readDeployment(signal)),
       watchDeployment: (after, waitMs, signal) =>
         run(() => this.watchDeployment(after, waitMs, signal)),
--- a/tests/soak/httpPublishedState.ts
+++ b/tests/soak/httpPublishedState.ts
@@ -94,7 +94,10 @@
     const call = request(`http://${this.address}${path}`, {signal: bounded});
     return ResultAsync.fromPromise(
       call.then(({body}) => body.json() as Promise<T>),
-      cause => new PlatformError(`${path}: ${String(cause)}`, {cause}),
+      cause => {
+        this.calls.failed += 1;
+        return new PlatformError(`${path}: ${String(cause)}`, {cause});
+      },
     );
   }
 }
