Call a prompt short by its reading time against the pause of streams

Cause: what counts as long was 1,024 unread tokens, fitted to the first two deployments (826 tokens).

--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -34,6 +34,8 @@
   readonly failureCostMs: number;
   /** Prompt tokens that an engine reads in a millisecond. */
   readonly readTokensPerMs: number;
+  /** A prompt with fewer unread tokens is short. */
+  readonly shortTokens: number;
 }
 
 /** Where a prompt goes. */
@@ -44,6 +46,8 @@
   readonly shortStreams: number;
   /** Prompt tokens that the engine has to read. */
   readonly unreadTokens: number;
+  /** Too short to make streams beside it late. */
+  readonly isShort: boolean;
   /** Expected time until the prompt is read, in milliseconds. */
   readonly readyMs: number;
   /** Part of it for the prompts that are there already. */
@@ -97,8 +101,6 @@
  * must find slots before routers hear of each other's.
  */
 const minApartShare = 0.2;
-/** Prompts with fewer unread tokens count as short. */
-export const shortPromptTokens = 1_024;
 /** Cost for each request above the slots, in milliseconds. */
 const queueCostMs = 40;
 /**
@@ -184,17 +186,18 @@
     const slowness = Math.max(1, candidate.slowness);
     const msPerToken = slowness / demand.readTokensPerMs;
     const readMs = unreadTokens * msPerToken;
+    const isShort = unreadTokens < demand.shortTokens;
     const backlogMs = candidate.promptTokens * msPerToken;
     choices.set(candidate, {
       serverId,
       requests: candidate.requests,
       shortStreams: candidate.shortStreams,
       unreadTokens,
+      isShort,
       readyMs: backlogMs + readMs,
       backlogMs,
       fetchFrom: canFetch ? best.key : undefined,
     });
-    const isShort = unreadTokens < shortPromptTokens;
     const queued = Math.max(0, candidate.requests + 1 - candidate.slots);
     return (
       backlogMs * (isShort ? shortPromptBacklogWeight : 1) +
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -20,7 +20,6 @@
 import {formatProcess, RouteKind, type Route} from './deployment.js';
 import type {LeavingServers} from './leavingServers.js';
 import type {BackendAnswer, MessageCodec} from './messageCodec.js';
-import {shortPromptTokens} from './placement.js';
 import {
   AdmissionDecision,
   decideAdmission,
@@ -207,9 +206,7 @@
     );
     for (;;) {
       const selection = this.select();
-      if (!selection || selection.unreadTokens < shortPromptTokens) {
-        return selection;
-      }
+      if (!selection || selection.isShort) return selection;
       const decision = decideAdmission({
         waitedMs: performance.now() - exchange.startedAtMs,
         expectedMs: selection.expectedMs,
@@ -261,7 +258,7 @@
     const isEngine = exchange.request.promptParts.length > 0;
     this.ticket = loads.add(server.id, {
       promptTokens: unreadTokens,
-      isShortStream: isEngine && unreadTokens < shortPromptTokens,
+      isShortStream: isEngine && selection.isShort,
     });
     if (isEngine) {
       const {promptParts} = exchange.request;
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -114,6 +114,7 @@
       outcomes,
       fleet,
       prompts,
+      deployments,
     });
     const reports = new OwnReports({
       reporter: new ServerReporter(directory, loads, outcomes),
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -2,6 +2,7 @@
 import {sortByWeight} from '../node/rendezvous.js';
 import {computeKey} from './compactKey.js';
 import type {BackendServer} from './deployment.js';
+import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
 import type {PromptPart} from './messageCodec.js';
 import {
@@ -10,7 +11,9 @@
   type Candidate,
   type EngineChoice,
 } from './placement.js';
+import {computeShortTokens, findShortestPauseMs} from './promptLength.js';
 import type {PromptDirectory} from './promptDirectory.js';
+import type {RouteTable} from './routeTable.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {ServerLoads} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
@@ -47,6 +50,8 @@
   readonly server: BackendServer;
   /** Prompt tokens that the engine has to read; 0 for plain services. */
   readonly unreadTokens: number;
+  /** Not long enough to make streams beside it late. */
+  readonly isShort: boolean;
   /** `host:port` of the engine to copy KV cache from. */
   readonly fetchFrom?: string;
   /** Expected time to the answer or the first event in milliseconds. */
@@ -66,6 +71,7 @@
   readonly outcomes: ServerOutcomes;
   readonly fleet: FleetView;
   readonly prompts: PromptDirectory;
+  readonly deployments: DeploymentStore;
 }
 
 /** Weighs servers by the load that all routers have there. */
@@ -78,7 +84,12 @@
   private readonly workTimes = new Map<string, number>();
   private freshPlacements: Array<[number, number]> = [];
 
-  constructor(private readonly options: ServerSelectorOptions) {}
+  /** Shortest pause of the streams of each service, in milliseconds. */
+  private readonly pauses = new Map<string, number>();
+
+  constructor(private readonly options: ServerSelectorOptions) {
+    options.deployments.watch(table => this.recordPauses(table));
+  }
 
   /** Chooses a server for a request; undefined when there is none. */
   select(demand: SelectionDemand): Selection | undefined {
@@ -222,6 +233,7 @@
           requests: chosen.requests,
           shortStreams: chosen.shortStreams,
           unreadTokens: 0,
+          isShort: true,
           readyMs: workMs,
           backlogMs: 0,
         },
@@ -253,6 +265,10 @@
         bodyBytes,
         failureCostMs,
         readTokensPerMs,
+        shortTokens: computeShortTokens(
+          readTokensPerMs,
+          this.pauses.get(service),
+        ),
       },
       Math.random,
     );
@@ -274,6 +290,7 @@
     return {
       server,
       unreadTokens: choice.unreadTokens,
+      isShort: choice.isShort,
       fetchFrom: source && `${source.host}:${source.port}`,
       expectedMs,
       backlogMs: choice.backlogMs,
@@ -282,6 +299,14 @@
     };
   }
 
+  private recordPauses(table: RouteTable): void {
+    this.pauses.clear();
+    for (const {name} of table.deployment.services) {
+      const pauseMs = findShortestPauseMs(table, name);
+      if (pauseMs !== undefined) this.pauses.set(name, pauseMs);
+    }
+  }
+
   private getReadRate(service: string): number {
     return this.readRates.get(service) ?? firstReadTokensPerMs;
   }
--- a/tests/router/placement.test.ts
+++ b/tests/router/placement.test.ts
@@ -37,6 +37,7 @@
     bodyBytes: 1_000,
     failureCostMs: 250,
     readTokensPerMs: 50,
+    shortTokens: 1_024,
     ...change,
   };
 }
@@ -176,6 +177,7 @@
       requests: 0,
       shortStreams: 0,
       unreadTokens: 3_000,
+      isShort: false,
       readyMs: 60,
       backlogMs: 0,
       fetchFrom: undefined,
