Let routers that start again read the platform at once, the deployment first

Change 1: only a fleet that starts for the first time (bootstrap) waits; a router that starts again reads at once. Change 2: the first deployment is read before the servers.

--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -310,6 +310,7 @@
       log: this.log,
       getReadRank: () => this.computeReadRank(),
       seedIndex: settings.seeds.indexOf(settings.listen.peers),
+      isFirstStart: settings.isFirstStart,
       leaveBoundMs: settings.leaveBoundMs,
       contactBoundMs: settings.contactBoundMs,
       announce: () => this.exchange.announce(),
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -42,6 +42,8 @@
     slack: ratioSchema,
     windowSeconds: secondsSchema,
   }),
+  /** True when the whole fleet starts for the first time. */
+  isFirstStart: z.boolean().default(false),
   /**
    * Time by which a leaving backend server gets no more requests, in
    * milliseconds.
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -53,6 +53,8 @@
   readonly log: Log;
   /** Position of this router in the order in which routers read. */
   readonly getReadRank: () => number;
+  /** True when the whole fleet starts for the first time, without callers. */
+  readonly isFirstStart: boolean;
   /** Position among the seeds; -1 for other routers. */
   readonly seedIndex: number;
   /** Time by which a leaving server gets no more requests, in milliseconds. */
@@ -72,13 +74,9 @@
   private readAtMs: number | undefined;
 
   constructor(private readonly options: StateFollowerOptions) {
-    const {seedIndex, leaveBoundMs} = options;
+    const {leaveBoundMs} = options;
     this.readIntervalMs = leaveBoundMs * readIntervalPart;
-    const delayMs =
-      seedIndex >= 0
-        ? seedIndex * seedStaggerMs
-        : startWaitMs + Math.random() * startSpreadMs;
-    this.startReadAtMs = performance.now() + delayMs;
+    this.startReadAtMs = performance.now() + computeStartWaitMs(options);
   }
 
   /** Reads the servers when it is this router's turn, until the signal aborts. */
@@ -91,6 +89,7 @@
         await waitFor(Math.max(minTurnWaitMs, waitMs), signal);
         continue;
       }
+      await this.readFirstDeployment(signal);
       const startedAtMs = performance.now();
       const read = await reader.readServers(signal);
       if (read.isErr()) {
@@ -150,6 +149,20 @@
     }
   }
 
+  /**
+   * The others take a router that has read the servers for informed, and give back
+   * an older deployment as if it were in force.
+   */
+  private async readFirstDeployment(signal: AbortSignal): Promise<void> {
+    const {reader, deployments} = this.options;
+    if (deployments.version > 0) return;
+    const read = await reader.readDeployment(signal);
+    read.match(
+      change => this.adopt(change),
+      error => this.noteFailure(error, signal),
+    );
+  }
+
   /** Time until this router reads; another router's read puts it off. */
   private computeReadWaitMs(): number {
     const {servers, getReadRank} = this.options;
@@ -192,3 +205,17 @@
     this.options.log.warn('platform not reachable', {error: error.message});
   }
 }
+
+/**
+ * A fleet that starts for the first time has no callers yet, so its routers may
+ * wait for each other. One that starts again has callers that wait.
+ */
+function computeStartWaitMs({
+  isFirstStart,
+  seedIndex,
+}: StateFollowerOptions): number {
+  if (!isFirstStart) return 0;
+  return seedIndex >= 0
+    ? seedIndex * seedStaggerMs
+    : startWaitMs + Math.random() * startSpreadMs;
+}
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -99,6 +99,7 @@
   /** Retries of the whole fleet beyond the ratio. */
   readonly retrySlack?: number;
   readonly hasMetrics?: boolean;
+  readonly isFirstStart?: boolean;
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps?: number;
 }
@@ -166,6 +167,7 @@
           slack: options.retrySlack ?? 50,
           windowSeconds: 10,
         },
+        isFirstStart: options.isFirstStart ?? true,
         leaveBoundMs: 2_000,
         contactBoundMs: 3_000,
         maxAddressTtlSeconds: 5,
--- a/tests/router/sharedReads.test.ts
+++ b/tests/router/sharedReads.test.ts
@@ -44,6 +44,20 @@
     expect(fixture.platform.serverReads).to.be.at.most(3);
   });
 
+  // After all processes were killed, routers that waited for each other refused
+  // callers for half a second more.
+  it('should be at once when a router starts again', async () => {
+    await fixture.addBackend((socket, request) =>
+      socket.write(answerTo(request, 'ok')),
+    );
+    const seed = await fixture.addRouter();
+    await seed.daemon.stopNow();
+    const startedAtMs = performance.now();
+    const router = await fixture.addRouter({isFirstStart: false});
+    await fixture.waitReady(router);
+    expect(performance.now() - startedAtMs).to.be.lessThan(400);
+  });
+
   it('should pass deployments and servers on to a router that the platform turns away', async () => {
     const leaving = await fixture.addBackend((socket, request) =>
       socket.write(answerTo(request, 'first')),
