Let members that report elsewhere hear of their zone's relay

Change: a router that relays for members but isn't chosen names its own relay to them, in each report as alive and in full ones by its endpoints.

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -218,7 +218,7 @@
     const relay = this.choice.chooseOwn();
     this.noteRelay(relay);
     if (relay === undefined || this.duty.listMembers().length > 0) {
-      this.sendAsRelay(relay === undefined, isFull);
+      this.sendAsRelay(relay, isFull);
     }
     if (relay !== undefined) this.sendToRelay(relay, isFull);
   }
@@ -264,9 +264,11 @@
     return this.options.reports.build(isForRelay, identity);
   }
 
-  /** @param isChosen - false while members still report here by an older view */
-  private sendAsRelay(isChosen: boolean, wantsFull: boolean): void {
+  /** @param relay - another one while members report here by an older view */
+  private sendAsRelay(relay: string | undefined, wantsFull: boolean): void {
     const {address, endpoints, reports, fleet} = this.options;
+    const isChosen = relay === undefined;
+    const peer = fleet.listAlive().find(({host}) => host === relay);
     const isFull = wantsFull || isChosen !== this.wasRelay;
     this.wasRelay = isChosen;
     const own = isChosen ? this.buildReport(false, isFull) : undefined;
@@ -281,7 +283,7 @@
       suspects: own?.suspects ?? [],
       leaving: reports.listLeaving(),
       routers: fleet.listKnown().length + 1,
-      isCounted: isChosen,
+      relay: peer && toMember(peer),
     };
     const report = this.duty.build(self, isFull);
     const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
--- a/src/router/relayDuty.ts
+++ b/src/router/relayDuty.ts
@@ -40,8 +40,11 @@
   readonly leaving: PeerReport['leaving'];
   /** Routers of the fleet that it knows. */
   readonly routers: number;
-  /** False for a router that reports to another relay itself. */
-  readonly isCounted: boolean;
+  /**
+   * Relay of the zone, to which it reports itself; undefined when it is that
+   * one. Members that report here didn't know of it when they chose.
+   */
+  readonly relay: Member | undefined;
 }
 
 /** Collects reports of members and of other relays between two sends. */
@@ -126,7 +129,7 @@
   /** Builds the next report; it is full or has what changed since the last. */
   build(self: RelaySelf, isFull: boolean): RelayReport {
     this.forgetSilent();
-    if (!self.isCounted) this.sums.remove(ownSource);
+    if (self.relay) this.sums.remove(ownSource);
     else if (isFull) this.sums.replace(ownSource, self.servers);
     else this.sums.update(ownSource, self.servers);
     if (isFull) this.sums.rebuild();
@@ -137,7 +140,9 @@
       .map(({member}) => member)
       .filter(({host}) => isFull || this.changed.has(host));
     const key = computeKey(self.member.host);
-    const {incarnation, versions, routers, leaving} = self;
+    const {incarnation, versions, routers, leaving, relay} = self;
+    const isRelayListed = relay !== undefined && !this.members.has(relay.host);
+    const others = isRelayListed ? [relay] : [];
     const report: RelayReport = {
       incarnation,
       routers,
@@ -151,6 +156,7 @@
           sequence,
         ]),
         [key, self.sequence],
+        ...others.map(({host}): [number, number] => [computeKey(host), 0]),
       ],
       placements: [...this.placements, ...self.placements],
       suspects: [
@@ -164,7 +170,7 @@
         ),
       ],
       leaving,
-      members: isFull ? [...members, self.member] : members,
+      members: isFull ? [...members, self.member, ...others] : members,
     };
     this.heard.clear();
     this.changed.clear();
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -9,6 +9,7 @@
 } from '../../src/router/peerReport.js';
 import {RelayChoice} from '../../src/router/relayChoice.js';
 import {RelayDuty, type RelaySelf} from '../../src/router/relayDuty.js';
+import type {Member} from '../../src/router/relayReport.js';
 
 const versions = {
   deploymentVersion: 1,
@@ -42,6 +43,10 @@
   return {vm: `vm-${host}`, zone, callers, peers, linkMbps};
 }
 
+function buildMember(host: string): Member {
+  return {...buildEndpoints(host), host, status: RouterStatus.Ready};
+}
+
 function buildReport(
   host: string,
   requests: number,
@@ -69,11 +74,7 @@
 function buildSelf(requests: number): RelaySelf {
   return {
     versions,
-    member: {
-      ...buildEndpoints(relayHost),
-      host: relayHost,
-      status: RouterStatus.Ready,
-    },
+    member: buildMember(relayHost),
     incarnation: 1,
     sequence: 1,
     servers: [buildServer(requests)],
@@ -81,7 +82,7 @@
     suspects: [],
     leaving: [8],
     routers: 3,
-    isCounted: true,
+    relay: undefined,
   };
 }
 
@@ -182,8 +183,7 @@
     recordAt(duty, ownHost, {...resting, servers: []});
     expect(duty.listActive()).to.deep.equal([otherHost]);
     expect(duty.listResting()).to.deep.equal([ownHost]);
-    const status = RouterStatus.Ready;
-    const other = {...buildEndpoints(otherHost), host: otherHost, status};
+    const other = buildMember(otherHost);
     const fleet = new FleetView(ownHost);
     fleet.recordRelay(relayHost, duty.buildBeat(buildSelf(5), [other], true));
     expect(fleet.sumLoad(engine)).to.equal(undefined);
@@ -233,6 +233,31 @@
     expect(second).not.to.equal(first);
   });
 
+  // A router that joined while its list lacked the zone's relay reported to
+  // another one for good, because that one never named the right relay.
+  it('should be found by members that report to another router', () => {
+    const getStatus = () => RouterStatus.Ready;
+    const hosts = Array.from({length: 20}, (_, i) => `10.0.1.${i}`);
+    const fleet = new FleetView(ownHost);
+    const identity = {host: ownHost, zone: 'a', linkMbps, getStatus};
+    const choice = new RelayChoice(fleet, identity);
+    for (const host of hosts) fleet.record(host, buildReport(host, 0));
+    const relay = choice.chooseOwn()!;
+    const lacking = new FleetView(ownHost);
+    const lackingChoice = new RelayChoice(lacking, identity);
+    lacking.record(otherHost, buildReport(otherHost, 0));
+    const duty = new RelayDuty();
+    recordAt(duty, ownHost, buildReport(ownHost, 2));
+    const self = {...buildSelf(0), relay: buildMember(relay)};
+    lacking.recordRelay(otherHost, duty.build(self, true));
+    expect(lackingChoice.chooseOwn()).to.equal(relay);
+    // Between full reports it stays alive for them.
+    clock.tick(900);
+    lacking.recordRelay(otherHost, duty.build(self, false));
+    clock.tick(900);
+    expect(lacking.listAlive().map(({host}) => host)).to.include(relay);
+  });
+
   it('should be the same for all routers of a zone', () => {
     const hosts = Array.from({length: 20}, (_, i) => `10.0.1.${i}`);
     const relays = hosts.map(own => {
