Keep one set of connections a backend server, also for streams that run once

Ruled out: the servers' word (they keep a connection for 10 s), the number of routers alone (84 pairs of router and engine meet every 5 s). Change: one set of connections a server. Requests that may repeat take the one that rested longest and so try it; streams the newest one while their service keeps connections; orders one that rested up to 100 ms, as before. A reset that answers the first packet on a rested connection marks the service as forgetful at all routers (the channel of leaving servers, now SharedNotices), for 10 s, twice as long each next time, and counts neither against the server nor against the request. Price: one stream of the fleet for each new trouble; orders are never risked. Test: two routers lose one stream to a forgetful server, not one each; the notice spreads and ends; the old test of orders is unchanged.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -7,7 +7,7 @@
   DeadlineError,
   type AnvilstallError,
 } from '../protocol/errors.js';
-import type {ServerConnections} from './backendConnections.js';
+import type {BackendConnection} from './backendConnections.js';
 import {
   EventSplitter,
   LongEventError,
@@ -53,7 +53,12 @@
       load?: ReportedLoad;
     }
   | {kind: AttemptKind.Unreachable; error: AnvilstallError}
-  | {kind: AttemptKind.Broken; error: AnvilstallError};
+  | {
+      kind: AttemptKind.Broken;
+      error: AnvilstallError;
+      /** The connection ended by itself and no byte of an answer had come. */
+      isUnanswered: boolean;
+    };
 
 /** Takes the parts of a stream as they arrive. */
 export interface StreamListener {
@@ -64,8 +69,8 @@
 }
 
 export interface AttemptOptions {
-  readonly connections: Pick<ServerConnections, 'isResetting'> & {
-    readonly pool: Dispatcher;
+  readonly connection: Pick<BackendConnection, 'isResetting'> & {
+    readonly dispatcher: Dispatcher;
   };
   readonly method: string;
   readonly path: string;
@@ -113,7 +118,7 @@
 
   constructor(private readonly options: AttemptOptions) {
     this.result = new Promise(resolve => (this.settle = resolve));
-    const {connections, method, path, headers, body} = options;
+    const {connection, method, path, headers, body} = options;
     this.splitter = new EventSplitter(options.maxAnswerBytes);
     const request = {
       method: method as Dispatcher.HttpMethod,
@@ -122,7 +127,7 @@
       body: body.length > 0 ? body : null,
     };
     try {
-      connections.pool.dispatch(request, this);
+      connection.dispatcher.dispatch(request, this);
     } catch (error) {
       this.onResponseError(undefined, error as Error);
     }
@@ -222,7 +227,7 @@
       this.fail(new BackendServerError('answer without a head'));
     } else if (answer.isNotRun) {
       this.settleNotRun(answer);
-    } else if (this.isUnframed && this.options.connections.isResetting) {
+    } else if (this.isUnframed && this.options.connection.isResetting) {
       this.fail(new BackendServerError('connection reset within an answer'));
     } else if (!this.isStream) {
       const body = Buffer.concat(this.chunks);
@@ -267,10 +272,14 @@
     this.settle({kind, status, isOtherProcess, retryAfterMs, load});
   }
 
+  private get isUnanswered(): boolean {
+    return this.answer === undefined && this.abortReason === undefined;
+  }
+
   private fail(error: AnvilstallError): void {
     this.settle(
       this.wasSent
-        ? {kind: AttemptKind.Broken, error}
+        ? {kind: AttemptKind.Broken, error, isUnanswered: this.isUnanswered}
         : {kind: AttemptKind.Unreachable, error},
     );
   }
--- a/src/router/backendConnections.ts
+++ b/src/router/backendConnections.ts
@@ -1,121 +1,166 @@
 /** Connections to backend servers. */
-import {buildConnector, Pool} from 'undici';
+import {buildConnector, Client} from 'undici';
+import {connectDeadlineMs, freshForMs, Reuse} from './connectionReuse.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 
-/**
- * Deadline of a new connection in milliseconds. A handshake takes a few; a
- * server without power never answers.
- */
-const connectDeadlineMs = 350;
 /** Idle time of a connection whose server states none, in milliseconds. */
 const idleTimeoutMs = 8_000;
-/**
- * The same for requests that may run once only, in milliseconds. A server may
- * forget connections that rested for some hundred milliseconds, and a request
- * that is reset then may or may not have run.
- */
-const shortIdleTimeoutMs = 100;
+/** Longest idle time that a server's word is taken for, in milliseconds. */
+const maxIdleTimeoutMs = 60_000;
 /** A connection is closed so long before its server would close it. */
 const idleMarginMs = 1_000;
-
 /** Codes of a connection that the other side has reset. */
 const resetCodes = new Set(['EPIPE', 'ECONNRESET', 'ENOTCONN']);
 
-/** Connections of one backend server. */
-export interface ServerConnections {
-  readonly pool: Pool;
-  /** The process that the connections lead to. */
-  readonly process: string;
+/** One connection of a request to a backend server. */
+export class BackendConnection {
+  /** Where requests go; one at a time. */
+  readonly dispatcher: Client;
   /**
-   * True while the reset of a connection is being handled. An answer without
+   * True while the reset of the connection is being handled. An answer without
    * a length that ends then was cut off.
    */
-  isResetting: boolean;
+  isResetting = false;
+  /** Time for which it had rested when it was taken; 0 for a new one. */
+  restedMs = 0;
+  /** `performance.now()` at the end of its last request. */
+  private freeSinceMs: number | undefined;
+
+  constructor({host, port}: Pick<BackendServer, 'host' | 'port'>) {
+    const connect = buildConnector({
+      timeout: connectDeadlineMs,
+      // Lets the write after an end find out about a reset; undici closes the
+      // connection.
+      allowHalfOpen: true,
+    });
+    const noteReset = (error: Error | null | undefined) => {
+      const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
+      if (code === undefined || !resetCodes.has(code)) return;
+      this.isResetting = true;
+      setTimeout(() => (this.isResetting = false), 1);
+    };
+    this.dispatcher = new Client(`http://${host}:${port}`, {
+      pipelining: 1,
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          // Runs before undici's own handler, which takes a reset for the end
+          // of an answer without a length.
+          const socket = result[1];
+          socket?.on('error', noteReset);
+          // libuv reports a reset that comes together with data as an end of
+          // file; writing nothing then fails.
+          socket?.on('end', () => socket.write(Buffer.alloc(0), noteReset));
+          callback(...result);
+        }),
+      keepAliveTimeout: idleTimeoutMs,
+      keepAliveMaxTimeout: maxIdleTimeoutMs,
+      keepAliveTimeoutThreshold: idleMarginMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /** Time since the end of its last request; undefined while it is in use. */
+  measureRestMs(): number | undefined {
+    const {connected, size} = this.dispatcher.stats;
+    if (this.freeSinceMs === undefined || !connected || size > 0) {
+      return undefined;
+    }
+    return performance.now() - this.freeSinceMs;
+  }
+
+  /** Keeps it for one request, until `release`. */
+  take(): void {
+    this.restedMs = this.measureRestMs() ?? 0;
+    this.freeSinceMs = undefined;
+  }
+
+  /** The request has ended. */
+  release(): void {
+    this.freeSinceMs = performance.now();
+  }
 }
 
-/** How long a kept connection may have rested before it is used again. */
-enum Reuse {
-  /** Almost as long as its server keeps it. */
-  Long,
-  /** So shortly that its server can't have forgotten it. */
-  Short,
+interface ServerConnections {
+  /** The process that the connections lead to. */
+  readonly process: string;
+  readonly kept: Set<BackendConnection>;
 }
 
-/** Pools of each backend server; an idle pool holds no connection. */
+/**
+ * Keeps the connections of each backend server, all requests together, because
+ * a new one is dear.
+ *
+ * @example
+ * const connection = connections.take(server, Reuse.Oldest);
+ * connection.dispatcher.dispatch(request, handler); // and at the end:
+ * connection.release();
+ */
 export class BackendConnections {
-  private readonly servers = new Map<
-    string,
-    Readonly<Record<Reuse, ServerConnections>>
-  >();
+  private readonly servers = new Map<string, ServerConnections>();
 
-  /**
-   * Each request has a connection of its own meanwhile.
-   *
-   * @param mayRepeat - true for a request that may run again when its
-   *     connection turns out to be dead
-   */
-  get(server: BackendServer, mayRepeat: boolean): ServerConnections {
-    let pools = this.servers.get(server.id);
-    const process = formatProcess(server);
-    if (pools?.[Reuse.Long].process !== process) {
-      this.release(server.id);
-      pools = {
-        [Reuse.Long]: openConnections(server, idleTimeoutMs),
-        [Reuse.Short]: openConnections(server, shortIdleTimeoutMs),
-      };
-      this.servers.set(server.id, pools);
-    }
-    return pools[mayRepeat ? Reuse.Long : Reuse.Short];
+  /** Takes a connection for one request. */
+  take(server: BackendServer, reuse: Reuse): BackendConnection {
+    const {kept} = this.getConnections(server);
+    const connection = choose(kept, reuse) ?? this.open(server, kept);
+    connection.take();
+    return connection;
   }
 
   /** Closes idle connections; requests in progress go on. */
   release(serverId: string): void {
-    const pools = this.servers.get(serverId);
+    const kept = this.servers.get(serverId)?.kept;
     this.servers.delete(serverId);
-    void pools?.[Reuse.Long].pool.close();
-    void pools?.[Reuse.Short].pool.close();
+    for (const connection of kept ?? []) close(connection, kept!);
   }
+
+  private getConnections(server: BackendServer): ServerConnections {
+    const process = formatProcess(server);
+    const known = this.servers.get(server.id);
+    if (known?.process === process) return known;
+    this.release(server.id);
+    const connections = {process, kept: new Set<BackendConnection>()};
+    this.servers.set(server.id, connections);
+    return connections;
+  }
+
+  private open(
+    server: BackendServer,
+    kept: Set<BackendConnection>,
+  ): BackendConnection {
+    const connection = new BackendConnection(server);
+    kept.add(connection);
+    // A client without a connection would open one for its next request.
+    const {dispatcher} = connection;
+    dispatcher.on('disconnect', () => close(connection, kept));
+    dispatcher.on('connectionError', () => close(connection, kept));
+    return connection;
+  }
+}
+
+/** Lets its request end; a client can be closed only once. */
+function close(
+  connection: BackendConnection,
+  kept: Set<BackendConnection>,
+): void {
+  if (kept.delete(connection)) void connection.dispatcher.close();
 }
 
-function openConnections(
-  server: BackendServer,
-  keptForMs: number,
-): ServerConnections {
-  const connect = buildConnector({
-    timeout: connectDeadlineMs,
-    // Lets the write after an end find out about a reset; undici closes the
-    // connection.
-    allowHalfOpen: true,
-  });
-  const noteReset = (error: Error | null | undefined) => {
-    const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
-    if (code === undefined || !resetCodes.has(code)) return;
-    connections.isResetting = true;
-    setTimeout(() => (connections.isResetting = false), 1);
-  };
-  const pool = new Pool(`http://${server.host}:${server.port}`, {
-    pipelining: 1,
-    connect: (options, callback) =>
-      connect(options, (...result) => {
-        // Runs before undici's own handler, which takes a reset for the end
-        // of an answer without a length.
-        const socket = result[1];
-        socket?.on('error', noteReset);
-        // libuv reports a reset that comes together with data as an end of
-        // file; writing nothing then fails.
-        socket?.on('end', () => socket.write(Buffer.alloc(0), noteReset));
-        callback(...result);
-      }),
-    keepAliveTimeout: keptForMs,
-    keepAliveMaxTimeout: keptForMs,
-    keepAliveTimeoutThreshold: idleMarginMs,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-  const connections: ServerConnections = {
-    pool,
-    process: formatProcess(server),
-    isResetting: false,
-  };
-  return connections;
+function choose(
+  kept: Iterable<BackendConnection>,
+  reuse: Reuse,
+): BackendConnection | undefined {
+  const limitMs = reuse === Reuse.Fresh ? freshForMs : Infinity;
+  let best: {connection: BackendConnection; restedMs: number} | undefined;
+  for (const connection of kept) {
+    const restedMs = connection.measureRestMs();
+    if (restedMs === undefined || restedMs > limitMs) continue;
+    const isBetter =
+      best === undefined ||
+      (reuse === Reuse.Oldest
+        ? restedMs > best.restedMs
+        : restedMs < best.restedMs);
+    if (isBetter) best = {connection, restedMs};
+  }
+  return best?.connection;
 }
--- a/src/router/ownReports.ts
+++ b/src/router/ownReports.ts
@@ -1,6 +1,5 @@
 /** Builds what this router tells the others of itself. */
 import type {CrashSuspects} from './crashSuspects.js';
-import type {LeavingServers} from './leavingServers.js';
 import type {
   PeerIdentity,
   PeerReport,
@@ -10,12 +9,13 @@
 } from './peerReport.js';
 import type {ServerReporter} from './serverReporter.js';
 import type {ServerSelector} from './serverSelector.js';
+import type {SharedNotices} from './sharedNotices.js';
 
 export interface OwnReportsOptions {
   readonly reporter: ServerReporter;
   readonly selector: ServerSelector;
   readonly suspects: CrashSuspects;
-  readonly leaving: LeavingServers;
+  readonly notices: SharedNotices;
   readonly getStatus: () => RouterStatus;
   readonly getVersions: () => StateVersions;
 }
@@ -40,9 +40,9 @@
     return this.options.getVersions();
   }
 
-  /** Compact keys of processes of servers that leave. */
-  listLeaving(): number[] {
-    return this.options.leaving.listTold();
+  /** Compact keys of what all routers must hear soon. */
+  listNotices(): number[] {
+    return this.options.notices.listTold();
   }
 
   /** What was said of servers up to the newest report. */
@@ -86,7 +86,7 @@
       isForRelay,
       status,
       ...versions,
-      leaving: this.listLeaving(),
+      notices: this.listNotices(),
       identity,
     };
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -9,7 +9,6 @@
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
 import type {OwnReports} from './ownReports.js';
-import type {LeavingServers} from './leavingServers.js';
 import {largestMesh, PeerDiscovery, toMember} from './peerDiscovery.js';
 import {
   RouterStatus,
@@ -23,6 +22,7 @@
 import {RelayDuty, type RelaySelf} from './relayDuty.js';
 import type {RelayReport} from './relayReport.js';
 import type {ServerDirectory} from './serverDirectory.js';
+import type {SharedNotices} from './sharedNotices.js';
 
 /**
  * Time between reports while the load changes, for a fleet of up to
@@ -60,7 +60,7 @@
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
   readonly suspects: CrashSuspects;
-  readonly leaving: LeavingServers;
+  readonly notices: SharedNotices;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /** Time by which all routers know of a change, in milliseconds. */
@@ -281,7 +281,7 @@
       servers: own?.servers ?? [],
       placements: own?.placements ?? [],
       suspects: own?.suspects ?? [],
-      leaving: reports.listLeaving(),
+      notices: reports.listNotices(),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
     };
@@ -390,7 +390,7 @@
     for (const [fingerprint, breaks] of report.suspects) {
       suspects.recordPeerBreaks(computeKey(host), fingerprint, breaks);
     }
-    this.options.leaving.recordPeer(report.leaving, report.isForRelay);
+    this.options.notices.recordPeer(report.notices, report.isForRelay);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
@@ -412,7 +412,7 @@
     for (const [part, server] of report.placements) {
       recordPlacement(part, server);
     }
-    this.options.leaving.recordPeer(report.leaving, false);
+    this.options.notices.recordPeer(report.notices, false);
     const ownKey = computeKey(address);
     for (const [router, fingerprint, breaks] of report.suspects) {
       if (router === ownKey) continue;
@@ -445,8 +445,8 @@
   servers,
   placements,
   suspects,
-  leaving,
+  notices,
 }: PeerReport | RelayReport): boolean {
-  const lists = [servers, placements, suspects, leaving];
+  const lists = [servers, placements, suspects, notices];
   return lists.some(list => list.length > 0);
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -110,8 +110,8 @@
   readonly suspects: ReadonlyArray<
     readonly [fingerprint: number, breaks: number]
   >;
-  /** Compact keys of processes of servers that leave. */
-  readonly leaving: readonly number[];
+  /** Compact keys; see `SharedNotices`. */
+  readonly notices: readonly number[];
   /** Present in full reports. */
   readonly identity?: PeerIdentity;
 }
@@ -130,7 +130,7 @@
     joinServerRows(report.servers),
     report.placements.flat(),
     report.suspects.flat(),
-    [...report.leaving],
+    [...report.notices],
     identity
       ? [
           identity.vm,
@@ -159,7 +159,7 @@
     servers: splitServerRows(fields[5]),
     placements: splitRows(fields[6], 2).map(row => [row[0], row[1]]),
     suspects: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
-    leaving: fields[8],
+    notices: fields[8],
     identity: identity
       ? {
           vm: identity[0],
--- a/src/router/relayDuty.ts
+++ b/src/router/relayDuty.ts
@@ -37,7 +37,7 @@
   readonly servers: readonly ServerReport[];
   readonly placements: PeerReport['placements'];
   readonly suspects: PeerReport['suspects'];
-  readonly leaving: PeerReport['leaving'];
+  readonly notices: PeerReport['notices'];
   /** Routers of the fleet that it knows. */
   readonly routers: number;
   /**
@@ -140,7 +140,7 @@
       .map(({member}) => member)
       .filter(({host}) => isFull || this.changed.has(host));
     const key = computeKey(self.member.host);
-    const {incarnation, versions, routers, leaving, relay} = self;
+    const {incarnation, versions, routers, notices, relay} = self;
     const isRelayListed = relay !== undefined && !this.members.has(relay.host);
     const others = isRelayListed ? [relay] : [];
     const report: RelayReport = {
@@ -169,7 +169,7 @@
           ],
         ),
       ],
-      leaving,
+      notices,
       members: isFull ? [...members, self.member, ...others] : members,
     };
     this.heard.clear();
@@ -186,7 +186,7 @@
    * @param isFull - names the routers, not only their keys
    */
   buildBeat(
-    {member, incarnation, versions, routers, leaving}: RelaySelf,
+    {member, incarnation, versions, routers, notices}: RelaySelf,
     alive: readonly Member[],
     isFull: boolean,
   ): RelayReport {
@@ -201,7 +201,7 @@
       sequences: listed.map(({host}) => [computeKey(host), 0]),
       placements: [],
       suspects: [],
-      leaving,
+      notices,
       members: isFull ? listed : [],
     };
   }
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -44,8 +44,8 @@
   readonly suspects: ReadonlyArray<
     readonly [router: number, fingerprint: number, breaks: number]
   >;
-  /** Compact keys of processes of servers that leave. */
-  readonly leaving: readonly number[];
+  /** Compact keys; see `SharedNotices`. */
+  readonly notices: readonly number[];
   /** Members that are new or changed; all of them in a full report. */
   readonly members: readonly Member[];
 }
@@ -118,7 +118,7 @@
     report.sequences.flat(),
     report.placements.flat(),
     report.suspects.flat(),
-    [...report.leaving],
+    [...report.notices],
     listMemberFields(report.members),
   ];
 }
@@ -137,7 +137,7 @@
     sequences: splitRows(fields[6], 2).map(row => [row[0], row[1]]),
     placements: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
     suspects: splitRows(fields[8], 3).map(row => [row[0], row[1], row[2]]),
-    leaving: fields[9],
+    notices: fields[9],
     members: readMemberFields(fields[10]),
   };
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -17,7 +17,9 @@
 import type {CallerExchange} from './callerExchange.js';
 import {computeFingerprint, type CrashSuspects} from './crashSuspects.js';
 import {computeKey} from './compactKey.js';
+import {chooseReuse, isForgotten} from './connectionReuse.js';
 import {formatProcess, RouteKind, type Route} from './deployment.js';
+import type {ForgetfulServices} from './forgetfulServices.js';
 import type {LeavingServers} from './leavingServers.js';
 import type {BackendAnswer, MessageCodec} from './messageCodec.js';
 import {
@@ -26,6 +28,7 @@
   holdCheckMs,
 } from './promptAdmission.js';
 import type {RetryBudgets} from './retryBudgets.js';
+import {estimateReturnMs} from './returnTime.js';
 import {RepeatCause, type RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {LoadTicket, ServerLoads} from './serverLoads.js';
@@ -50,9 +53,7 @@
 const minPatienceMs = 2_000;
 const targetPatience = 4;
 const pausePatience = 8;
-/** Time after which a refused caller should come back, in milliseconds. */
-const retryAfterMs = 400;
-/** The same for a request that broke connections, in milliseconds. */
+/** When the caller of a request that broke connections should come back. */
 const suspectRetryAfterMs = 4_000;
 
 export interface RequestForwarderOptions {
@@ -64,6 +65,7 @@
   readonly outcomes: ServerOutcomes;
   readonly suspects: CrashSuspects;
   readonly leaving: LeavingServers;
+  readonly forgetful: ForgetfulServices;
   readonly metrics: RouterMetrics;
   readonly log: Log;
   readonly budgets: RetryBudgets;
@@ -113,6 +115,8 @@
   private selection: Selection | undefined;
   private ticket: LoadTicket | undefined;
   private sentAtMs = 0;
+  /** Time for which its connection had rested. */
+  private restedMs = 0;
   private hasEvents = false;
   private readonly progress: StreamProgress;
 
@@ -268,8 +272,17 @@
       this.lastEventId === exchange.request.lastEventId
         ? undefined
         : this.lastEventId;
+    const connection = connections.take(
+      server,
+      chooseReuse({
+        mayRepeat: this.mayRepeat,
+        isStream: route.kind === RouteKind.Stream,
+        isTrusted: this.options.forgetful.isTrusted(server.service),
+      }),
+    );
+    this.restedMs = connection.restedMs;
     const attempt = new BackendAttempt({
-      connections: connections.get(server, this.mayRepeat),
+      connection,
       method: exchange.incoming.method ?? 'GET',
       path: exchange.incoming.url ?? '/',
       headers: codec.encodeRequest(exchange.incoming.rawHeaders, {
@@ -298,6 +311,7 @@
         canRepeat: () => this.canRepeat(),
       });
     } finally {
+      connection.release();
       this.ticket.release();
     }
   }
@@ -378,9 +392,20 @@
         this.note('server unreachable', selection, result.error.message);
         return false;
       case AttemptKind.Broken:
-        outcomes.recordFailure(id);
-        if (!(result.error instanceof DeadlineError)) {
-          suspects.recordBreak(this.fingerprint);
+        if (
+          isForgotten({
+            isUnanswered: result.isUnanswered,
+            restedMs: this.restedMs,
+            elapsedMs: performance.now() - this.sentAtMs,
+          })
+        ) {
+          this.options.forgetful.record(service);
+          this.note('kept connection was dead', selection, this.restedMs);
+        } else {
+          outcomes.recordFailure(id);
+          if (!(result.error instanceof DeadlineError)) {
+            suspects.recordBreak(this.fingerprint);
+          }
         }
         if (this.repeat(selection, result.error.message)) return false;
         this.fail(selection, result.error);
@@ -421,7 +446,8 @@
 
   /** No server could take the request. */
   private refuseUnplaced(): void {
-    const {exchange} = this.request;
+    const {exchange, service} = this.request;
+    const holdOffMs = this.options.selector.measureHoldOffMs(service);
     if (exchange.isHeadSent) {
       exchange.breakStream();
       return;
@@ -437,21 +463,11 @@
             RefusalReason.NoBackendServer,
             Outcome.NotRun,
             'no backend server can take the request now',
-            {retryAfterMs: this.estimateRetryAfterMs()},
+            {retryAfterMs: estimateReturnMs(holdOffMs, Math.random)},
           ),
     );
   }
 
-  /** Callers that come back are spread over some time. */
-  private estimateRetryAfterMs(): number {
-    const {selector} = this.options;
-    const holdOffMs = selector.measureHoldOffMs(this.request.service);
-    const spread = Math.random();
-    return holdOffMs > 0
-      ? holdOffMs + retryAfterMs * spread
-      : retryAfterMs * (0.75 + spread);
-  }
-
   private refuse(refusal: Refusal): void {
     const {exchange, route} = this.request;
     exchange.refuse(refusal);
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -11,6 +11,7 @@
 import {formatProcess} from './deployment.js';
 import {DeploymentStore} from './deploymentStore.js';
 import {FleetView} from './fleetView.js';
+import {ForgetfulServices} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
 import type {MessageCodec} from './messageCodec.js';
 import {PeerExchange} from './peerExchange.js';
@@ -29,6 +30,7 @@
 import {ServerOutcomes} from './serverOutcomes.js';
 import {ServerReporter} from './serverReporter.js';
 import {ServerSelector} from './serverSelector.js';
+import {SharedNotices} from './sharedNotices.js';
 import {StateFollower} from './stateFollower.js';
 
 /**
@@ -75,9 +77,9 @@
   private readonly fleet: FleetView;
   private readonly prompts = new PromptDirectory();
   private readonly suspects = new CrashSuspects();
-  private readonly leaving = new LeavingServers(this.directory, () =>
-    this.exchange.announce(),
-  );
+  private readonly notices = new SharedNotices(() => this.exchange.announce());
+  private readonly leaving = new LeavingServers(this.directory, this.notices);
+  private readonly forgetful: ForgetfulServices;
   private readonly connections = new BackendConnections();
   private readonly budgets = new RetryBudgets(
     () => this.settings.retries,
@@ -105,8 +107,12 @@
     this.deployments = new DeploymentStore(this.log);
     this.fleet = new FleetView(address);
     const {directory, loads, outcomes, fleet, prompts, suspects} = this;
-    const {metrics, connections, deployments, log, leaving} = this;
+    const {metrics, connections, deployments, log, leaving, notices} = this;
     const {codec, reader} = platform;
+    this.forgetful = new ForgetfulServices(
+      notices,
+      () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
+    );
     this.selector = new ServerSelector({
       zone,
       directory,
@@ -120,7 +126,7 @@
       reporter: new ServerReporter(directory, loads, outcomes),
       selector: this.selector,
       suspects,
-      leaving,
+      notices,
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
     });
@@ -140,7 +146,7 @@
       deployments,
       servers: directory,
       suspects,
-      leaving,
+      notices,
       reader,
       log,
       leaveBoundMs: settings.leaveBoundMs,
@@ -157,6 +163,7 @@
       outcomes,
       suspects,
       leaving,
+      forgetful: this.forgetful,
       metrics,
       log,
       budgets: this.budgets,
@@ -246,6 +253,7 @@
           outcomes: this.outcomes.get(server.id),
         })),
       },
+      forgetfulServices: this.forgetful.list(),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
--- a/tests/router/attemptSupervisor.test.ts
+++ b/tests/router/attemptSupervisor.test.ts
@@ -23,7 +23,7 @@
 
   abort(error: AnvilstallError): void {
     this.abortedAtMs ??= performance.now() - this.startedAtMs;
-    this.settle({kind: AttemptKind.Broken, error});
+    this.settle({kind: AttemptKind.Broken, error, isUnanswered: false});
   }
 
   measureSilenceMs(): number {
--- /dev/null
+++ b/tests/router/forgetfulServices.test.ts
@@ -0,0 +1,63 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {ForgetfulServices} from '../../src/router/forgetfulServices.js';
+import {SharedNotices} from '../../src/router/sharedNotices.js';
+
+const services = ['engines', 'orders'];
+
+function build() {
+  const notices = new SharedNotices(() => undefined);
+  const forgetful = new ForgetfulServices(notices, () => services);
+  return {notices, forgetful};
+}
+
+describe('services that forget connections', () => {
+  let clock: Clock;
+
+  beforeEach(() => {
+    clock = FakeTimers.install({toFake: ['performance']});
+  });
+
+  afterEach(() => clock.uninstall());
+
+  // Guards against a fleet in which each router loses a request to find out.
+  it('should be known to all routers from one lost request', () => {
+    const [first, relay, third] = [build(), build(), build()];
+    first.forgetful.record('engines');
+    relay.notices.recordPeer(first.notices.listTold(), true);
+    third.notices.recordPeer(relay.notices.listTold(), false);
+    expect(third.forgetful.list()).to.deep.equal(['engines']);
+    expect(third.notices.listTold()).to.be.empty;
+  });
+
+  it('should be trusted again after a while, later each time', () => {
+    const {forgetful} = build();
+    const lengths = [1, 2, 3].map(() => {
+      forgetful.record('engines');
+      let ms = 0;
+      for (; !forgetful.isTrusted('engines'); ms += 1_000) clock.tick(1_000);
+      return ms;
+    });
+    expect(lengths).to.deep.equal([10_000, 20_000, 40_000]);
+  });
+
+  // Guards against distrust that two relays pass to each other for good.
+  it('should not be told on by those who know already', () => {
+    const [first, second] = [build(), build()];
+    first.forgetful.record('engines');
+    for (let ms = 0; ms < 12_000; ms += 400) {
+      second.notices.recordPeer(first.notices.listTold(), true);
+      first.notices.recordPeer(second.notices.listTold(), true);
+      clock.tick(400);
+    }
+    expect(first.forgetful.isTrusted('engines')).to.equal(true);
+    expect(second.forgetful.isTrusted('engines')).to.equal(true);
+  });
+
+  it('should not be made from keys of other notices', () => {
+    const {notices, forgetful} = build();
+    notices.recordPeer([8, 9], true);
+    expect(forgetful.list()).to.be.empty;
+    expect(notices.listTold()).to.be.empty;
+  });
+});
--- a/tests/router/forwarding.test.ts
+++ b/tests/router/forwarding.test.ts
@@ -132,6 +132,29 @@
     }
   });
 
+  // One answer is the price of finding out; without it each stream in a fleet
+  // would cost a new connection on all days.
+  it('should lose one stream to servers that forget connections that rested', async () => {
+    const used = new Set<net.Socket>();
+    await fixture.addBackend((socket, request) => {
+      if (used.has(socket)) {
+        socket.resetAndDestroy();
+        return;
+      }
+      used.add(socket);
+      socket.write(startStreamTo(request));
+      socket.write(formatChunk('id: 1\ndata: a\n\n') + lastChunk);
+    });
+    const [first, second] = [await startRouter(), await startRouter()];
+    const statuses: number[] = [];
+    for (const router of [first, second, first, second, first, second]) {
+      const answer = await fixture.call(router, '/ask/1');
+      statuses.push(answer.status);
+      await new Promise(resolve => setTimeout(resolve, 200));
+    }
+    expect(statuses).to.deep.equal([200, 200, 502, 200, 200, 200]);
+  });
+
   it('should tell a caller when to come back when no server has run its order', async () => {
     await fixture.addBackend((socket, request) =>
       socket.write(
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -61,7 +61,7 @@
     servers: [buildServer(requests)],
     placements: [],
     suspects: [],
-    leaving: [8],
+    notices: [8],
     identity: {
       ...buildEndpoints(host),
       contacts: [],
@@ -80,7 +80,7 @@
     servers: [buildServer(requests)],
     placements: [],
     suspects: [],
-    leaving: [8],
+    notices: [8],
     routers: 3,
     relay: undefined,
   };
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -54,7 +54,7 @@
     servers: [buildServerReport({})],
     placements: [[1, 2]],
     suspects: [[9, 1]],
-    leaving: [8],
+    notices: [8],
     identity: {
       vm: 'vm-2',
       zone: 'a',
@@ -82,7 +82,7 @@
     sequences: [],
     placements: [[1, 2]],
     suspects: [[3, 9, 1]],
-    leaving: [8],
+    notices: [8],
     members: [
       {
         host: '127.0.0.2',
