--- a/src/router/forgetfulServices.ts
+++ b/src/router/forgetfulServices.ts
@@ -5,7 +5,7 @@
  * hasn't run, while new connections for all of them are dear on every other day.
  */
 import {computeKey} from './compactKey.js';
-import type {SharedNotices} from './sharedNotices.js';
+import {Notice, type SharedNotices} from './sharedNotices.js';
 
 /**
  * Time for which a service isn't trusted after the first sign, in milliseconds;
@@ -60,16 +60,16 @@
     return this.listServices().filter(service => !this.isTrusted(service));
   }
 
-  private recordPeer(key: number): boolean {
+  private recordPeer(key: number): Notice {
     const isService = this.listServices().some(
       service => computeNoticeKey(service) === key,
     );
-    if (!isService) return false;
+    if (!isService) return Notice.Foreign;
     const known = this.distrusts.get(key);
     // Each notice is repeated for a while.
-    if (known && isCurrent(known)) return false;
+    if (known && isCurrent(known)) return Notice.Known;
     this.begin(key);
-    return true;
+    return Notice.News;
   }
 
   private begin(key: number): void {
--- a/src/router/leavingServers.ts
+++ b/src/router/leavingServers.ts
@@ -2,7 +2,7 @@
 import {computeKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {ServerDirectory} from './serverDirectory.js';
-import type {SharedNotices} from './sharedNotices.js';
+import {Notice, type SharedNotices} from './sharedNotices.js';
 
 /**
  * Takes leaving processes out of use at once, and tells the other routers: the
@@ -12,11 +12,17 @@
  * if (answer.isLeaving) leaving.record(server);
  */
 export class LeavingServers {
+  /**
+   * Takes all keys that are foreign to others, because a process may leave before
+   * this router has heard of it.
+   */
   constructor(
     private readonly directory: ServerDirectory,
     private readonly notices: SharedNotices,
   ) {
-    notices.watch(key => directory.removeProcess(key));
+    notices.watch(key =>
+      directory.removeProcess(key) ? Notice.News : Notice.Known,
+    );
   }
 
   /** Takes what an answer said; true when it is news. */
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -78,7 +78,6 @@
   private readonly prompts = new PromptDirectory();
   private readonly suspects = new CrashSuspects();
   private readonly notices = new SharedNotices(() => this.exchange.announce());
-  private readonly leaving = new LeavingServers(this.directory, this.notices);
   private readonly forgetful: ForgetfulServices;
   private readonly connections = new BackendConnections();
   private readonly budgets = new RetryBudgets(
@@ -107,12 +106,13 @@
     this.deployments = new DeploymentStore(this.log);
     this.fleet = new FleetView(address);
     const {directory, loads, outcomes, fleet, prompts, suspects} = this;
-    const {metrics, connections, deployments, log, leaving, notices} = this;
+    const {metrics, connections, deployments, log, notices} = this;
     const {codec, reader} = platform;
     this.forgetful = new ForgetfulServices(
       notices,
       () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
     );
+    const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
       directory,
--- a/src/router/sharedNotices.ts
+++ b/src/router/sharedNotices.ts
@@ -6,15 +6,23 @@
  */
 const tellForMs = 1_500;
 
-/** Takes a compact key; true when it concerns the listener and is news. */
-export type NoticeListener = (key: number) => boolean;
+/** What a listener makes of a key. */
+export enum Notice {
+  /** It stands for nothing that the listener knows. */
+  Foreign,
+  Known,
+  News,
+}
+
+/** Takes a compact key that another router told. */
+export type NoticeListener = (key: number) => Notice;
 
 /**
  * Spreads compact keys with the reports; what a key stands for is known to
  * those who listen.
  *
  * @example
- * notices.watch(key => directory.removeProcess(key));
+ * notices.watch(key => (remove(key) ? Notice.News : Notice.Known));
  * notices.announce(computeKey(formatProcess(server)));
  */
 export class SharedNotices {
@@ -25,7 +33,10 @@
   /** @param sendNow - sends the next report at once */
   constructor(private readonly sendNow: () => void) {}
 
-  /** Calls a listener with each key that another router tells. */
+  /**
+   * Calls a listener with each key that another router tells and that is foreign
+   * to the listeners before it.
+   */
   watch(listener: NoticeListener): void {
     this.listeners.push(listener);
   }
@@ -43,8 +54,8 @@
    */
   recordPeer(keys: readonly number[], passesOn: boolean): void {
     for (const key of keys) {
-      const isNew = this.listeners.some(listener => listener(key));
-      if (isNew && passesOn) this.addTold(key);
+      const notice = this.take(key);
+      if (notice === Notice.News && passesOn) this.addTold(key);
     }
   }
 
@@ -57,6 +68,14 @@
     return [...this.toldUntilMs.keys()];
   }
 
+  private take(key: number): Notice {
+    for (const listener of this.listeners) {
+      const notice = listener(key);
+      if (notice !== Notice.Foreign) return notice;
+    }
+    return Notice.Foreign;
+  }
+
   private addTold(key: number): void {
     this.toldUntilMs.set(key, performance.now() + tellForMs);
   }
--- a/tests/router/forgetfulServices.test.ts
+++ b/tests/router/forgetfulServices.test.ts
@@ -1,6 +1,8 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {ForgetfulServices} from '../../src/router/forgetfulServices.js';
+import {LeavingServers} from '../../src/router/leavingServers.js';
+import {ServerDirectory} from '../../src/router/serverDirectory.js';
 import {SharedNotices} from '../../src/router/sharedNotices.js';
 
 const services = ['engines', 'orders'];
@@ -54,6 +56,18 @@
     expect(second.forgetful.isTrusted('engines')).to.equal(true);
   });
 
+  // Guards against a notice that the list of leaving processes takes for its own.
+  it('should be heard beside servers that leave', () => {
+    const [first, second] = [build(), build()];
+    const directory = new ServerDirectory();
+    new LeavingServers(directory, second.notices);
+    first.forgetful.record('orders');
+    second.notices.recordPeer(first.notices.listTold(), true);
+    expect(second.forgetful.isTrusted('orders')).to.equal(false);
+    const [key] = first.notices.listTold();
+    expect(directory.removeProcess(key), 'not taken before').to.equal(true);
+  });
+
   it('should not be made from keys of other notices', () => {
     const {notices, forgetful} = build();
     notices.recordPeer([8, 9], true);
