--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -89,8 +89,8 @@
   private readonly discovery: PeerDiscovery;
   private beatSentAtMs = -Infinity;
   private fullBeatSentAtMs = -Infinity;
-  /** Names of the routers that the last beat named. */
-  private namedInBeat = '';
+  /** Active routers of the last beat. */
+  private namesInBeat = '';
   /** Members that have had no full report since they joined or woke. */
   private readonly newMembers = new Set<string>();
 
@@ -322,42 +322,46 @@
     for (const host of hosts) this.sendBytes(host, bundle);
   }
 
-  /** Tells resting members which routers take requests. */
+  /**
+   * Tells resting members which routers take requests. Those that are new, and all
+   * of them now and then, also hear of the resting ones of the zone.
+   */
   private sendBeat(self: RelaySelf): void {
     const {fleet, endpoints} = this.options;
     const nowMs = performance.now();
     const isFull = nowMs - this.fullBeatSentAtMs >= fullBeatIntervalMs;
     if (isFull) this.fullBeatSentAtMs = nowMs;
+    const isResting = ({status}: Peer) => status === RouterStatus.Resting;
     const alive = fleet.listAlive();
-    const active = alive.filter(({status}) => status !== RouterStatus.Resting);
+    const active = alive.filter(peer => !isResting(peer));
     const near = alive.filter(
-      ({status, identity}) =>
-        status === RouterStatus.Resting && identity.zone === endpoints.zone,
+      peer => isResting(peer) && peer.identity.zone === endpoints.zone,
     );
-    const named = active.map(({host}) => host).join();
-    const isNamed = isFull || named !== this.namedInBeat;
-    this.namedInBeat = named;
-    const send = (
-      hosts: readonly string[],
-      peers: Peer[],
-      isNamed: boolean,
-    ) => {
-      if (hosts.length === 0) return;
-      const report = this.duty.buildBeat(self, peers.map(toMember), isNamed);
-      const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
-      this.sendBundle(hosts, [[self.member.host, bytes]]);
-    };
+    const names = active.map(({host}) => host).join();
+    const isChanged = names !== this.namesInBeat;
+    this.namesInBeat = names;
     const resting = this.duty.listResting();
-    const isNew = (host: string) => isFull || this.newMembers.has(host);
-    send(resting.filter(isNew), [...active, ...near], true);
-    send(
-      resting.filter(host => !isNew(host)),
-      active,
-      isNamed,
+    const wantsAll = (host: string) => isFull || this.newMembers.has(host);
+    const full = this.duty.buildBeat(
+      self,
+      [...active, ...near].map(toMember),
+      true,
+    );
+    this.sendBeatTo(resting.filter(wantsAll), full);
+    const short = this.duty.buildBeat(self, active.map(toMember), isChanged);
+    this.sendBeatTo(
+      resting.filter(host => !wantsAll(host)),
+      short,
     );
     for (const host of resting) this.newMembers.delete(host);
   }
 
+  private sendBeatTo(hosts: readonly string[], report: RelayReport): void {
+    if (hosts.length === 0) return;
+    const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
+    this.sendBundle(hosts, [[this.options.address, bytes]]);
+  }
+
   /** Relays of other zones, and those that other members of this zone use. */
   private listOtherRelays(): Set<string> {
     const {fleet, address, endpoints} = this.options;
