Don't take bytes of another answer for a forgotten connection

Cause, found by reading the diff: a stream that meets a late second answer on its kept connection, or bytes that are no answer, counted as unanswered, because no head of its own had come. The service then was marked as forgetful at all routers, and the server's failure wasn't counted. Change: only the end of a connection before any head counts (ECONNRESET, EPIPE, UND_ERR_SOCKET). Test: a second answer on a kept connection gives 502 and marks nothing; it failed before.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -56,7 +56,7 @@
   | {
       kind: AttemptKind.Broken;
       error: AnvilstallError;
-      /** The connection ended by itself and no byte of an answer had come. */
+      /** The connection ended by itself before any byte of an answer. */
       isUnanswered: boolean;
     };
 
@@ -86,6 +86,8 @@
   readonly maxAnswerBytes: number;
 }
 
+/** Codes of a connection that ended within a request. */
+const lossCodes = new Set(['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
 const firstSuccess = 200;
 const firstRedirect = 300;
 /** An answer without these ends with its connection. */
@@ -106,6 +108,8 @@
   private controller: Dispatcher.DispatchController | undefined;
   private abortReason: Error | undefined;
   private wasSent = false;
+  private hasHead = false;
+  private isUnanswered = false;
   private status = 0;
   private headers: string[] = [];
   private answer: BackendAnswer | undefined;
@@ -160,6 +164,7 @@
     controller: Dispatcher.DispatchController,
     status: number,
   ): void {
+    this.hasHead = true;
     if (status < firstSuccess) return;
     this.lastNewsAtMs = performance.now();
     const {codec, attemptId, stream} = this.options;
@@ -255,6 +260,8 @@
       this.settle({kind: AttemptKind.Unreachable, error: cause});
       return;
     }
+    this.isUnanswered =
+      lossCodes.has(code) && !this.hasHead && this.abortReason === undefined;
     this.fail(
       error instanceof CrossedAnswerError ||
         error instanceof BackendServerError ||
@@ -272,10 +279,6 @@
     this.settle({kind, status, isOtherProcess, retryAfterMs, load});
   }
 
-  private get isUnanswered(): boolean {
-    return this.answer === undefined && this.abortReason === undefined;
-  }
-
   private fail(error: AnvilstallError): void {
     this.settle(
       this.wasSent
--- a/tests/router/forwarding.test.ts
+++ b/tests/router/forwarding.test.ts
@@ -213,6 +213,26 @@
     }
   });
 
+  // Guards against bytes of an earlier answer that pass for a reset: the service
+  // would get a new connection for each stream.
+  it('should not take a late second answer for a forgotten connection', async () => {
+    const firstOn = new Map<net.Socket, string>();
+    await fixture.addBackend((socket, request) => {
+      const first = firstOn.get(socket) ?? request;
+      firstOn.set(socket, first);
+      socket.write(startStreamTo(first));
+      socket.write(formatChunk('id: 1\ndata: a\n\n') + lastChunk);
+    });
+    const router = await startRouter();
+    const statuses: number[] = [];
+    for (let i = 0; i < 2; i++) {
+      statuses.push((await fixture.call(router, '/ask/1')).status);
+      await new Promise(resolve => setTimeout(resolve, 200));
+    }
+    expect(statuses).to.deep.equal([200, 502]);
+    expect(router.daemon.describe()).to.deep.include({forgetfulServices: []});
+  });
+
   for (const [what, cut] of [
     ['reset later', 'reset'],
     ['reset at once', 'resetAtOnce'],
