Take ports for routers of tests where the system gives none away

Cause: the fixture let the system choose a port (32768 to 60999), closed it and listened on it later; meanwhile it was free for any other process or connection. Change: ports from 20000 to 31999, counted up, each tried before; the system gives none of them to others.

--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -1,6 +1,6 @@
 /** Routers on loopback addresses with scripted backend servers. */
 import http from 'node:http';
-import net, {type AddressInfo} from 'node:net';
+import net from 'node:net';
 import {
   RouteKind,
   ServerState,
@@ -72,12 +72,28 @@
   readonly isWhole: boolean;
 }
 
+/** Ports that the system gives to nobody by itself. */
+const firstPort = 20_000;
+const portCount = 12_000;
+let portsTaken = process.pid % portCount;
+
+/**
+ * A port that the system chose would be free for others again until its router
+ * listens; another process may get it meanwhile.
+ */
 async function findFreePort(address: string): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, address, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
+  for (;;) {
+    portsTaken += 1;
+    const port = firstPort + (portsTaken % portCount);
+    const server = net.createServer();
+    const isFree = await new Promise<boolean>(resolve => {
+      server.once('error', () => resolve(false));
+      server.listen(port, address, () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+  }
 }
 
 /** A running router with its endpoints. */
