Keep a relay's own load when a member joins

Cause, found on the second reading of the change: since a relay builds a full report for members that joined right after the report of changes, from the same own part. That part holds only the servers whose load changed, and a full report takes it for everything: the relay's own requests vanished from its sums, at all routers, until its next full report (up to 1.2 s), each time that a router joined or woke. Ruled out: the loads of members (kept by their own reports) and of other relays (sent on as they come). Change: what a member that joins gets is built as of the last report, without taking the own part again. Test: a relay with five requests and a member with three tell eight to all; it failed with the sequence of before (3 in place of 8).

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -303,7 +303,7 @@
     // would grow with the cube of the zone.
     const joined = active.filter(isNew);
     if (joined.length > 0) {
-      const full = this.duty.build(self, true);
+      const full = this.duty.buildAll(self);
       const fullBytes = encodeDatagram({
         kind: DatagramKind.Relay,
         report: full,
--- a/src/router/relayDuty.ts
+++ b/src/router/relayDuty.ts
@@ -133,30 +133,62 @@
     else if (isFull) this.sums.replace(ownSource, self.servers);
     else this.sums.update(ownSource, self.servers);
     if (isFull) this.sums.rebuild();
-    const servers = isFull ? this.sums.listAll() : this.sums.drainChanged();
-    const listed = isFull ? [...this.members.keys()] : [...this.heard];
-    const states = listed.flatMap(host => this.members.get(host) ?? []);
-    const members = states
-      .map(({member}) => member)
-      .filter(({host}) => isFull || this.changed.has(host));
+    const report = isFull ? this.buildAll(self) : this.buildChanges(self);
+    this.heard.clear();
+    this.changed.clear();
+    this.placements = [];
+    this.suspects = [];
+    return report;
+  }
+
+  /**
+   * Builds everything as of the last report, for members that joined since. The
+   * own servers of `self` may be only those that changed, so that they are not
+   * taken again.
+   */
+  buildAll(self: RelaySelf): RelayReport {
+    const states = [...this.members.values()];
+    const members = states.map(({member}) => member);
+    return {
+      ...this.buildParts(self, states),
+      isFull: true,
+      servers: this.sums.listAll(),
+      members: [...members, self.member, ...this.listUnreported(self)],
+    };
+  }
+
+  private buildChanges(self: RelaySelf): RelayReport {
+    const states = [...this.heard].flatMap(h => this.members.get(h) ?? []);
+    const members = states.map(({member}) => member);
+    return {
+      ...this.buildParts(self, states),
+      isFull: false,
+      servers: this.sums.drainChanged(),
+      members: members.filter(({host}) => this.changed.has(host)),
+    };
+  }
+
+  private buildParts(
+    self: RelaySelf,
+    states: readonly MemberState[],
+  ): Omit<RelayReport, 'isFull' | 'servers' | 'members'> {
     const key = computeKey(self.member.host);
-    const {incarnation, versions, routers, notices, relay} = self;
-    const isRelayListed = relay !== undefined && !this.members.has(relay.host);
-    const others = isRelayListed ? [relay] : [];
-    const report: RelayReport = {
+    const {incarnation, versions, routers, notices} = self;
+    return {
       incarnation,
       routers,
       peers: self.member.peers,
-      isFull,
       ...versions,
-      servers,
       sequences: [
         ...states.map(({member, sequence}): [number, number] => [
           computeKey(member.host),
           sequence,
         ]),
         [key, self.sequence],
-        ...others.map(({host}): [number, number] => [computeKey(host), 0]),
+        ...this.listUnreported(self).map(({host}): [number, number] => [
+          computeKey(host),
+          0,
+        ]),
       ],
       placements: [...this.placements, ...self.placements],
       suspects: [
@@ -170,13 +202,12 @@
         ),
       ],
       notices,
-      members: isFull ? [...members, self.member, ...others] : members,
     };
-    this.heard.clear();
-    this.changed.clear();
-    this.placements = [];
-    this.suspects = [];
-    return report;
+  }
+
+  /** The zone's relay, for members that didn't know of it. */
+  private listUnreported({relay}: RelaySelf): Member[] {
+    return relay !== undefined && !this.members.has(relay.host) ? [relay] : [];
   }
 
   /**
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -125,6 +125,22 @@
     expect(quiet.members).to.be.empty;
   });
 
+  // Guards against a relay whose own load vanishes from its sums when a member
+  // joins, because the report to that one took what changed for everything.
+  it('should tell a member that joins everything, and others no less later', () => {
+    const duty = new RelayDuty();
+    duty.build(buildSelf(5), true);
+    const unchanged = {...buildSelf(5), servers: []};
+    recordAt(duty, otherHost, buildReport(otherHost, 3));
+    expect(duty.build(unchanged, false).servers[0].requests).to.equal(8);
+    const joined = duty.buildAll(unchanged);
+    expect(joined.isFull).to.equal(true);
+    expect(joined.servers[0].requests).to.equal(8);
+    const change = {identity: undefined, sequence: 2};
+    recordAt(duty, otherHost, buildReport(otherHost, 4, change));
+    expect(duty.build(unchanged, false).servers[0].requests).to.equal(9);
+  });
+
   it('should not count a router by itself that a relay counts', () => {
     const fleet = new FleetView(ownHost);
     fleet.record(otherHost, buildReport(otherHost, 3, {isForRelay: false}));
