Place prompts by the chance that answers become late

The fields of attempts' log lines and the callers' timeout moved out of requestForwarder.ts, which was over 500 lines.

--- /dev/null
+++ b/src/router/attemptLog.ts
@@ -0,0 +1,53 @@
+/** Fields of the log lines about attempts. */
+import type {AdmissionDecision} from './promptAdmission.js';
+import type {ForwardedRequest} from './requestForwarder.js';
+import type {Selection} from './serverSelector.js';
+import type {StreamProgress} from './streamProgress.js';
+
+/** What is logged about an attempt. */
+export interface AttemptFacts {
+  readonly request: ForwardedRequest;
+  readonly selection: Selection;
+  /** Why the attempt ended as it did: a status, a message or a time. */
+  readonly cause?: string | number;
+  /** Attempts so far. */
+  readonly sends: number;
+  readonly admission: AdmissionDecision;
+  /** Age of the view of backend servers, in milliseconds. */
+  readonly viewAgeMs: number;
+  readonly progress: StreamProgress;
+}
+
+/**
+ * Lists the inputs and the outcome of a decision, so that it can be explained
+ * from the log alone.
+ *
+ * @example
+ * log.logInfo('answered', listAttemptFields(facts));
+ */
+export function listAttemptFields(
+  facts: AttemptFacts,
+): Record<string, string | number | undefined> {
+  const {request, selection, progress} = facts;
+  const {exchange, route, urgency} = request;
+  const {firstEventMs, maxPauseMs} = progress;
+  return {
+    requestId: exchange.request.attemptId,
+    route: route.name,
+    server: selection.server.id,
+    urgency,
+    cause: facts.cause,
+    sends: facts.sends,
+    unreadTokens: selection.unreadTokens,
+    fetchFrom: selection.fetchFrom,
+    backlogMs: Math.round(selection.backlogMs),
+    viewAgeMs: Math.round(facts.viewAgeMs),
+    expectedMs: Math.round(selection.expectedMs),
+    admission: facts.admission,
+    firstEventMs: firstEventMs && Math.round(firstEventMs),
+    maxPauseMs: maxPauseMs > 0 ? Math.round(maxPauseMs) : undefined,
+    serverRequests: selection.serverRequests,
+    tightStreams: selection.tightStreams,
+    ms: Math.round(performance.now() - exchange.startedAtMs),
+  };
+}
--- a/src/router/deployment.ts
+++ b/src/router/deployment.ts
@@ -46,6 +46,8 @@
   readonly kvCacheTokens: number;
   /** Size of one token in the KV cache. */
   readonly kvBytesPerToken: number;
+  /** Bandwidth of the link over which engines copy KV cache, in Mbit/s. */
+  readonly kvLinkMbps?: number;
 }
 
 export interface Service {
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -8,6 +8,7 @@
   type RouterEndpoints,
   type ServerReport,
 } from './peerReport.js';
+import {addBacklogs} from './prefillBacklog.js';
 import type {FleetMember, RelayReport} from './relayReport.js';
 import type {ServerLoad} from './serverLoad.js';
 
@@ -208,7 +209,9 @@
     if (!load || !own) return load;
     return {
       requests: Math.max(0, load.requests - own.requests),
-      promptTokens: Math.max(0, load.promptTokens - own.promptTokens),
+      backlog: addBacklogs(load.backlog, own.backlog, -1).map(work =>
+        Math.max(0, work),
+      ),
       tightStreams: Math.max(0, load.tightStreams - own.tightStreams),
       failures: Math.max(0, load.failures - own.failures),
       answers: Math.max(0, load.answers - own.answers),
--- a/src/router/loadSums.ts
+++ b/src/router/loadSums.ts
@@ -1,5 +1,6 @@
 /** Sums of the loads that several sources report for each backend server. */
 import type {ServerReport} from './peerReport.js';
+import {addBacklogs} from './prefillBacklog.js';
 import {emptyRequestLoad, type ServerLoad} from './serverLoad.js';
 
 const emptyLoad: ServerLoad = {
@@ -97,7 +98,7 @@
     this.changed.add(key);
     this.loads.set(key, {
       requests: load.requests + sign * report.requests,
-      promptTokens: load.promptTokens + sign * report.promptTokens,
+      backlog: addBacklogs(load.backlog, report.backlog, sign),
       tightStreams: load.tightStreams + sign * report.tightStreams,
       failures: load.failures + sign * report.failures,
       answers: load.answers + sign * report.answers,
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,6 +1,8 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
+import {emptyBacklog} from './prefillBacklog.js';
 import {pauseWeightDenominator, type ServerLoad} from './serverLoad.js';
+import {urgencyRankCount} from './urgencyScale.js';
 
 export enum RouterStatus {
   Starting = 0,
@@ -203,30 +205,56 @@
   };
 }
 
-/** Encodes reports about servers as one flat list of numbers. */
+/** Numbers of a server's row before its backlog. */
+const serverRowWidth = 7;
+
+/**
+ * Encodes reports about servers as one flat list of numbers. A row ends with
+ * the ranks that have a backlog and their work, after the number of such ranks.
+ */
 export function joinServerRows(servers: readonly ServerReport[]): number[] {
-  return servers.flatMap(server => [
-    server.key,
-    server.requests,
-    Math.round(server.promptTokens),
-    Math.round(server.tightStreams * pauseWeightDenominator),
-    Math.round(server.failures * outcomeScale),
-    Math.round(server.answers * outcomeScale),
-    Math.round(server.slowness * slownessScale),
-  ]);
+  return servers.flatMap(server => {
+    const backlog = [...server.backlog.entries()]
+      .map(([rank, work]) => [rank, Math.round(work)])
+      .filter(([, work]) => work > 0);
+    return [
+      server.key,
+      server.requests,
+      Math.round(server.tightStreams * pauseWeightDenominator),
+      Math.round(server.failures * outcomeScale),
+      Math.round(server.answers * outcomeScale),
+      Math.round(server.slowness * slownessScale),
+      backlog.length,
+      ...backlog.flat(),
+    ];
+  });
 }
 
-/** The reverse of `joinServerRows`. */
+/** The reverse of `joinServerRows`; drops an incomplete last row. */
 export function splitServerRows(values: readonly number[]): ServerReport[] {
-  return splitRows(values, 7).map(row => ({
-    key: row[0],
-    requests: row[1],
-    promptTokens: row[2],
-    tightStreams: row[3] / pauseWeightDenominator,
-    failures: row[4] / outcomeScale,
-    answers: row[5] / outcomeScale,
-    slowness: row[6] / slownessScale,
-  }));
+  const reports: ServerReport[] = [];
+  let start = 0;
+  while (start + serverRowWidth <= values.length) {
+    const row = values.slice(start, start + serverRowWidth);
+    const backlogStart = start + serverRowWidth;
+    const end = backlogStart + 2 * Math.max(0, row[6]);
+    if (!(end <= values.length)) break;
+    const backlog = new Array<number>(urgencyRankCount).fill(0);
+    for (const [rank, work] of splitRows(values.slice(backlogStart, end), 2)) {
+      if (rank in backlog) backlog[rank] = work;
+    }
+    reports.push({
+      key: row[0],
+      requests: row[1],
+      tightStreams: row[2] / pauseWeightDenominator,
+      failures: row[3] / outcomeScale,
+      answers: row[4] / outcomeScale,
+      slowness: row[5] / slownessScale,
+      backlog: row[6] > 0 ? backlog : emptyBacklog,
+    });
+    start = end;
+  }
+  return reports;
 }
 
 /** Splits a flat list into rows; drops an incomplete last row. */
--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -1,4 +1,13 @@
 /** Selects a backend server for a request by its expected cost. */
+import {
+  computePrefillWork,
+  estimateCopyMs,
+  estimateMissProbability,
+  estimatePauseProbability,
+  firstEventOverheadMs,
+  type KvTransfer,
+} from './engineModel.js';
+import {sumBacklog} from './prefillBacklog.js';
 import type {ServerLoad} from './serverLoad.js';
 
 /** A backend server that may take a request, with its load from all routers. */
@@ -35,6 +44,21 @@
   readonly copyableTokens: ReadonlyMap<number, number>;
   readonly bodyBytes: number;
   readonly failureCostMs: number;
+  /** Target of the time to the first event, in milliseconds. */
+  readonly targetMs: number;
+  /** Time since the request arrived, in milliseconds. */
+  readonly waitedMs: number;
+  /** Longest pause that the request's stream tolerates; undefined for none. */
+  readonly maxPauseMs?: number;
+  /** Shortest pause that any stream of the service tolerates. */
+  readonly shortestPauseMs: number;
+  /** Sensitivity of the request's stream to pauses, from 0 to 1. */
+  readonly pauseWeight: number;
+  /** Urgency rank at the engine, from 0, the most urgent, to 9. */
+  readonly rank: number;
+  /** Mean work that is left of a prompt that an engine is prefilling. */
+  readonly residualWork: number;
+  readonly kvTransfer: KvTransfer;
   /** Prefill rate of an engine in tokens per millisecond. */
   readonly prefillTokensPerMs: number;
   /** A prompt with fewer tokens left to prefill counts as short. */
@@ -50,12 +74,16 @@
   readonly tightStreams: number;
   /** Prompt tokens that the engine has to prefill. */
   readonly unreadTokens: number;
+  /** Work of prefilling them; see `computePrefillWork`. */
+  readonly prefillWork: number;
   /** True when prefilling the prompt does not delay concurrent streams. */
   readonly isShortPrompt: boolean;
   /** Expected time until the prompt is prefilled, in milliseconds. */
   readonly prefillEndMs: number;
   /** Part of `prefillEndMs` that is spent on prompts queued before. */
   readonly backlogMs: number;
+  /** Work of the prompts queued before. */
+  readonly backlogWork: number;
   /** Compact key of the engine from which KV cache is copied before prefill. */
   readonly fetchFrom?: number;
 }
@@ -73,8 +101,6 @@
  * costs 500 ms of waiting.
  */
 const crossZoneCostMsPerKb = 2.5;
-/** Fixed latency of copying KV cache between engines. */
-const kvCopyDelayMs = 8;
 /** Cost of copying KV cache, in milliseconds of waiting per thousand tokens. */
 const kvCopyCostMsPerKiloToken = 10;
 /**
@@ -86,30 +112,42 @@
 /** Fewer tokens are prefilled faster than copied. */
 const minKvCopyTokens = 512;
 /**
- * Cost of pausing one concurrent stream with a pause weight of 1, as a ratio of
- * the prompt's prefill time. Streams on an engine that keeps prefilling last
- * six times as long and accumulate there, so a few streams suffice to keep long
- * prompts away.
+ * Cost of an answer that misses its target, in milliseconds of waiting. The
+ * other costs are on the same scale.
  */
-const pauseCostRatio = 0.5;
+const missCostMs = 500;
+/**
+ * Cost of a millisecond of waiting that does not make the answer late. It makes
+ * the backlogs of engines even. A millisecond beyond the target costs 1.
+ */
+const waitCostRatio = 0.25;
 /** Cost of an engine with all slots in use compared with an idle one. */
 const occupancyCostMs = 12;
 /**
- * Cost of placing a long prompt on an engine reserved for short prompts, or a
- * short prompt on an engine that is not.
+ * Cost of placing a pause-sensitive stream on an engine that is not reserved
+ * for such streams, or on a reserved one a prompt that would pause them.
+ */
+const poolMismatchCostMs = 150;
+/**
+ * Cost of each pause-sensitive stream that is already at the engine. More
+ * streams bring more short prompts, and several prefills in a row cause a pause.
  */
-const poolMismatchCostMs = 30;
+const crowdingCostPerStreamMs = 8;
+/** Streams with a higher pause weight are placed on reserved engines. */
+const minTightPauseWeight = 0.5;
 /**
- * Slots of a reserved engine that are planned for streams, as a ratio of all
- * its slots.
+ * Slots of a reserved engine that are planned for pause-sensitive streams, as a
+ * ratio of all its slots.
  */
-const shortPoolSlotRatio = 0.5;
+const reservedSlotRatio = 0.5;
 /**
- * Minimum ratio of a zone's engines that is reserved for short prompts. A burst
- * of short prompts has to find free slots before routers learn of each other's
+ * Minimum ratio of the engines that is reserved. A burst of pause-sensitive
+ * streams has to find free slots before routers learn of each other's
  * placements.
  */
-const minShortPoolRatio = 0.2;
+const minReservedRatio = 0.2;
+/** A zone with fewer engines shares the reserved engines of the fleet. */
+const minZoneEngines = 3;
 /** Cost of each request in excess of the engine's slots. */
 const queueCostMs = 40;
 /**
@@ -118,12 +156,6 @@
  * before any request has to wait.
  */
 const occupancyCostRatio = 0.2;
-/**
- * Weight of the prefill backlog in the cost of a short prompt. The estimated
- * backlog can be wrong by a whole long prompt, which would make a short prompt
- * miss its target.
- */
-const shortPromptBacklogWeight = 2;
 /** Jitter of a cost, so that routers do not all choose the same server. */
 const jitterMs = 4;
 /**
@@ -170,12 +202,11 @@
 }
 
 /**
- * Selects the engine with the lowest expected cost. The load of an engine is
- * measured in prompt tokens waiting for prefill; long prompts avoid engines
- * with many pause-sensitive streams.
+ * Selects the engine with the lowest expected cost: the chance that the answer
+ * or a stream beside it becomes late, engine time, and the operators' prices.
  *
  * @param candidates - in the same order on all routers, which makes them
- *     reserve the same engines for short prompts
+ *     reserve the same engines for pause-sensitive streams
  * @param draw - source of random numbers from 0 to 1
  */
 export function chooseEngine(
@@ -183,10 +214,11 @@
   request: PromptRequest,
   draw: () => number,
 ): EngineChoice | undefined {
-  const copySource = findCopySource(request.copyableTokens);
+  const copySource = findCopySource(request.copyableTokens, candidates);
   const maxCachedTokens = Math.max(0, ...request.cachedTokens.values());
   const choices = new Map<Candidate, EngineChoice>();
-  const reservedForShort = reserveForShortPrompts(candidates);
+  const reserved = reserveEngines(candidates);
+  const isTight = request.pauseWeight > minTightPauseWeight;
   const computeCostMs = (candidate: Candidate) => {
     const {serverId, key} = candidate;
     const cachedTokens = request.cachedTokens.get(key) ?? 0;
@@ -195,45 +227,83 @@
       copySource.key !== key &&
       copySource.tokens - cachedTokens >= minKvCopyTokens;
     const copiedTokens = canCopy ? copySource.tokens - cachedTokens : 0;
-    const unreadTokens = Math.max(
-      1,
-      request.promptTokens - cachedTokens - copiedTokens,
-    );
-    const recomputedTokens = Math.max(
-      0,
-      maxCachedTokens - cachedTokens - copiedTokens,
-    );
+    const copyMs = canCopy
+      ? estimateCopyMs(
+          copiedTokens,
+          request.kvTransfer,
+          copySource.zone === candidate.zone,
+        )
+      : 0;
+    const contextTokens = cachedTokens + copiedTokens;
+    const unreadTokens = Math.max(1, request.promptTokens - contextTokens);
+    const prefillWork = computePrefillWork(unreadTokens, contextTokens);
+    const recomputedTokens = Math.max(0, maxCachedTokens - contextTokens);
     const slowness = Math.max(1, candidate.slowness);
     const msPerToken = slowness / request.prefillTokensPerMs;
-    const promptPrefillMs = unreadTokens * msPerToken;
+    const promptPrefillMs = prefillWork * msPerToken;
     const isShortPrompt = unreadTokens < request.shortPromptTokenLimit;
-    const backlogMs = candidate.promptTokens * msPerToken;
+    const totalWork = sumBacklog(candidate.backlog);
+    const urgentWork = sumBacklog(candidate.backlog, request.rank);
+    const backlogWork =
+      urgentWork + Math.min(totalWork - urgentWork, request.residualWork);
+    const backlogMs = backlogWork * msPerToken;
+    const prefillEndMs = Math.max(backlogMs, copyMs) + promptPrefillMs;
     choices.set(candidate, {
       serverId,
       requests: candidate.requests,
       tightStreams: candidate.tightStreams,
       unreadTokens,
+      prefillWork,
       isShortPrompt,
-      prefillEndMs: backlogMs + promptPrefillMs,
+      prefillEndMs,
       backlogMs,
+      backlogWork,
       fetchFrom: canCopy ? copySource.key : undefined,
     });
+    const firstEventMs = firstEventOverheadMs + prefillEndMs;
+    const missProbability = estimateMissProbability(
+      firstEventMs,
+      request.waitedMs,
+      request.targetMs,
+    );
+    const latenessMs = Math.max(
+      0,
+      request.waitedMs + firstEventMs - request.targetMs,
+    );
+    const pauseProbability = estimatePauseProbability(
+      promptPrefillMs,
+      request.shortestPauseMs,
+    );
+    const mismatchCostMs =
+      poolMismatchCostMs *
+      (isTight
+        ? Number(!reserved.has(candidate)) / (1 + candidate.tightStreams)
+        : Number(reserved.has(candidate)) * pauseProbability);
+    const ownPauseProbability = isTight
+      ? estimatePauseProbability(
+          totalWork * msPerToken,
+          request.maxPauseMs ?? Infinity,
+        )
+      : 0;
+    const crowdingCostMs = isTight
+      ? candidate.tightStreams * crowdingCostPerStreamMs
+      : 0;
     const queued = Math.max(0, candidate.requests + 1 - candidate.slots);
     return (
-      backlogMs * (isShortPrompt ? shortPromptBacklogWeight : 1) +
+      (missProbability +
+        ownPauseProbability +
+        candidate.tightStreams * pauseProbability) *
+        missCostMs +
+      backlogMs * waitCostRatio +
+      latenessMs * (1 - waitCostRatio) +
       promptPrefillMs +
       (candidate.requests / candidate.slots) * occupancyCostMs +
-      (isShortPrompt
-        ? 0
-        : candidate.tightStreams * pauseCostRatio * promptPrefillMs) +
       queued * queueCostMs +
-      (isShortPrompt === reservedForShort.has(candidate)
-        ? 0
-        : poolMismatchCostMs) +
+      mismatchCostMs +
+      crowdingCostMs +
       (recomputedTokens / 1_000) * recomputeCostMsPerKiloToken +
-      (canCopy
-        ? kvCopyDelayMs + (copiedTokens / 1_000) * kvCopyCostMsPerKiloToken
-        : 0) +
+      copyMs * waitCostRatio +
+      (copiedTokens / 1_000) * kvCopyCostMsPerKiloToken +
       (candidate.isNear
         ? 0
         : Math.max(1, request.bodyBytes / 1_000) * crossZoneCostMsPerKb) +
@@ -248,12 +318,11 @@
 }
 
 /**
- * Reserves engines for short prompts: in each zone the last ones of the shared
- * order, as many as the zone's streams need.
+ * Reserves engines for pause-sensitive streams: the last ones of the shared
+ * order in each zone, as many as the streams need. A zone with few engines does
+ * not get its own, so that most engines stay free for long prompts.
  */
-function reserveForShortPrompts(
-  candidates: readonly Candidate[],
-): Set<Candidate> {
+function reserveEngines(candidates: readonly Candidate[]): Set<Candidate> {
   const zones = new Map<string, Candidate[]>();
   for (const candidate of candidates) {
     const zone = zones.get(candidate.zone) ?? [];
@@ -262,23 +331,48 @@
   }
   const reserved = new Set<Candidate>();
   for (const zone of zones.values()) {
-    const streams = zone.reduce((sum, {tightStreams}) => sum + tightStreams, 1);
-    const needed = Math.max(
-      Math.ceil(streams / (zone[0].slots * shortPoolSlotRatio)),
-      Math.round(zone.length * minShortPoolRatio),
-    );
-    const count = Math.min(needed, Math.max(1, zone.length - 1));
-    for (const candidate of zone.slice(-count)) reserved.add(candidate);
+    if (zone.length < minZoneEngines) continue;
+    for (const candidate of zone.slice(-countReserved(zone))) {
+      reserved.add(candidate);
+    }
+  }
+  const wanted = candidates.length > 0 ? countReserved(candidates) : 0;
+  for (const candidate of [...candidates].reverse()) {
+    if (reserved.size >= wanted) break;
+    reserved.add(candidate);
   }
   return reserved;
 }
 
+/** Number of engines to reserve of a group, at least 1. */
+function countReserved(engines: readonly Candidate[]): number {
+  const streams = engines.reduce((sum, item) => sum + item.tightStreams, 1);
+  const needed = Math.max(
+    Math.ceil(streams / (engines[0].slots * reservedSlotRatio)),
+    Math.round(engines.length * minReservedRatio),
+  );
+  return Math.min(needed, Math.max(1, engines.length - 1));
+}
+
+interface CopySource {
+  readonly key: number;
+  readonly tokens: number;
+  readonly zone: string;
+}
+
+/**
+ * Finds the engine with the longest cached prefix. An engine that is not a
+ * candidate is down or failing, and a copy from it would not end in time.
+ */
 function findCopySource(
   tokensByEngine: ReadonlyMap<number, number>,
-): {key: number; tokens: number} | undefined {
-  let best: {key: number; tokens: number} | undefined;
-  for (const [key, tokens] of tokensByEngine) {
-    if (!best || tokens > best.tokens) best = {key, tokens};
+  candidates: readonly Candidate[],
+): CopySource | undefined {
+  let best: CopySource | undefined;
+  for (const {key, zone} of candidates) {
+    const tokens = tokensByEngine.get(key);
+    if (tokens === undefined || tokens <= (best?.tokens ?? 0)) continue;
+    best = {key, tokens, zone};
   }
   return best;
 }
--- a/src/router/promptAdmission.ts
+++ b/src/router/promptAdmission.ts
@@ -5,6 +5,8 @@
  * arrival, all prompts would miss their target after the first second.
  */
 
+import type {Route} from './deployment.js';
+
 /** State of a prompt at the time of an admission decision. */
 export interface AdmissionInput {
   /** Time since the request arrived, in milliseconds. */
@@ -56,3 +58,30 @@
   }
   return AdmissionDecision.Hold;
 }
+
+/**
+ * Callers abandon a stream after a gap of two seconds, four times the target or
+ * eight times the longest pause that the route allows, whichever is longest.
+ */
+const minCallerTimeoutMs = 2_000;
+const callerTimeoutTargetFactor = 4;
+const callerTimeoutPauseFactor = 8;
+
+/**
+ * Returns the time after which a caller stops waiting for the first event.
+ *
+ * @param deadlineMs - time that the whole request may take
+ * @example
+ * computeCallerTimeoutMs({targetMs: 400, maxPauseMs: 500}, 10_000) === 4_000
+ */
+export function computeCallerTimeoutMs(
+  {targetMs, maxPauseMs = 0}: Pick<Route, 'targetMs' | 'maxPauseMs'>,
+  deadlineMs: number,
+): number {
+  const timeoutMs = Math.max(
+    minCallerTimeoutMs,
+    targetMs * callerTimeoutTargetFactor,
+    maxPauseMs * callerTimeoutPauseFactor,
+  );
+  return Math.min(timeoutMs, deadlineMs);
+}
--- a/src/router/promptDirectory.ts
+++ b/src/router/promptDirectory.ts
@@ -41,8 +41,9 @@
    * @param part - compact key of the part
    * @param server - compact key of the engine
    * @param readyInMs - expected time until the part is prefilled
+   * @returns whether the engine was not known to have the part
    */
-  record(part: number, server: number, readyInMs: number): void {
+  record(part: number, server: number, readyInMs: number): boolean {
     const servers =
       this.prefillsByPart.get(part) ?? new Map<number, PartPrefill>();
     this.prefillsByPart.delete(part);
@@ -52,10 +53,17 @@
       servers.get(server)?.readyAtMs ?? Infinity,
       usedAtMs + readyInMs,
     );
+    const isNew = !servers.has(server);
     servers.set(server, {usedAtMs, readyAtMs});
-    if (this.prefillsByPart.size <= maxParts) return;
+    if (this.prefillsByPart.size <= maxParts) return isNew;
     const [oldest] = this.prefillsByPart.keys();
     this.prefillsByPart.delete(oldest);
+    return isNew;
+  }
+
+  /** Removes a part that the engine did not prefill after all. */
+  remove(part: number, server: number): void {
+    this.prefillsByPart.get(part)?.delete(server);
   }
 
   /** Removes all parts of an engine whose process has ended. */
--- a/src/router/promptLength.ts
+++ b/src/router/promptLength.ts
@@ -13,7 +13,7 @@
  */
 const shortPromptPauseRatio = 0.15;
 /** Assumed for services whose routes set no `maxPauseMs`. */
-const defaultMaxPauseMs = 200;
+export const defaultMaxPauseMs = 200;
 
 /**
  * Computes the number of tokens left to prefill below which a prompt is short.
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -6,6 +6,7 @@
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {listAttemptFields} from './attemptLog.js';
 import {superviseAttempt} from './attemptSupervisor.js';
 import {
   AttemptKind,
@@ -24,6 +25,7 @@
 import type {BackendAnswer, MessageCodec} from './messageCodec.js';
 import {
   AdmissionDecision,
+  computeCallerTimeoutMs,
   decideAdmission,
   recheckIntervalMs,
 } from './promptAdmission.js';
@@ -46,13 +48,6 @@
 const finalFailureCostMs = 600;
 /** Answers with this status or a higher one count as server failures. */
 const minServerErrorStatus = 500;
-/**
- * Callers abandon a stream after a gap of two seconds, four times the target or
- * eight times the longest pause that the route allows, whichever is longest.
- */
-const minCallerTimeoutMs = 2_000;
-const callerTimeoutTargetFactor = 4;
-const callerTimeoutPauseFactor = 8;
 /** Retry delay for the caller of a request that broke connections. */
 const suspectRetryAfterMs = 4_000;
 
@@ -203,11 +198,7 @@
   /** Selects a server; holds a long prompt back until it is admitted. */
   private async admit(): Promise<Selection | undefined> {
     const {exchange, route} = this.request;
-    const callerTimeoutMs = Math.max(
-      minCallerTimeoutMs,
-      route.targetMs * callerTimeoutTargetFactor,
-      (route.maxPauseMs ?? 0) * callerTimeoutPauseFactor,
-    );
+    const callerTimeoutMs = computeCallerTimeoutMs(route, this.deadlineMs);
     for (;;) {
       const selection = this.select();
       if (!selection || selection.isShortPrompt) return selection;
@@ -216,7 +207,7 @@
         expectedMs: selection.expectedMs,
         backlogMs: selection.backlogMs,
         targetMs: route.targetMs,
-        callerTimeoutMs: Math.min(callerTimeoutMs, this.deadlineMs),
+        callerTimeoutMs,
       });
       if (decision !== AdmissionDecision.Hold || this.hasEvents) {
         this.admission = decision;
@@ -242,6 +233,9 @@
       promptTokens,
       bodyBytes: body.length,
       maxPauseMs: this.request.route.maxPauseMs,
+      rank: this.request.urgency,
+      targetMs: this.request.route.targetMs,
+      waitedMs: performance.now() - exchange.startedAtMs,
       failureCostMs: this.isRetryable
         ? retryableFailureCostMs
         : finalFailureCostMs,
@@ -251,7 +245,7 @@
   private async send(selection: Selection): Promise<AttemptResult> {
     const {exchange, body, route, maxAnswerBytes} = this.request;
     const {codec, connections, loads} = this.options;
-    const {server, unreadTokens, fetchFrom} = selection;
+    const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
     this.sends += 1;
     this.sentAtMs = performance.now();
@@ -262,13 +256,14 @@
     this.hasEvents = false;
     const isEngine = exchange.request.promptParts.length > 0;
     this.ticket = loads.add(server.id, {
-      promptTokens: unreadTokens,
+      prefillWork,
+      rank: this.request.urgency,
       pauseWeight: isEngine ? selection.pauseWeight : 0,
     });
-    if (isEngine) {
-      const {promptParts} = exchange.request;
-      this.options.selector.recordPlacement(selection, promptParts);
-    }
+    const withdrawPlacement = this.options.selector.recordPlacement(
+      selection,
+      exchange.request.promptParts,
+    );
     const resumesAfter =
       this.lastEventId === exchange.request.lastEventId
         ? undefined
@@ -302,7 +297,7 @@
       maxAnswerBytes,
     });
     try {
-      return await superviseAttempt(attempt, {
+      const result = await superviseAttempt(attempt, {
         route,
         signal: exchange.signal,
         remainingMs: this.remainingMs,
@@ -311,6 +306,8 @@
         isServerActive: () => this.options.outcomes.hasRecentEvent(server.id),
         canRetry: () => this.canRetry(),
       });
+      if (!this.hasEvents) withdrawPlacement();
+      return result;
     } finally {
       connection.release();
       this.ticket.release();
@@ -500,25 +497,18 @@
     selection: Selection,
     cause?: string | number,
   ): void {
-    const {exchange, route} = this.request;
-    const {firstEventMs, maxPauseMs} = this.progress;
-    this.options.log.logInfo(event, {
-      requestId: exchange.request.attemptId,
-      route: route.name,
-      server: selection.server.id,
-      urgency: this.request.urgency,
-      cause,
-      sends: this.sends,
-      unreadTokens: selection.unreadTokens,
-      backlogMs: Math.round(selection.backlogMs),
-      viewAgeMs: Math.round(this.options.directory.measureAgeMs()),
-      expectedMs: Math.round(selection.expectedMs),
-      admission: this.admission,
-      firstEventMs: firstEventMs && Math.round(firstEventMs),
-      maxPauseMs: maxPauseMs > 0 ? Math.round(maxPauseMs) : undefined,
-      serverRequests: selection.serverRequests,
-      tightStreams: selection.tightStreams,
-      ms: Math.round(performance.now() - exchange.startedAtMs),
-    });
+    const {log, directory} = this.options;
+    log.logInfo(
+      event,
+      listAttemptFields({
+        request: this.request,
+        selection,
+        cause,
+        sends: this.sends,
+        admission: this.admission,
+        viewAgeMs: directory.measureAgeMs(),
+        progress: this.progress,
+      }),
+    );
   }
 }
--- a/src/router/serverLoad.ts
+++ b/src/router/serverLoad.ts
@@ -1,4 +1,5 @@
 /** Load and recent outcomes of one backend server. */
+import {emptyBacklog, type PrefillBacklog} from './prefillBacklog.js';
 
 /**
  * Denominator of pause weights. They are multiples of 1/16, so that sums have
@@ -9,8 +10,8 @@
 /** Requests in flight at a server. */
 export interface RequestLoad {
   readonly requests: number;
-  /** Prompt tokens of these requests that wait for prefill. */
-  readonly promptTokens: number;
+  /** Work of these requests' prompts that wait for prefill. */
+  readonly backlog: PrefillBacklog;
   /** Sum of the pause weights of these requests' streams. */
   readonly tightStreams: number;
 }
@@ -28,6 +29,6 @@
 
 export const emptyRequestLoad: RequestLoad = {
   requests: 0,
-  promptTokens: 0,
+  backlog: emptyBacklog,
   tightStreams: 0,
 };
--- a/src/router/serverLoads.ts
+++ b/src/router/serverLoads.ts
@@ -1,4 +1,5 @@
 /** Tracks this router's requests in flight at each backend server. */
+import {addWork} from './prefillBacklog.js';
 import {emptyRequestLoad, type RequestLoad} from './serverLoad.js';
 
 /** Handle of one request that counts towards the load of its server. */
@@ -11,8 +12,10 @@
 
 /** What one request adds to the load of its server. */
 export interface LoadContribution {
-  /** Prompt tokens that the engine has to prefill. */
-  readonly promptTokens: number;
+  /** Work of prefilling the prompt; see `computePrefillWork`. */
+  readonly prefillWork: number;
+  /** Urgency rank at the engine. */
+  readonly rank: number;
   /** Sensitivity of the request's stream to pauses, from 0 to 1. */
   readonly pauseWeight: number;
 }
@@ -21,10 +24,10 @@
   -readonly [field in keyof RequestLoad]: RequestLoad[field];
 };
 
-/** @param addedTokens - prompt tokens that the change adds to the backlog */
-export type LoadListener = (addedTokens: number) => void;
+/** @param addedWork - work that the change adds to the backlog */
+export type LoadListener = (addedWork: number) => void;
 
-/** Counts requests and prompt tokens waiting for prefill by backend server. */
+/** Counts requests and prefill work by backend server. */
 export class ServerLoadTracker {
   private readonly loads = new Map<string, MutableRequestLoad>();
   private readonly listeners: LoadListener[] = [];
@@ -37,21 +40,21 @@
   /** Counts a request until its ticket is released. */
   add(
     serverId: string,
-    {promptTokens, pauseWeight}: LoadContribution,
+    {prefillWork, rank, pauseWeight}: LoadContribution,
   ): LoadTicket {
     const load = this.loads.get(serverId) ?? {...emptyRequestLoad};
     this.loads.set(serverId, load);
     load.requests += 1;
-    load.promptTokens += promptTokens;
+    load.backlog = addWork(load.backlog, rank, prefillWork);
     load.tightStreams += pauseWeight;
-    this.notifyListeners(promptTokens);
+    this.notifyListeners(prefillWork);
     let isPrefilling = true;
     let isReleased = false;
     const finishPrefill = () => {
       if (!isPrefilling) return;
       isPrefilling = false;
-      load.promptTokens -= promptTokens;
-      if (promptTokens > 0) this.notifyListeners();
+      load.backlog = addWork(load.backlog, rank, -prefillWork);
+      if (prefillWork > 0) this.notifyListeners();
     };
     const release = () => {
       if (isReleased) return;
@@ -69,7 +72,7 @@
     return this.loads.get(serverId) ?? emptyRequestLoad;
   }
 
-  private notifyListeners(addedTokens = 0): void {
-    for (const listener of this.listeners) listener(addedTokens);
+  private notifyListeners(addedWork = 0): void {
+    for (const listener of this.listeners) listener(addedWork);
   }
 }
--- a/src/router/serverReporter.ts
+++ b/src/router/serverReporter.ts
@@ -1,6 +1,7 @@
 /** Reports about backend servers to the other routers. */
 import {computeCompactKey} from './compactKey.js';
 import type {ServerReport} from './peerReport.js';
+import {isSameBacklog} from './prefillBacklog.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
@@ -75,7 +76,7 @@
 ): boolean {
   return (
     last.requests !== report.requests ||
-    last.promptTokens !== report.promptTokens ||
+    !isSameBacklog(last.backlog, report.backlog) ||
     Math.abs(last.failures - report.failures) > minOutcomeChange ||
     Math.abs(last.slowness - report.slowness) > minSlownessChange
   );
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -3,6 +3,11 @@
 import {computeCompactKey} from './compactKey.js';
 import type {BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
+import {
+  firstEventOverheadMs,
+  PrefillStatistics,
+  type KvTransfer,
+} from './engineModel.js';
 import type {FleetView} from './fleetView.js';
 import type {PromptPart} from './messageCodec.js';
 import {
@@ -11,9 +16,11 @@
   type Candidate,
   type EngineChoice,
 } from './placement.js';
+import {addBacklogs, emptyBacklog, sumBacklog} from './prefillBacklog.js';
 import {
   computePauseWeight,
   computeShortPromptTokenLimit,
+  defaultMaxPauseMs,
   findShortestPauseMs,
 } from './promptLength.js';
 import type {PrefixCacheDirectory} from './promptDirectory.js';
@@ -22,16 +29,8 @@
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 
-/** Assumed prefill rate of an engine before the first sample. */
-const initialPrefillTokensPerMs = 40;
-const minPrefillTokensPerMs = 5;
-const maxPrefillTokensPerMs = 500;
-/** Weight of a new sample in the moving averages. */
+/** Weight of a new sample in the moving average of the service time. */
 const sampleWeight = 0.05;
-/** Time to first token of shorter prefills is dominated by fixed overhead. */
-const minSampleTokens = 1_024;
-/** Fixed part of the time to first token, subtracted from samples. */
-const firstEventOverheadMs = 20;
 /** Assumed service time of a plain service before the first sample. */
 const initialServiceTimeMs = 80;
 
@@ -50,6 +49,12 @@
    * undefined when the answer is not a stream.
    */
   readonly maxPauseMs: number | undefined;
+  /** Urgency rank at an engine, from 0, the most urgent, to 9. */
+  readonly rank: number;
+  /** Target of the time to the answer or the first event, in milliseconds. */
+  readonly targetMs: number;
+  /** Time since the request arrived, in milliseconds. */
+  readonly waitedMs: number;
   /** Cost of a failure, expressed as milliseconds of waiting. */
   readonly failureCostMs: number;
 }
@@ -59,6 +64,8 @@
   readonly server: BackendServer;
   /** Prompt tokens that the engine has to prefill; 0 for plain services. */
   readonly unreadTokens: number;
+  /** Work of prefilling them; see `computePrefillWork`. */
+  readonly prefillWork: number;
   /** True when prefilling the prompt does not delay concurrent streams. */
   readonly isShortPrompt: boolean;
   /** `host:port` of the engine to copy KV cache from. */
@@ -67,6 +74,8 @@
   readonly expectedMs: number;
   /** Part of `expectedMs` spent on the engine's prefill backlog. */
   readonly backlogMs: number;
+  /** Work of the engine's prefill backlog. */
+  readonly backlogWork: number;
   /** Requests in flight at the server, from all routers, at selection. */
   readonly serverRequests: number;
   /** Sum of the pause weights of the server's streams. */
@@ -91,15 +100,16 @@
     readonly BackendServer[],
     BackendServer[]
   >();
-  private readonly prefillRates = new Map<string, number>();
+  private readonly prefillStatistics = new Map<string, PrefillStatistics>();
   private readonly serviceTimesMs = new Map<string, number>();
   private newPlacements: Array<[number, number]> = [];
 
   /** Shortest `maxPauseMs` of the routes to each service. */
   private readonly pauses = new Map<string, number>();
+  private readonly kvTransfers = new Map<string, KvTransfer>();
 
   constructor(private readonly options: ServerSelectorOptions) {
-    options.deployments.watch(table => this.recordShortestPauses(table));
+    options.deployments.watch(table => this.recordServices(table));
   }
 
   /** Selects a server for a request; undefined when none is available. */
@@ -113,22 +123,12 @@
   }
 
   /**
-   * Updates the prefill rate of a service from the time to first token. Samples
-   * taken behind a prefill backlog are ignored, because they include other
-   * prompts.
+   * Updates the prefill rate of a service from the time to the first event.
    *
    * @param ms - time from sending the request to its first event
    */
   recordFirstEvent(selection: Selection, service: string, ms: number): void {
-    const {unreadTokens, backlogMs} = selection;
-    if (unreadTokens < minSampleTokens || backlogMs > 0) return;
-    const measuredPrefillMs = Math.max(1, ms - firstEventOverheadMs);
-    const sample = Math.min(
-      maxPrefillTokensPerMs,
-      Math.max(minPrefillTokensPerMs, unreadTokens / measuredPrefillMs),
-    );
-    const rate = this.getPrefillRate(service);
-    this.prefillRates.set(service, rate + (sample - rate) * sampleWeight);
+    this.getPrefillStatistics(service).record(selection, ms);
   }
 
   /** Updates the average service time after an answer of a plain service. */
@@ -140,18 +140,30 @@
     );
   }
 
-  /** Records that the selected engine is about to prefill the prompt parts. */
-  recordPlacement(selection: Selection, parts: readonly PromptPart[]): void {
+  /**
+   * Records that the selected engine is about to prefill the prompt parts.
+   *
+   * @returns a function that takes this back when the engine did not answer
+   */
+  recordPlacement(
+    selection: Selection,
+    parts: readonly PromptPart[],
+  ): () => void {
     const {prompts} = this.options;
     const server = computeCompactKey(selection.server.id);
+    const newPartKeys: number[] = [];
     // The last part is unique to the request, so peers do not need it.
     for (const [index, part] of parts.entries()) {
       const partKey = computeCompactKey(part.id);
-      prompts.record(partKey, server, selection.expectedMs);
+      const isNew = prompts.record(partKey, server, selection.expectedMs);
+      if (isNew) newPartKeys.push(partKey);
       if (index < parts.length - 1) {
         this.newPlacements.push([partKey, server]);
       }
     }
+    return () => {
+      for (const partKey of newPartKeys) prompts.remove(partKey, server);
+    };
   }
 
   /**
@@ -164,10 +176,11 @@
     const {prompts, fleet, loads, directory} = this.options;
     const backend = directory.findByKey(server);
     if (!backend) return;
-    const tokens =
-      (fleet.sumLoad(server)?.promptTokens ?? 0) +
-      loads.get(backend.id).promptTokens;
-    const readyInMs = tokens / this.getPrefillRate(backend.service);
+    const work =
+      sumBacklog(fleet.sumLoad(server)?.backlog ?? emptyBacklog) +
+      sumBacklog(loads.get(backend.id).backlog);
+    const {tokensPerMs} = this.getPrefillStatistics(backend.service);
+    const readyInMs = work / tokensPerMs;
     prompts.record(partKey, server, readyInMs);
   }
 
@@ -235,7 +248,7 @@
       zone: server.zone,
       slots: server.slots,
       requests: own.requests + (others?.requests ?? 0),
-      promptTokens: own.promptTokens + (others?.promptTokens ?? 0),
+      backlog: addBacklogs(own.backlog, others?.backlog ?? emptyBacklog, 1),
       tightStreams: own.tightStreams + (others?.tightStreams ?? 0),
       failures: recent.failures + (others?.failures ?? 0),
       answers: recent.answers + (others?.answers ?? 0),
@@ -258,6 +271,8 @@
           requests: chosen.requests,
           tightStreams: chosen.tightStreams,
           unreadTokens: 0,
+          prefillWork: 0,
+          backlogWork: 0,
           isShortPrompt: true,
           prefillEndMs: serviceTimeMs,
           backlogMs: 0,
@@ -275,7 +290,10 @@
     const {service, promptParts, promptTokens, bodyBytes, failureCostMs} =
       request;
     const {prompts, directory} = this.options;
-    const prefillTokensPerMs = this.getPrefillRate(service);
+    const statistics = this.getPrefillStatistics(service);
+    const prefillTokensPerMs = statistics.tokensPerMs;
+    const shortestPauseMs = this.pauses.get(service) ?? defaultMaxPauseMs;
+    const pauseWeight = computePauseWeight(shortestPauseMs, request.maxPauseMs);
     const prefixes = prompts.findCachedPrefixes(promptParts);
     for (const key of prefixes.cachedTokens.keys()) {
       if (directory.findByKey(key)) continue;
@@ -290,10 +308,18 @@
         copyableTokens: prefixes.copyableTokens,
         bodyBytes,
         failureCostMs,
+        targetMs: request.targetMs,
+        waitedMs: request.waitedMs,
+        maxPauseMs: request.maxPauseMs,
+        shortestPauseMs,
+        pauseWeight,
+        rank: request.rank,
+        residualWork: statistics.residualWork,
+        kvTransfer: this.findKvTransfer(service),
         prefillTokensPerMs,
         shortPromptTokenLimit: computeShortPromptTokenLimit(
           prefillTokensPerMs,
-          this.pauses.get(service),
+          shortestPauseMs,
         ),
       },
       Math.random,
@@ -302,7 +328,7 @@
     return this.buildSelection(
       choice,
       firstEventOverheadMs + choice.prefillEndMs,
-      computePauseWeight(this.pauses.get(service), request.maxPauseMs),
+      pauseWeight,
     );
   }
 
@@ -321,6 +347,8 @@
     return {
       server,
       unreadTokens: choice.unreadTokens,
+      prefillWork: choice.prefillWork,
+      backlogWork: choice.backlogWork,
       isShortPrompt: choice.isShortPrompt,
       fetchFrom: source && `${source.host}:${source.port}`,
       expectedMs,
@@ -331,16 +359,25 @@
     };
   }
 
-  private recordShortestPauses(table: RouteTable): void {
+  private recordServices(table: RouteTable): void {
     this.pauses.clear();
-    for (const {name} of table.deployment.services) {
+    this.kvTransfers.clear();
+    for (const {name, engine} of table.deployment.services) {
+      if (engine) this.kvTransfers.set(name, engine);
       const pauseMs = findShortestPauseMs(table, name);
       if (pauseMs !== undefined) this.pauses.set(name, pauseMs);
     }
   }
 
-  private getPrefillRate(service: string): number {
-    return this.prefillRates.get(service) ?? initialPrefillTokensPerMs;
+  private getPrefillStatistics(service: string): PrefillStatistics {
+    const statistics =
+      this.prefillStatistics.get(service) ?? new PrefillStatistics();
+    this.prefillStatistics.set(service, statistics);
+    return statistics;
+  }
+
+  private findKvTransfer(service: string): KvTransfer {
+    return this.kvTransfers.get(service) ?? {kvBytesPerToken: 0};
   }
 }
 
--- a/src/router/urgencyScale.ts
+++ b/src/router/urgencyScale.ts
@@ -7,7 +7,7 @@
 import type {Customer, Deployment, Route} from './deployment.js';
 
 /** Number of ranks that engines distinguish; 0 is the most urgent. */
-const rankCount = 10;
+export const urgencyRankCount = 10;
 
 /**
  * Ranks requests by the customer's tier, or by the route's tier when the
@@ -36,12 +36,12 @@
     );
     const ranksPerTier = Math.max(
       1,
-      Math.floor(rankCount / this.primaryTiers.length),
+      Math.floor(urgencyRankCount / this.primaryTiers.length),
     );
     const primaryRank = scaleIndex(
       primaryIndex,
       this.primaryTiers.length,
-      rankCount / ranksPerTier,
+      urgencyRankCount / ranksPerTier,
     );
     const secondaryRank = scaleIndex(
       this.routeTiers.indexOf(route.tier),
