Tell callers to come back after the outage, not within it

Change: within 200 ms of its start a router says 300 ms as before; after that the outage is taken to last as long again as it has lasted, within 2 to 5 s, with jitter. A router that stops still says 300 ms.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -15,6 +15,7 @@
 import type {MessageCodec} from './messageCodec.js';
 import type {RequestForwarder} from './requestForwarder.js';
 import type {RouterMetrics} from './routerMetrics.js';
+import {estimateStartRetryAfterMs} from './returnTime.js';
 import {pickService, type RouteTable} from './routeTable.js';
 
 /** Largest request head that is parsed; deployments set a lower limit. */
@@ -26,8 +27,8 @@
 const connectionCheckIntervalMs = 1_000;
 /** Length of the queue of connections that wait to be accepted. */
 const backlog = 1_024;
-/** Retry delay for callers of a router that is starting or stopping. */
-const startRetryAfterMs = 300;
+/** Retry delay for callers of a router that is stopping. */
+const stopRetryAfterMs = 300;
 
 export interface RequestIntakeOptions {
   readonly codec: MessageCodec;
@@ -51,6 +52,7 @@
   private readonly server: http.Server;
   private readonly idleSockets = new Set<Socket>();
   private activeCount = 0;
+  private readonly createdAtMs = performance.now();
   private isDraining = false;
   private isRefusingRequests = false;
 
@@ -182,7 +184,12 @@
         : RefusalReason.NotReady;
       const message = table ? 'router is stopping' : 'no deployment yet';
       return new Refusal(reason, Outcome.NotRun, message, {
-        retryAfterMs: startRetryAfterMs,
+        retryAfterMs: table
+          ? stopRetryAfterMs
+          : estimateStartRetryAfterMs(
+              performance.now() - this.createdAtMs,
+              Math.random,
+            ),
       });
     }
     const {limits} = table.deployment;
--- a/src/router/returnTime.ts
+++ b/src/router/returnTime.ts
@@ -23,3 +23,35 @@
     ? backoffMs + baseDelayMs * draw()
     : baseDelayMs * (minDelayRatio + draw());
 }
+
+/** A router that reaches the platform has a deployment within this time. */
+const usualStartMs = 200;
+/** Retry delay within that time. */
+const usualStartRetryAfterMs = 300;
+/** Bounds of the retry delay while the platform does not answer. */
+const minOutageRetryAfterMs = 2_000;
+const maxOutageRetryAfterMs = 5_000;
+
+/**
+ * Returns the time after which a caller should retry at a router that has no
+ * deployment yet, in milliseconds. A platform that has not answered within the
+ * usual time is likely to stay away for seconds, and for the longer, the longer
+ * it has been away. A caller that comes back sooner is refused again.
+ *
+ * @param elapsedMs - time since the start of the router
+ * @param draw - source of random numbers from 0 to 1
+ * @example
+ * estimateStartRetryAfterMs(50, () => 0.5) === 300
+ * estimateStartRetryAfterMs(3_000, () => 0.5) === 3_000
+ */
+export function estimateStartRetryAfterMs(
+  elapsedMs: number,
+  draw: () => number,
+): number {
+  if (elapsedMs < usualStartMs) return usualStartRetryAfterMs;
+  const outageMs = Math.min(
+    maxOutageRetryAfterMs,
+    Math.max(minOutageRetryAfterMs, elapsedMs),
+  );
+  return outageMs * (minDelayRatio + draw() / 2);
+}
