Keep the learned prefill rate when an engine stalls

Cause: found while reading the change. The rate is all work over all time of the latest first events, so one event that came after 8 s for 3,000 tokens took it from 50 to 6 tokens a ms; the router then expected every prompt to be late, and held it, for about twenty more. Ruled out: dropping late samples, which would keep a rate that is too high for good. Change: a sample counts at most four times the prefill that was expected. Measured: the new test fails before (6.05) and passes (above 35 after the same event).

--- a/src/router/engineModel.ts
+++ b/src/router/engineModel.ts
@@ -113,6 +113,11 @@
 const initialSampleMs = 400;
 /** Factor by which a new sample reduces the weight of the earlier ones. */
 const sampleDecay = 0.95;
+/**
+ * A first event that takes longer than this multiple of the expected prefill
+ * waited for something else, such as a stalled engine.
+ */
+const maxSampleDelayRatio = 4;
 /** Fixed part of the time to the first event. */
 export const firstEventOverheadMs = 20;
 /** Prefills with less work take as long as the fixed part. */
@@ -160,7 +165,9 @@
     this.squaredOwnWork = this.squaredOwnWork * sampleDecay + prefillWork ** 2;
     const work = prefillWork + backlogWork;
     if (work < minSampleWork) return;
+    const maxMs = (maxSampleDelayRatio * work) / this.tokensPerMs;
+    const prefillMs = Math.min(maxMs, Math.max(1, ms - firstEventOverheadMs));
     this.work = this.work * sampleDecay + work;
-    this.ms = this.ms * sampleDecay + Math.max(1, ms - firstEventOverheadMs);
+    this.ms = this.ms * sampleDecay + prefillMs;
   }
 }
--- a/tests/router/engineModel.test.ts
+++ b/tests/router/engineModel.test.ts
@@ -56,6 +56,17 @@
     expect(statistics.tokensPerMs).to.be.within(19, 21);
   });
 
+  // Guards against one stalled engine that makes a router expect all prompts to
+  // be late for the next twenty, and hold them.
+  it('should keep most of the rate after a first event that stalled', () => {
+    const statistics = new PrefillStatistics();
+    const work = {prefillWork: 3_000, backlogWork: 0};
+    for (let i = 0; i < 40; i++) statistics.record(work, 20 + 3_000 / 50);
+    expect(statistics.tokensPerMs).to.be.within(48, 52);
+    statistics.record(work, 8_000);
+    expect(statistics.tokensPerMs).to.be.greaterThan(35);
+  });
+
   it('should weigh long prompts more in what is left of the one in progress', () => {
     const statistics = new PrefillStatistics();
     expect(statistics.residualWork).to.equal(0);
