Fill the connection before testing that a stream is read no further

It sends 4.6 MB; the kernel takes 5.1 MB for a peer that reads 1 MB and stops (measured with two plain sockets), since its buffers grow up to 4 and 32 MB. Ruled out: the gateway reading on; with a handler that takes everything, the test fails as it should, also in its new form. Change: the engine goes on sending, up to 70 MB, until its connection is full; then the same checks as before: something is left to write, and no less after 1,000 turns. Conclusion: the test's premise was wrong under load, not the code.

--- a/tests/gateway/engineStream.test.ts
+++ b/tests/gateway/engineStream.test.ts
@@ -77,11 +77,19 @@
       abortController.signal,
     );
     await waitUntil(() => isTaken);
-    const {response} = engine.calls[0];
-    const before = response.writableLength;
+    const [call] = engine.calls;
+    const {response} = call;
+    const takeTurn = () => new Promise(resolve => setImmediate(resolve));
+    // The kernel buffers more than 5 MB of a connection when the machine is busy.
+    // The engine sends until that is full: up to 70 MB, twice what it can hold.
     for (let turn = 0; turn < 1_000; turn++) {
-      await new Promise(resolve => setImmediate(resolve));
+      if (response.writableLength === 0) {
+        for (let i = 0; i < 300; i++) call.sendToken(0);
+      }
+      await takeTurn();
     }
+    const before = response.writableLength;
+    for (let turn = 0; turn < 1_000; turn++) await takeTurn();
     expect(response.writableLength).to.be.above(0);
     expect(response.writableLength).to.be.at.most(before);
     abortController.abort();
