--- a/deploy/startRouter.js
+++ b/deploy/startRouter.js
@@ -1,6 +1,6 @@
 /**
- * Starts the bundled router from V8's code cache. Without the cache, a third of
- * the processor time of a start goes into compiling the bundle.
+ * Starts the bundled router from V8's code cache, because compiling the bundle
+ * takes a large part of the processor time of a start.
  */
 import console from 'node:console';
 import fs from 'node:fs';
