--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -29,11 +29,12 @@
   facts: AttemptFacts,
 ): Record<string, string | number | undefined> {
   const {request, selection, progress} = facts;
-  const {exchange, route, urgency} = request;
+  const {exchange, route, urgency, deploymentVersion} = request;
   const {firstEventMs, maxPauseMs} = progress;
   return {
     requestId: exchange.request.attemptId,
     route: route.name,
+    deployment: deploymentVersion,
     server: selection.server.id,
     urgency,
     cause: facts.cause,
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -6,7 +6,6 @@
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {listAttemptFields} from './attemptLog.js';
 import {superviseAttempt} from './attemptSupervisor.js';
 import {
   AttemptKind,
@@ -29,6 +28,7 @@
   decideAdmission,
   recheckIntervalMs,
 } from './promptAdmission.js';
+import {RequestLog} from './requestLog.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause, type RouterMetrics} from './routerMetrics.js';
@@ -36,7 +36,6 @@
 import type {LoadTicket, ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 import type {Selection, ServerSelector} from './serverSelector.js';
-import {StreamProgress} from './streamProgress.js';
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
 const minRemainingMs = 40;
@@ -74,6 +73,8 @@
   readonly customer?: string;
   /** Priority at an engine from 0, the most urgent, to 9. */
   readonly urgency: number;
+  /** Version of the deployment that the route was taken from. */
+  readonly deploymentVersion: number;
   readonly body: Buffer;
   /** Longer answers are cut off and fail the attempt. */
   readonly maxAnswerBytes: number;
@@ -93,7 +94,6 @@
 class Forwarding implements StreamListener {
   private readonly deadlineMs: number;
   private readonly deadlineAtMs: number;
-  private admission = AdmissionDecision.OnTime;
   private readonly isRetryable: boolean;
   private readonly fingerprint: number;
   /** Servers at which an attempt failed; selected again as a last resort. */
@@ -101,7 +101,6 @@
   /** Servers that refused the request or could not be reached. */
   private readonly excluded = new Set<string>();
   private readonly budget: RequestBudget;
-  private sends = 0;
   /** Failed attempts that may have run. */
   private runs = 0;
   /** Id of the last event that was sent to the caller. */
@@ -113,7 +112,7 @@
   /** Idle time of the connection before the attempt, in milliseconds. */
   private connectionIdleMs = 0;
   private hasEvents = false;
-  private readonly progress: StreamProgress;
+  private readonly log: RequestLog;
 
   constructor(
     private readonly options: RequestForwarderOptions,
@@ -130,7 +129,7 @@
       route.kind === RouteKind.Idempotent ||
       (route.kind === RouteKind.Stream && route.isResumable);
     this.lastEventId = exchange.request.lastEventId;
-    this.progress = new StreamProgress(exchange.startedAtMs);
+    this.log = new RequestLog(options, request);
     const path = exchange.incoming.url ?? '';
     this.fingerprint = computeFingerprint(path, customer, body);
     this.budget = options.budgets.get(request.service);
@@ -150,9 +149,14 @@
       );
       return;
     }
-    while (!exchange.signal.aborted) {
-      const selection = await this.admit();
-      if (exchange.signal.aborted) return;
+    for (;;) {
+      const selection = exchange.signal.aborted
+        ? undefined
+        : await this.admit();
+      if (exchange.signal.aborted) {
+        this.log.recordCallerGone();
+        return;
+      }
       if (!selection) {
         this.failWithoutServer();
         return;
@@ -172,7 +176,7 @@
     resume: () => void,
   ): boolean {
     this.options.outcomes.recordEvent(this.selection!.server.id);
-    this.progress.recordEvents();
+    this.log.progress.recordEvents();
     if (!this.hasEvents) this.recordFirstEvent();
     const after = this.lastEventId ?? -Infinity;
     const newEvents = events.filter(({id}) => id === undefined || id > after);
@@ -210,7 +214,7 @@
         callerTimeoutMs,
       });
       if (decision !== AdmissionDecision.Hold || this.hasEvents) {
-        this.admission = decision;
+        this.log.admission = decision;
         return selection;
       }
       // Jitter keeps routers that hold prompts from sending all at once.
@@ -220,7 +224,7 @@
   }
 
   private select(): Selection | undefined {
-    if (this.sends >= maxSends || this.remainingMs < minRemainingMs) {
+    if (this.log.sends >= maxSends || this.remainingMs < minRemainingMs) {
       return undefined;
     }
     const {exchange, service, body} = this.request;
@@ -247,9 +251,9 @@
     const {codec, connections, loads} = this.options;
     const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
-    this.sends += 1;
+    this.log.sends += 1;
     this.sentAtMs = performance.now();
-    if (this.sends === 1) {
+    if (this.log.sends === 1) {
       const waitMs = this.sentAtMs - exchange.startedAtMs;
       this.options.metrics.recordWait(route.name, waitMs);
     }
@@ -346,7 +350,7 @@
       result.kind === AttemptKind.Streamed;
     if (isAnswered) suspects.removeSuspect(this.fingerprint);
     if (exchange.signal.aborted) {
-      this.logEvent('caller gone', selection);
+      this.log.recordEvent('caller gone', selection);
       return true;
     }
     switch (result.kind) {
@@ -366,13 +370,13 @@
         }
         if (exchange.isHeadSent) exchange.abortStream();
         else exchange.sendAnswer(status, headers, body);
-        this.recordAnswer(selection, status);
+        this.log.recordAnswer(selection, status);
         return true;
       }
       case AttemptKind.Streamed:
         outcomes.recordAnswer(id);
         exchange.endStream();
-        this.recordAnswer(selection, 200);
+        this.log.recordAnswer(selection, 200);
         return true;
       case AttemptKind.NotRun:
         if (result.load) outcomes.recordSlowness(id, result.load.slowness);
@@ -386,7 +390,7 @@
         this.excluded.add(id);
         if (this.budget.take()) {
           metrics.countRetry(service, RetryCause.NotRun);
-          this.logEvent('not run, retrying', selection, result.status);
+          this.log.recordEvent('not run, retrying', selection, result.status);
           return false;
         }
         this.failWithoutServer();
@@ -395,7 +399,11 @@
         outcomes.recordUnreachable(id);
         this.excluded.add(id);
         metrics.countRetry(service, RetryCause.Unreachable);
-        this.logEvent('server unreachable', selection, result.error.message);
+        this.log.recordEvent(
+          'server unreachable',
+          selection,
+          result.error.message,
+        );
         return false;
       case AttemptKind.Broken:
         if (
@@ -406,7 +414,11 @@
           })
         ) {
           this.options.idleReuse.record(service);
-          this.logEvent('stale connection', selection, this.connectionIdleMs);
+          this.log.recordEvent(
+            'stale connection',
+            selection,
+            this.connectionIdleMs,
+          );
         } else {
           outcomes.recordFailure(id);
           if (!(result.error instanceof DeadlineError)) {
@@ -431,7 +443,7 @@
     this.budget.take();
     const {service} = this.request;
     this.options.metrics.countRetry(service, RetryCause.Failed);
-    this.logEvent('attempt failed, retrying', selection, cause);
+    this.log.recordEvent('attempt failed, retrying', selection, cause);
     return true;
   }
 
@@ -440,7 +452,7 @@
     const {exchange} = this.request;
     if (exchange.isHeadSent) {
       exchange.abortStream();
-      this.logEvent('stream broken off', selection, error.message);
+      this.log.recordEvent('stream broken off', selection, error.message);
       return;
     }
     const reason =
@@ -469,46 +481,7 @@
   }
 
   private refuse(refusal: Refusal): void {
-    const {exchange, route} = this.request;
-    exchange.refuse(refusal);
-    this.options.metrics.countRefusal(route.name, refusal.reason);
-    this.options.log.logInfo('refused', {
-      requestId: exchange.request.attemptId,
-      route: route.name,
-      reason: refusal.reason,
-      outcome: refusal.outcome,
-      cause: refusal.message,
-      sends: this.sends,
-      budget: Math.floor(this.budget.describe()),
-      ms: Math.round(performance.now() - exchange.startedAtMs),
-    });
-  }
-
-  private recordAnswer(selection: Selection, status: number): void {
-    const {exchange, route} = this.request;
-    const ms = performance.now() - exchange.startedAtMs;
-    const {firstEventMs: startMs = ms, maxPauseMs} = this.progress;
-    this.options.metrics.recordAnswer(route, {status, startMs, maxPauseMs});
-    this.logEvent('answered', selection, status);
-  }
-
-  private logEvent(
-    event: string,
-    selection: Selection,
-    cause?: string | number,
-  ): void {
-    const {log, directory} = this.options;
-    log.logInfo(
-      event,
-      listAttemptFields({
-        request: this.request,
-        selection,
-        cause,
-        sends: this.sends,
-        admission: this.admission,
-        viewAgeMs: directory.measureAgeMs(),
-        progress: this.progress,
-      }),
-    );
+    this.request.exchange.refuse(refusal);
+    this.log.recordRefusal(refusal, this.budget.describe());
   }
 }
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -167,6 +167,7 @@
       service,
       customer,
       urgency,
+      deploymentVersion: table.deployment.version,
       body,
       maxAnswerBytes: limits.maxBodyBytes,
     });
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -45,6 +45,11 @@
 /** Interval at which state about servers that have left is removed. */
 const sweepIntervalMs = 500;
 const summaryIntervalMs = 10_000;
+/**
+ * A timer that fires later than this is logged, in milliseconds. Callers that
+ * disconnect and deadlines that pass are noticed that much later.
+ */
+const minLoggedLagMs = 200;
 /**
  * A prompt with at least this many tokens to prefill is reported to the peers
  * at once: it occupies an engine for about 35 ms, a considerable part of the
@@ -96,6 +101,8 @@
   private isLeaving = false;
   /** False while callers are given only the addresses of other routers. */
   private isOffered = true;
+  /** Longest delay of a timer since the last summary, in milliseconds. */
+  private maxLagMs = 0;
 
   private constructor(
     private settings: RouterSettings,
@@ -342,8 +349,7 @@
     while (!signal.aborted) {
       const startedAtMs = performance.now();
       await waitFor(sweepIntervalMs, signal);
-      const waitedMs = performance.now() - startedAtMs;
-      this.metrics.recordLag(waitedMs - sweepIntervalMs);
+      this.recordLag(performance.now() - startedAtMs - sweepIntervalMs);
       this.fleet.expireSilent();
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
@@ -351,6 +357,14 @@
     }
   }
 
+  private recordLag(lagMs: number): void {
+    this.metrics.recordLag(lagMs);
+    this.maxLagMs = Math.max(this.maxLagMs, lagMs);
+    if (lagMs < minLoggedLagMs) return;
+    const {active} = this.intake;
+    this.log.warn('event loop delayed', {lagMs: Math.round(lagMs), active});
+  }
+
   /**
    * Checks whether callers are given this router's address. While they aren't,
    * its status is `Resting`.
@@ -395,8 +409,10 @@
         reportBytes: this.exchange.counts.sentBytes,
         pulls: this.exchange.pulls,
         peers: this.fleet.listAlive().length,
+        maxLagMs: Math.round(this.maxLagMs),
         rssMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
       });
+      this.maxLagMs = 0;
     }
   }
 
