Accept connections first, and process requests in turns

So the request waited 3.3 s before it was read.

Cause: libuv 1.46 accepts one connection in each iteration of the event loop. An iteration handles all readable connections and all that follows from them. A busy router has iterations of 10 ms and more, accepts fewer connections than arrive, and the others wait, with their requests and their closings unread.

Requests wait for turns now (turnQueue.ts): while connections come in, none is processed for up to 10 ms, then requests have 10 ms. What waits is known by age, ordered by urgency, dropped when its caller leaves, and refused with queueFull and a time to come back once half of its target has passed.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -7,6 +7,7 @@
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
 import {requestArrivalGraceMs, stopListening} from '../node/stopListening.js';
+import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import {CallerExchange} from './callerExchange.js';
@@ -15,8 +16,9 @@
 import type {MessageCodec} from './messageCodec.js';
 import type {RequestForwarder} from './requestForwarder.js';
 import type {RouterMetrics} from './routerMetrics.js';
-import {estimateStartRetryAfterMs} from './returnTime.js';
+import {estimateRetryAfterMs, estimateStartRetryAfterMs} from './returnTime.js';
 import {pickService, type RouteTable} from './routeTable.js';
+import {Turn, TurnQueue} from './turnQueue.js';
 
 /** Largest request head that is parsed; deployments set a lower limit. */
 const maxParsedHeadBytes = 65_536;
@@ -29,6 +31,11 @@
 const backlog = 1_024;
 /** Retry delay for callers of a router that is stopping. */
 const stopRetryAfterMs = 300;
+/**
+ * Ratio of a route's target that a request may wait for processor time. The
+ * rest of the target is left to the backend server.
+ */
+const maxTurnWaitRatio = 0.5;
 
 export interface RequestIntakeOptions {
   readonly codec: MessageCodec;
@@ -51,6 +58,7 @@
 export class RequestIntake {
   private readonly server: http.Server;
   private readonly idleSockets = new Set<Socket>();
+  private readonly turns = new TurnQueue();
   private activeCount = 0;
   private readonly createdAtMs = performance.now();
   private isDraining = false;
@@ -116,6 +124,7 @@
   }
 
   private addIdleSocket(socket: Socket): void {
+    this.turns.recordAccept();
     socket.setNoDelay(true);
     this.idleSockets.add(socket);
     socket.once('close', () => this.idleSockets.delete(socket));
@@ -154,6 +163,7 @@
     const {limits} = table.deployment;
     const body = await this.readBody(exchange, limits.maxBodyBytes);
     if (body === undefined) return;
+    if (!(await this.waitForTurn(exchange, admission))) return;
     const service = pickService(route.split, Math.random());
     if (service === undefined) {
       const reason = RefusalReason.NoBackendServer;
@@ -173,6 +183,45 @@
     });
   }
 
+  /**
+   * Waits until the processor has time for the request. False when the caller
+   * left or was refused meanwhile.
+   */
+  private async waitForTurn(
+    exchange: CallerExchange,
+    {route, urgency: rank}: AdmittedRequest,
+  ): Promise<boolean> {
+    const {signal, startedAtMs} = exchange;
+    const maxWaitMs = route.targetMs * maxTurnWaitRatio;
+    const turn = await this.turns.wait({rank, maxWaitMs, signal});
+    switch (turn) {
+      case Turn.Granted:
+        return true;
+      case Turn.Expired: {
+        const waitedMs = performance.now() - startedAtMs;
+        const retryAfterMs = estimateRetryAfterMs(waitedMs, Math.random);
+        const message = `no processor time within ${Math.round(maxWaitMs)} ms`;
+        this.refuse(
+          exchange,
+          new Refusal(RefusalReason.QueueFull, Outcome.NotRun, message, {
+            retryAfterMs,
+          }),
+          route.name,
+        );
+        return false;
+      }
+      case Turn.Abandoned:
+        this.options.log.logInfo('caller gone, not sent', {
+          requestId: exchange.request.attemptId,
+          route: route.name,
+          ms: Math.round(performance.now() - startedAtMs),
+        });
+        return false;
+      default:
+        return assertNever(turn);
+    }
+  }
+
   /** Checks limits, route and key against the deployment in force. */
   private admit({
     incoming,
@@ -251,11 +300,16 @@
     return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
   }
 
-  private refuse(exchange: CallerExchange, refusal: Refusal): void {
+  private refuse(
+    exchange: CallerExchange,
+    refusal: Refusal,
+    routeName = '',
+  ): void {
     exchange.refuse(refusal);
-    this.options.metrics.countRefusal('', refusal.reason);
+    this.options.metrics.countRefusal(routeName, refusal.reason);
     this.options.log.logInfo('refused', {
       requestId: exchange.request.attemptId,
+      route: routeName || undefined,
       reason: refusal.reason,
       outcome: refusal.outcome,
       cause: refusal.message,
--- /dev/null
+++ b/src/router/turnQueue.ts
@@ -0,0 +1,139 @@
+/**
+ * Queue in which requests wait for processor time, so that new connections are
+ * accepted in time. libuv accepts one connection in each iteration of the event
+ * loop. If iterations are long, connections wait unread for seconds, and neither
+ * the age of their requests is known nor whether their callers have left.
+ */
+
+/** Result of waiting for a turn. */
+export enum Turn {
+  /** The request may be processed now. */
+  Granted = 'granted',
+  /** The request has waited too long and must be refused. */
+  Expired = 'expired',
+  /** The caller has disconnected. */
+  Abandoned = 'abandoned',
+}
+
+/**
+ * Longest time for which requests are processed before the next poll for
+ * events, and for which connections are accepted before the next requests, in
+ * milliseconds. It is a small part of the shortest targets and pauses.
+ */
+const sliceMs = 10;
+
+export interface TurnRequest {
+  /** 0 is the most urgent. Within a rank, the first to arrive is the first. */
+  readonly rank: number;
+  readonly maxWaitMs: number;
+  /** Aborts when the caller disconnects. */
+  readonly signal: AbortSignal;
+}
+
+interface WaitingTurn {
+  readonly rank: number;
+  readonly expiresAtMs: number;
+  readonly signal: AbortSignal;
+  readonly settle: (turn: Turn) => void;
+}
+
+/**
+ * Grants turns in order of urgency.
+ *
+ * @example
+ * const turn = await turns.wait({rank: 1, maxWaitMs: 250, signal});
+ * if (turn === Turn.Granted) forward();
+ */
+export class TurnQueue {
+  private waiting: WaitingTurn[] = [];
+  /** Start of the current slice; undefined when none is scheduled. */
+  private sliceStartedAtMs: number | undefined;
+  /** True when a connection was accepted since the last slice. */
+  private hasAccepted = false;
+  /** Since when each iteration has accepted a connection. */
+  private acceptingSinceMs: number | undefined;
+  private isGranting = false;
+
+  /** Number of requests that wait. */
+  get size(): number {
+    return this.waiting.length;
+  }
+
+  /**
+   * Records that a connection was accepted. More may be pending, so that
+   * requests wait for the next iteration.
+   */
+  recordAccept(): void {
+    this.hasAccepted = true;
+    this.acceptingSinceMs ??= performance.now();
+    this.ensureSlice();
+  }
+
+  /** Waits for a turn; granted at once while the processor keeps up. */
+  wait({rank, maxWaitMs, signal}: TurnRequest): Promise<Turn> {
+    return new Promise(settle => {
+      const expiresAtMs = performance.now() + maxWaitMs;
+      this.waiting.push({rank, expiresAtMs, signal, settle});
+      this.ensureSlice();
+      void this.grantTurns();
+    });
+  }
+
+  /** Makes a slice start once the events of this poll have been handled. */
+  private ensureSlice(): void {
+    if (this.sliceStartedAtMs !== undefined) return;
+    this.sliceStartedAtMs = performance.now();
+    setImmediate(() => void this.runSlice());
+  }
+
+  private canGrant(): boolean {
+    const nowMs = performance.now();
+    if (nowMs - this.sliceStartedAtMs! >= sliceMs) return false;
+    return !this.hasAccepted || nowMs - this.acceptingSinceMs! >= sliceMs;
+  }
+
+  private async runSlice(): Promise<void> {
+    this.sliceStartedAtMs = performance.now();
+    this.removeEnded();
+    if (!this.hasAccepted) this.acceptingSinceMs = undefined;
+    await this.grantTurns();
+    this.hasAccepted = false;
+    this.sliceStartedAtMs = undefined;
+    if (this.waiting.length > 0) this.ensureSlice();
+  }
+
+  private async grantTurns(): Promise<void> {
+    if (this.isGranting) return;
+    this.isGranting = true;
+    while (this.waiting.length > 0 && this.canGrant()) {
+      this.takeMostUrgent().settle(Turn.Granted);
+      await waitForMicrotasks();
+      // Connections are accepted again once requests have had their share.
+      if (!this.canGrant()) this.acceptingSinceMs = undefined;
+    }
+    this.isGranting = false;
+  }
+
+  private removeEnded(): void {
+    const nowMs = performance.now();
+    this.waiting = this.waiting.filter(({signal, expiresAtMs, settle}) => {
+      if (signal.aborted) settle(Turn.Abandoned);
+      else if (nowMs > expiresAtMs) settle(Turn.Expired);
+      else return true;
+      return false;
+    });
+  }
+
+  private takeMostUrgent(): WaitingTurn {
+    let best = 0;
+    for (const [index, {rank}] of this.waiting.entries()) {
+      if (rank < this.waiting[best].rank) best = index;
+    }
+    return this.waiting.splice(best, 1)[0];
+  }
+}
+
+/** Waits until the work that a settled promise causes at once has been done. */
+function waitForMicrotasks(): Promise<void> {
+  return new Promise(resolve => process.nextTick(resolve));
+}
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -8,6 +8,7 @@
   type Deployment,
   type Route,
 } from '../../src/router/deployment.js';
+import type {MessageCodec} from '../../src/router/messageCodec.js';
 import {RouterDaemon} from '../../src/router/routerDaemon.js';
 import {FakePublishedState} from './fakePublishedState.js';
 import {PlainCodec} from './plainCodec.js';
@@ -119,6 +120,7 @@
   readonly isFirstStart?: boolean;
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps?: number;
+  readonly codec?: MessageCodec;
 }
 
 /** Starts and stops the routers and backend servers of a test. */
@@ -190,7 +192,10 @@
         maxAddressTtlSeconds: 5,
         logLevel: 'info',
       },
-      {codec: new PlainCodec(), reader: this.platform.openReader(name)},
+      {
+        codec: options.codec ?? new PlainCodec(),
+        reader: this.platform.openReader(name),
+      },
     );
     const metrics = options.hasMetrics
       ? `${address}:${listen.metricsPort}`
