Look for callers that have left before a late request is forwarded

Evidence: request was read at 6.84, forwarded at 6.96, and its line 'caller gone' followed at 6.974; its caller had left at 6.283. The end of the connection was in the socket behind the request, and the request was forwarded within the same iteration of the event loop.

Cause: the first poll that reads a request returns before the end of the connection is read, which only the next poll finds. A request that has waited for the connection to be accepted must not be forwarded before that poll.

Change: while connections come in, a turn is granted in a later iteration than the one in which its request was read. The order by urgency stays.

Test: 'should not be granted before the next poll while connections come in' was granted before and is abandoned now.

--- a/src/router/turnQueue.ts
+++ b/src/router/turnQueue.ts
@@ -32,6 +32,8 @@
 
 interface WaitingTurn {
   readonly rank: number;
+  /** Iteration of the event loop in which the request was read. */
+  readonly iteration: number;
   readonly expiresAtMs: number;
   readonly signal: AbortSignal;
   readonly settle: (turn: Turn) => void;
@@ -46,10 +48,11 @@
  */
 export class TurnQueue {
   private waiting: WaitingTurn[] = [];
+  /** Counts the iterations of the event loop that had requests or connections. */
+  private iteration = 0;
+  private lastAcceptIteration = -Infinity;
   /** Start of the current slice; undefined when none is scheduled. */
   private sliceStartedAtMs: number | undefined;
-  /** True when a connection was accepted since the last slice. */
-  private hasAccepted = false;
   /** Since when each iteration has accepted a connection. */
   private acceptingSinceMs: number | undefined;
   private isGranting = false;
@@ -64,7 +67,7 @@
    * requests wait for the next iteration.
    */
   recordAccept(): void {
-    this.hasAccepted = true;
+    this.lastAcceptIteration = this.iteration;
     this.acceptingSinceMs ??= performance.now();
     this.ensureSlice();
   }
@@ -72,8 +75,9 @@
   /** Waits for a turn; granted at once while the processor keeps up. */
   wait({rank, maxWaitMs, signal}: TurnRequest): Promise<Turn> {
     return new Promise(settle => {
+      const {iteration} = this;
       const expiresAtMs = performance.now() + maxWaitMs;
-      this.waiting.push({rank, expiresAtMs, signal, settle});
+      this.waiting.push({rank, iteration, expiresAtMs, signal, settle});
       this.ensureSlice();
       void this.grantTurns();
     });
@@ -86,34 +90,39 @@
     setImmediate(() => void this.runSlice());
   }
 
-  private canGrant(): boolean {
-    const nowMs = performance.now();
-    if (nowMs - this.sliceStartedAtMs! >= sliceMs) return false;
-    return !this.hasAccepted || nowMs - this.acceptingSinceMs! >= sliceMs;
-  }
-
   private async runSlice(): Promise<void> {
     this.sliceStartedAtMs = performance.now();
     this.removeEnded();
-    if (!this.hasAccepted) this.acceptingSinceMs = undefined;
+    const {iteration, lastAcceptIteration} = this;
+    if (lastAcceptIteration < iteration) this.acceptingSinceMs = undefined;
     await this.grantTurns();
-    this.hasAccepted = false;
     this.sliceStartedAtMs = undefined;
+    this.iteration += 1;
     if (this.waiting.length > 0) this.ensureSlice();
   }
 
   private async grantTurns(): Promise<void> {
     if (this.isGranting) return;
     this.isGranting = true;
-    while (this.waiting.length > 0 && this.canGrant()) {
-      this.takeMostUrgent().settle(Turn.Granted);
+    while (this.hasTimeLeft()) {
+      const turn = this.takeMostUrgent();
+      if (!turn) break;
+      turn.settle(Turn.Granted);
       await waitForMicrotasks();
       // Connections are accepted again once requests have had their share.
-      if (!this.canGrant()) this.acceptingSinceMs = undefined;
+      if (!this.hasTimeLeft()) this.acceptingSinceMs = undefined;
     }
     this.isGranting = false;
   }
 
+  private hasTimeLeft(): boolean {
+    const nowMs = performance.now();
+    if (nowMs - this.sliceStartedAtMs! >= sliceMs) return false;
+    const isAccepting = this.lastAcceptIteration === this.iteration;
+    return !isAccepting || nowMs - this.acceptingSinceMs! >= sliceMs;
+  }
+
+  /** Settles the turns that are of no use any more. */
   private removeEnded(): void {
     const nowMs = performance.now();
     this.waiting = this.waiting.filter(({signal, expiresAtMs, settle}) => {
@@ -124,12 +133,19 @@
     });
   }
 
-  private takeMostUrgent(): WaitingTurn {
-    let best = 0;
-    for (const [index, {rank}] of this.waiting.entries()) {
-      if (rank < this.waiting[best].rank) best = index;
+  /**
+   * Takes the most urgent request. While connections come in, a request may have
+   * waited in the socket, and whether its caller has left shows only at the next
+   * poll. So it isn't taken in the iteration in which it was read.
+   */
+  private takeMostUrgent(): WaitingTurn | undefined {
+    const isBusy = this.lastAcceptIteration >= this.iteration - 1;
+    let best: number | undefined;
+    for (const [index, {rank, iteration}] of this.waiting.entries()) {
+      if (isBusy && iteration === this.iteration) continue;
+      if (best === undefined || rank < this.waiting[best].rank) best = index;
     }
-    return this.waiting.splice(best, 1)[0];
+    return best === undefined ? undefined : this.waiting.splice(best, 1)[0];
   }
 }
 
--- a/tests/router/processorOverload.test.ts
+++ b/tests/router/processorOverload.test.ts
@@ -46,13 +46,14 @@
     });
     const router = await fixture.addRouter({codec: new BusyCodec()});
     await fixture.waitReady(router);
-    const signal = AbortSignal.timeout(patienceMs);
     let leftAtMs = Infinity;
-    signal.addEventListener('abort', () => (leftAtMs = performance.now()));
+    const callAndLeave = (path: string) => {
+      const signal = AbortSignal.timeout(patienceMs);
+      signal.addEventListener('abort', () => (leftAtMs = performance.now()));
+      return fixture.call(router, path, {signal});
+    };
     await Promise.allSettled(
-      Array.from({length: burst}, (_, i) =>
-        fixture.call(router, `/status/${i}`, {signal}),
-      ),
+      Array.from({length: burst}, (_, i) => callAndLeave(`/status/${i}`)),
     );
     await waitFor(burst * workMs);
     const late = arrivedAtMs.filter(atMs => atMs > leftAtMs + noticeMs);
--- a/tests/router/turnQueue.test.ts
+++ b/tests/router/turnQueue.test.ts
@@ -47,6 +47,18 @@
     expect(timerFiredAfterMs).to.be.below(totalMs / 2);
   });
 
+  // Guards against forwarding a request that waited in the socket after its
+  // caller had left, because the end of the connection had not been read yet.
+  it('should not be granted before the next poll while connections come in', async () => {
+    const leaving = new AbortController();
+    turns.recordAccept();
+    runFor(25);
+    const turn = takeTurn(1, 1_000, leaving.signal);
+    // The next poll finds that the caller has left.
+    setImmediate(() => leaving.abort());
+    expect(await turn).to.equal(Turn.Abandoned);
+  });
+
   it('should be granted in order of urgency, then of arrival', async () => {
     const order: string[] = [];
     const add = async (rank: number, name: string) => {
