Refuse prompts with a part that crashes engines

Cause: crashes were counted by a fingerprint of path, customer and body, and no two of these requests are alike. Ruled out: lost reports between routers; the new test has two routers in one process and no loss.

Change: poisonParts.ts. A connection that is lost before the first event accuses the shared parts of its prompt, unless the engine sends other events within 0.3 s. Routers report such crashes, and answers that start on an accused part, to each other (datagram format 9). A part that explains three crashes better than the other parts of the same prompts is refused, 503 with the rest of the block; one router of the fleet probes it after 10 s, then after twice as long, and no more after seven crashes. Crashes within 0.25 s count once.

A stream without a length was already told from a broken one; its new test in forwarding.test.ts passed from the start.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -51,7 +51,9 @@
   | {
       kind: AttemptKind.Broken;
       error: AnvilstallError;
-      /** The other side closed the connection before any byte of an answer. */
+      /** The other side closed or reset the connection. */
+      isConnectionLost: boolean;
+      /** It did so before any byte of an answer. */
       isUnanswered: boolean;
     };
 
@@ -237,7 +239,8 @@
     } else if (answer.isNotRun) {
       this.settleNotRun(answer);
     } else if (this.isCloseDelimited && this.options.connection.isResetting) {
-      this.fail(new BackendServerError('connection reset within an answer'));
+      const message = 'connection reset within an answer';
+      this.fail(new BackendServerError(message), true);
     } else if (!this.isStream) {
       const body = Buffer.concat(this.chunks);
       const kind = AttemptKind.Answered;
@@ -271,7 +274,7 @@
       error instanceof AnvilstallError
         ? error
         : new BackendServerError(error.message, {cause: error}),
-      connectionLossCodes.has(code) && !this.hasHead,
+      connectionLossCodes.has(code),
     );
   }
 
@@ -282,10 +285,11 @@
     this.settle({kind, status, isOtherProcess, retryAfterMs, load});
   }
 
-  private fail(error: AnvilstallError, isUnanswered = false): void {
+  private fail(error: AnvilstallError, isConnectionLost = false): void {
+    const isUnanswered = isConnectionLost && !this.hasHead;
     this.settle(
       this.wasSent
-        ? {kind: AttemptKind.Broken, error, isUnanswered}
+        ? {kind: AttemptKind.Broken, error, isConnectionLost, isUnanswered}
         : {kind: AttemptKind.Unreachable, error},
     );
   }
--- a/src/router/ownReportBuilder.ts
+++ b/src/router/ownReportBuilder.ts
@@ -1,5 +1,6 @@
 /** Builds the reports that this router sends about itself. */
 import type {CrashSuspects} from './crashSuspects.js';
+import type {PartEvidence, PoisonParts} from './poisonParts.js';
 import type {
   PeerIdentity,
   PeerReport,
@@ -16,6 +17,7 @@
   readonly selector: ServerSelector;
   readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
+  readonly poisonParts: PoisonParts;
   readonly getStatus: () => RouterStatus;
   readonly getVersions: () => StateVersions;
 }
@@ -45,6 +47,11 @@
     return this.options.notices.listPending();
   }
 
+  /** Returns evidence against prompt parts; see `PoisonParts.listEvidence`. */
+  listPartEvidence(isFull: boolean): PartEvidence {
+    return this.options.poisonParts.listEvidence(isFull);
+  }
+
   /** Returns the server loads as reported up to the latest report. */
   listReported(): ServerReport[] {
     return this.options.reporter.listReported();
@@ -93,6 +100,7 @@
       status,
       ...versions,
       notices: this.listNotices(),
+      partEvidence: this.listPartEvidence(identity !== undefined),
       identity,
     };
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -17,6 +17,7 @@
   type RouterEndpoints,
 } from './peerReport.js';
 import {PeerStateReader} from './peerStateReader.js';
+import type {PoisonParts} from './poisonParts.js';
 import type {PublishedStateReader} from './publishedState.js';
 import {RelaySelector} from './relaySelector.js';
 import {RelayAggregator, type RelaySelf} from './relayAggregator.js';
@@ -67,6 +68,7 @@
   readonly servers: ServerDirectory;
   readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
+  readonly poisonParts: PoisonParts;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
@@ -303,6 +305,8 @@
       placements: own?.placements ?? [],
       suspects: own?.suspects ?? [],
       notices: reports.listNotices(),
+      // Resting and new members get no other report with all evidence.
+      partEvidence: reports.listPartEvidence(true),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
     };
@@ -457,6 +461,7 @@
       suspects.recordPeerBreaks(computeCompactKey(host), fingerprint, breaks);
     }
     this.options.notices.recordPeer(report.notices, report.isForRelay);
+    this.options.poisonParts.recordPeer(report.partEvidence, report.isForRelay);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
@@ -480,6 +485,7 @@
       recordPlacement(part, server);
     }
     this.options.notices.recordPeer(report.notices, false);
+    this.options.poisonParts.recordPeer(report.partEvidence, false);
     const ownKey = computeCompactKey(address);
     for (const [router, fingerprint, breaks] of report.suspects) {
       if (router === ownKey) continue;
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,5 +1,6 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
+import type {PartEvidence} from './poisonParts.js';
 import {emptyBacklog} from './prefillBacklog.js';
 import {pauseWeightDenominator, type ServerLoad} from './serverLoad.js';
 import {urgencyRankCount} from './urgencyScale.js';
@@ -49,6 +50,11 @@
   z.number(),
   z.number(),
 ]);
+/** Rows of id, age and parts of a crash; then the acquitted parts. */
+export const partEvidenceSchema = z.tuple([
+  z.array(z.array(z.number())),
+  z.array(z.number()),
+]);
 export const peerReportSchema = z.tuple([
   z.number(),
   z.number(),
@@ -59,6 +65,7 @@
   z.array(z.number()),
   z.array(z.number()),
   z.array(z.number()),
+  partEvidenceSchema,
   identitySchema.nullable(),
 ]);
 
@@ -119,6 +126,7 @@
   >;
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
+  readonly partEvidence: PartEvidence;
   /** Present only in full reports. */
   readonly identity?: PeerIdentity;
 }
@@ -138,6 +146,7 @@
     report.placements.flat(),
     report.suspects.flat(),
     [...report.notices],
+    listEvidenceFields(report.partEvidence),
     identity
       ? [
           identity.vm,
@@ -156,7 +165,7 @@
 export function readReportFields(
   fields: z.infer<typeof peerReportSchema>,
 ): PeerReport {
-  const identity = fields[9];
+  const identity = fields[10];
   return {
     incarnation: fields[0],
     sequence: fields[1],
@@ -167,6 +176,7 @@
     placements: splitRows(fields[6], 2).map(row => [row[0], row[1]]),
     suspects: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
     notices: fields[8],
+    partEvidence: readEvidenceFields(fields[9]),
     identity: identity
       ? {
           vm: identity[0],
@@ -181,6 +191,25 @@
   };
 }
 
+/** Lists evidence in the order of the schema. */
+export function listEvidenceFields({
+  crashes,
+  acquitted,
+}: PartEvidence): z.infer<typeof partEvidenceSchema> {
+  const rows = crashes.map(({id, ageMs, parts}) => [id, ageMs, ...parts]);
+  return [rows, [...acquitted]];
+}
+
+/** The reverse of `listEvidenceFields`; drops rows without parts. */
+export function readEvidenceFields([rows, acquitted]: z.infer<
+  typeof partEvidenceSchema
+>): PartEvidence {
+  const crashes = rows
+    .filter(row => row.length > crashRowWidth)
+    .map(([id, ageMs, ...parts]) => ({id, ageMs, parts}));
+  return {crashes, acquitted};
+}
+
 /** Lists versions in the order of the schema. */
 export function listVersions(
   versions: StateVersions,
@@ -205,6 +234,8 @@
   };
 }
 
+/** Numbers of a crash's row before its parts. */
+const crashRowWidth = 2;
 /** Numbers of a server's row before its backlog. */
 const serverRowWidth = 7;
 
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -40,6 +40,7 @@
   readonly placements: PeerReport['placements'];
   readonly suspects: PeerReport['suspects'];
   readonly notices: PeerReport['notices'];
+  readonly partEvidence: PeerReport['partEvidence'];
   /** Number of routers that it knows, including itself. */
   readonly routers: number;
   /**
@@ -195,7 +196,7 @@
     states: readonly MemberState[],
   ): Omit<RelayReport, 'isFull' | 'servers' | 'members'> {
     const key = computeCompactKey(self.member.host);
-    const {incarnation, versions, routers, notices} = self;
+    const {incarnation, versions, routers, notices, partEvidence} = self;
     return {
       incarnation,
       routers,
@@ -224,6 +225,7 @@
         ),
       ],
       notices,
+      partEvidence,
     };
   }
 
@@ -240,7 +242,7 @@
    * keys
    */
   buildHeartbeat(
-    {member, incarnation, versions, routers, notices}: RelaySelf,
+    {member, incarnation, versions, routers, notices, partEvidence}: RelaySelf,
     alive: readonly FleetMember[],
     isFull: boolean,
   ): RelayReport {
@@ -256,6 +258,7 @@
       placements: [],
       suspects: [],
       notices,
+      partEvidence,
       members: isFull ? listed : [],
     };
   }
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -5,7 +5,10 @@
 import {z} from 'zod';
 import {
   joinServerRows,
+  listEvidenceFields,
   listVersions,
+  partEvidenceSchema,
+  readEvidenceFields,
   readVersions,
   RouterStatus,
   splitRows,
@@ -15,6 +18,7 @@
   type ServerReport,
   type StateVersions,
 } from './peerReport.js';
+import type {PartEvidence} from './poisonParts.js';
 
 /** A router as listed in relay reports and rosters. */
 export interface FleetMember extends RouterEndpoints {
@@ -51,6 +55,7 @@
   >;
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
+  readonly partEvidence: PartEvidence;
   /** New and changed members; all members in a full report. */
   readonly members: readonly FleetMember[];
 }
@@ -78,6 +83,7 @@
   z.array(z.number()),
   z.array(z.number()),
   z.array(z.number()),
+  partEvidenceSchema,
   rosterSchema,
 ]);
 
@@ -126,6 +132,7 @@
     report.placements.flat(),
     report.suspects.flat(),
     [...report.notices],
+    listEvidenceFields(report.partEvidence),
     listMemberFields(report.members),
   ];
 }
@@ -145,6 +152,7 @@
     placements: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
     suspects: splitRows(fields[8], 3).map(row => [row[0], row[1], row[2]]),
     notices: fields[9],
-    members: readMemberFields(fields[10]),
+    partEvidence: readEvidenceFields(fields[10]),
+    members: readMemberFields(fields[11]),
   };
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -22,6 +22,7 @@
 import type {IdleReuseSuspensions} from './forgetfulServices.js';
 import type {LeavingServers} from './leavingServers.js';
 import type {BackendAnswer, MessageCodec} from './messageCodec.js';
+import {PartVerdictKind, type PoisonParts} from './poisonParts.js';
 import {
   AdmissionDecision,
   computeCallerTimeoutMs,
@@ -58,6 +59,7 @@
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly suspects: CrashSuspects;
+  readonly poisonParts: PoisonParts;
   readonly leaving: LeavingServers;
   readonly idleReuse: IdleReuseSuspensions;
   readonly metrics: RouterMetrics;
@@ -96,6 +98,8 @@
   private readonly deadlineAtMs: number;
   private readonly isRetryable: boolean;
   private readonly fingerprint: number;
+  /** Compact keys of the prompt's parts without the request's own, the last. */
+  private readonly sharedParts: readonly number[];
   /** Servers at which an attempt failed; selected again as a last resort. */
   private readonly failed = new Set<string>();
   /** Servers that refused the request or could not be reached. */
@@ -130,6 +134,9 @@
       (route.kind === RouteKind.Stream && route.isResumable);
     this.lastEventId = exchange.request.lastEventId;
     this.log = new RequestLog(options, request);
+    this.sharedParts = exchange.request.promptParts
+      .slice(0, -1)
+      .map(({id}) => computeCompactKey(id));
     const path = exchange.incoming.url ?? '';
     this.fingerprint = computeFingerprint(path, customer, body);
     this.budget = options.budgets.get(request.service);
@@ -150,17 +157,33 @@
       return;
     }
     for (;;) {
-      const selection = exchange.signal.aborted
-        ? undefined
-        : await this.admit();
       if (exchange.signal.aborted) {
         this.log.recordCallerGone();
         return;
       }
+      const verdict = this.options.poisonParts.check(this.sharedParts);
+      if (verdict.kind === PartVerdictKind.Blocked) {
+        const {crashes, retryAfterMs} = verdict;
+        this.failUnsent(
+          `a part of the prompt crashed ${crashes} backend servers`,
+          retryAfterMs,
+        );
+        return;
+      }
+      const selection = this.select();
       if (!selection) {
         this.failWithoutServer();
         return;
       }
+      if (this.shouldHold(selection)) {
+        // Jitter keeps routers that hold prompts from sending all at once.
+        const delayMs = recheckIntervalMs * (0.5 + Math.random());
+        await waitFor(delayMs, exchange.signal);
+        continue;
+      }
+      if (verdict.kind === PartVerdictKind.Probe) {
+        this.options.poisonParts.recordProbe(verdict.part);
+      }
       const result = await this.send(selection);
       if (this.settle(selection, result)) return;
     }
@@ -187,6 +210,7 @@
 
   private recordFirstEvent(): void {
     this.hasEvents = true;
+    this.options.poisonParts.recordStart(this.sharedParts);
     this.ticket?.finishPrefill();
     this.options.selector.recordFirstEvent(
       this.selection!,
@@ -199,28 +223,20 @@
     return this.deadlineAtMs - performance.now();
   }
 
-  /** Selects a server; holds a long prompt back until it is admitted. */
-  private async admit(): Promise<Selection | undefined> {
+  /** True for a long prompt that must yield to others. */
+  private shouldHold(selection: Selection): boolean {
     const {exchange, route} = this.request;
-    const callerTimeoutMs = computeCallerTimeoutMs(route, this.deadlineMs);
-    for (;;) {
-      const selection = this.select();
-      if (!selection || selection.isShortPrompt) return selection;
-      const decision = decideAdmission({
-        waitedMs: performance.now() - exchange.startedAtMs,
-        expectedMs: selection.expectedMs,
-        backlogMs: selection.backlogMs,
-        targetMs: route.targetMs,
-        callerTimeoutMs,
-      });
-      if (decision !== AdmissionDecision.Hold || this.hasEvents) {
-        this.log.admission = decision;
-        return selection;
-      }
-      // Jitter keeps routers that hold prompts from sending all at once.
-      await waitFor(recheckIntervalMs * (0.5 + Math.random()), exchange.signal);
-      if (exchange.signal.aborted) return undefined;
-    }
+    if (selection.isShortPrompt) return false;
+    const decision = decideAdmission({
+      waitedMs: performance.now() - exchange.startedAtMs,
+      expectedMs: selection.expectedMs,
+      backlogMs: selection.backlogMs,
+      targetMs: route.targetMs,
+      callerTimeoutMs: computeCallerTimeoutMs(route, this.deadlineMs),
+    });
+    if (decision === AdmissionDecision.Hold && !this.hasEvents) return true;
+    this.log.admission = decision;
+    return false;
   }
 
   private select(): Selection | undefined {
@@ -425,6 +441,12 @@
             suspects.recordBreak(this.fingerprint);
           }
         }
+        if (result.isConnectionLost && !this.hasEvents) {
+          const lostAtMs = performance.now();
+          this.options.poisonParts.suspectCrash(this.sharedParts, () =>
+            outcomes.hasEventSince(id, lostAtMs),
+          );
+        }
         if (this.retry(selection, result.error.message)) return false;
         this.fail(selection, result.error);
         return true;
@@ -464,17 +486,24 @@
 
   /** Ends a request for which no server is left. */
   private failWithoutServer(): void {
-    const {exchange, service} = this.request;
+    const backoffMs = this.options.selector.getBackoffMs(this.request.service);
+    this.failUnsent(
+      this.runs > 0
+        ? 'no other backend server can take the request'
+        : 'no backend server can take the request now',
+      estimateRetryAfterMs(backoffMs, Math.random),
+    );
+  }
+
+  /** Ends a request that isn't sent, or not once more. */
+  private failUnsent(message: string, retryAfterMs: number): void {
+    const {exchange} = this.request;
     if (exchange.isHeadSent) {
       exchange.abortStream();
     } else if (this.runs > 0) {
-      const message = 'no other backend server can take the request';
       const reason = RefusalReason.BackendServerFailed;
       this.refuse(new Refusal(reason, Outcome.MayHaveRun, message));
     } else {
-      const backoffMs = this.options.selector.getBackoffMs(service);
-      const retryAfterMs = estimateRetryAfterMs(backoffMs, Math.random);
-      const message = 'no backend server can take the request now';
       const reason = RefusalReason.NoBackendServer;
       this.refuse(new Refusal(reason, Outcome.NotRun, message, {retryAfterMs}));
     }
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -2,6 +2,7 @@
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
 import type {LogSinkCounts} from '../node/logSink.js';
+import {pickByWeight} from '../node/rendezvous.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {listAddresses} from './callerAddresses.js';
 import {computeCompactKey} from './compactKey.js';
@@ -17,6 +18,7 @@
 import {PeerExchange} from './peerExchange.js';
 import {OwnReportBuilder} from './ownReportBuilder.js';
 import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
+import {PoisonParts} from './poisonParts.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
 import type {PublishedStateReader} from './publishedState.js';
 import {RequestForwarder} from './requestForwarder.js';
@@ -83,6 +85,10 @@
   private readonly fleet: FleetView;
   private readonly prompts = new PrefixCacheDirectory();
   private readonly suspects = new CrashSuspects();
+  private readonly poisonParts = new PoisonParts({
+    announce: () => this.exchange.announce(),
+    isProber: part => this.isProber(part),
+  });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly connections = new BackendConnections();
@@ -114,7 +120,7 @@
     this.deployments = new DeploymentStore(this.log);
     this.fleet = new FleetView(address);
     const {directory, loads, outcomes, fleet, prompts, suspects} = this;
-    const {metrics, connections, deployments, log, notices} = this;
+    const {metrics, connections, deployments, log, notices, poisonParts} = this;
     const {codec, reader} = platform;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
@@ -135,6 +141,7 @@
       selector: this.selector,
       suspects,
       notices,
+      poisonParts,
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
     });
@@ -155,6 +162,7 @@
       servers: directory,
       suspects,
       notices,
+      poisonParts,
       reader,
       log,
       leaveBoundMs: settings.leaveBoundMs,
@@ -170,6 +178,7 @@
       loads,
       outcomes,
       suspects,
+      poisonParts,
       leaving,
       idleReuse: this.idleReuse,
       metrics,
@@ -262,6 +271,7 @@
         })),
       },
       forgetfulServices: this.idleReuse.list(),
+      blockedPromptParts: this.poisonParts.listBlocked(),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
@@ -434,6 +444,16 @@
     return readsAfterRelays ? rank + relayReadDelayRanks : rank;
   }
 
+  /** Of the routers that callers use, one probes a blocked prompt part. */
+  private isProber(part: number): boolean {
+    const {address} = this.settings;
+    const active = this.fleet
+      .listReady()
+      .filter(({status}) => status === RouterStatus.Ready);
+    const hosts = [address, ...active.map(({host}) => host)];
+    return pickByWeight(String(part), hosts, host => host) === address;
+  }
+
   private listAddresses(zone: string | undefined): string[] {
     const {listen, zone: ownZone, linkMbps} = this.settings;
     const isReady = isServing(this.status);
--- a/src/router/serverOutcomes.ts
+++ b/src/router/serverOutcomes.ts
@@ -90,6 +90,12 @@
     return performance.now() - lastEventAtMs < recentEventMs;
   }
 
+  /** @param sinceMs - `performance.now()` of an earlier moment */
+  hasEventSince(serverId: string, sinceMs: number): boolean {
+    const lastEventAtMs = this.servers.get(serverId)?.lastEventAtMs;
+    return lastEventAtMs !== undefined && lastEventAtMs > sinceMs;
+  }
+
   isUnwilling(serverId: string): boolean {
     const outcomes = this.servers.get(serverId);
     return (
--- a/tests/router/attemptSupervisor.test.ts
+++ b/tests/router/attemptSupervisor.test.ts
@@ -23,7 +23,12 @@
 
   abort(error: AnvilstallError): void {
     this.abortedAtMs ??= performance.now() - this.startedAtMs;
-    this.settle({kind: AttemptKind.Broken, error, isUnanswered: false});
+    this.settle({
+      kind: AttemptKind.Broken,
+      error,
+      isConnectionLost: false,
+      isUnanswered: false,
+    });
   }
 
   measureSilenceMs(): number {
--- a/tests/router/forwarding.test.ts
+++ b/tests/router/forwarding.test.ts
@@ -285,6 +285,27 @@
     expect(answer.body).to.equal('unframed');
   });
 
+  // Guards against showing a close-delimited stream that broke off within an
+  // event as complete, or a complete one as broken.
+  it('should tell the end of a stream without a length from a break', async () => {
+    const events = ['id: 1\ndata: 1\n\n', 'id: 2\ndata: 2\n\n'];
+    await fixture.addBackend((socket, request) => {
+      const head = formatStreamHead(request).replace(
+        'transfer-encoding: chunked\r\n',
+        '',
+      );
+      const isBroken = request.includes('/ask/broken');
+      socket.end(head + events[0] + (isBroken ? 'id: 2\nda' : events[1]));
+    });
+    const router = await startRouter();
+    const whole = await fixture.call(router, '/ask/whole');
+    expect(whole.body).to.equal(events.join(''));
+    expect(whole.isComplete).to.equal(true);
+    const broken = await fixture.call(router, '/ask/broken');
+    expect(broken.body).to.equal(events[0]);
+    expect(broken.isComplete).to.equal(false);
+  });
+
   it('should resume a broken stream elsewhere without a gap or a repeat', async () => {
     const events = [1, 2, 3, 4].map(id => `id: ${id}\ndata: ${id}\n\n`);
     let count = 0;
--- a/tests/router/plainCodec.ts
+++ b/tests/router/plainCodec.ts
@@ -50,7 +50,7 @@
       attemptId: find(headers, 'x-attempt'),
       deadlineMs: findNumber(headers, 'x-deadline'),
       apiKey: find(headers, 'x-key'),
-      promptParts: prompt ? [{id: prompt, tokens}] : [],
+      promptParts: prompt ? prompt.split(',').map(id => ({id, tokens})) : [],
       promptTokens: prompt ? tokens : 0,
       maxOutputTokens: 10,
       lastEventId: findNumber(headers, 'x-after'),
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -65,6 +65,10 @@
     placements: [],
     suspects: [],
     notices: [8],
+    partEvidence: {
+      crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
+      acquitted: [3],
+    },
     identity: {
       ...buildEndpoints(host),
       contacts: [],
@@ -84,6 +88,10 @@
     placements: [],
     suspects: [],
     notices: [8],
+    partEvidence: {
+      crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
+      acquitted: [3],
+    },
     routers: 3,
     relay: undefined,
   };
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -56,6 +56,10 @@
     placements: [[1, 2]],
     suspects: [[9, 1]],
     notices: [8],
+    partEvidence: {
+      crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
+      acquitted: [3],
+    },
     identity: {
       vm: 'vm-2',
       zone: 'a',
@@ -84,6 +88,10 @@
     placements: [[1, 2]],
     suspects: [[3, 9, 1]],
     notices: [8],
+    partEvidence: {
+      crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
+      acquitted: [3],
+    },
     members: [
       {
         host: '127.0.0.2',
