Bound the evidence that one prompt's parts can add

Change: a part counts once for each crash, the first 32 of a prompt are accused, and a report has at most 2,000 keys of each kind. A negative age in a report counts as 0.

Test: 'should be bounded whatever a prompt lists' failed before (44,928 keys) and passes.

--- a/src/router/poisonParts.ts
+++ b/src/router/poisonParts.ts
@@ -43,8 +43,10 @@
 const repeatPeriodMs = 1_500;
 /** Each takes about 200 bytes. */
 const maxCrashes = 1_000;
-/** Crashes in one report; keeps it within a datagram. */
-const maxReportedCrashes = 64;
+/** Parts of one prompt that a crash accuses; a prompt may list hundreds. */
+const maxAccusedParts = 32;
+/** Keys of parts in one report, of each kind; about 5 bytes each. */
+const maxReportedKeys = 2_000;
 /** Range of the random ids of crashes. */
 const idRange = 2 ** 32;
 
@@ -160,7 +162,7 @@
   /** Records that an engine crashed before it had started the answer. */
   recordCrash(parts: readonly number[]): void {
     const id = Math.floor(Math.random() * idRange);
-    this.addCrash(id, {atMs: performance.now(), parts});
+    this.addCrash(id, performance.now(), parts);
     this.repeatUntilMs.set(id, performance.now() + repeatPeriodMs);
     this.options.announce();
   }
@@ -183,7 +185,7 @@
     const untilMs = performance.now() + repeatPeriodMs;
     const crashes = evidence.crashes.filter(({id}) => !this.crashes.has(id));
     for (const {id, ageMs, parts} of crashes) {
-      this.addCrash(id, {atMs: performance.now() - ageMs, parts});
+      this.addCrash(id, performance.now() - Math.max(0, ageMs), parts);
       if (shouldRelay) this.repeatUntilMs.set(id, untilMs);
     }
     const acquitted = evidence.acquitted.filter(part => this.acquit(part));
@@ -212,13 +214,26 @@
         for (const id of this.accusations.get(part)!.ids) ids.add(id);
       }
     }
-    const crashes = [...ids].slice(-maxReportedCrashes).flatMap(id => {
-      const crash = this.crashes.get(id);
-      if (!crash || crash.parts.length === 0) return [];
-      const ageMs = Math.round(nowMs - crash.atMs);
-      return [{id, ageMs, parts: crash.parts}];
-    });
-    return {crashes, acquitted: [...this.acquittedUntilMs.keys()]};
+    const acquitted = [...this.acquittedUntilMs.keys()];
+    return {
+      crashes: this.listReports([...ids].reverse()),
+      acquitted: acquitted.slice(-maxReportedKeys),
+    };
+  }
+
+  /** Lists crashes until the report is full. */
+  private listReports(ids: readonly number[]): CrashReport[] {
+    const reports: CrashReport[] = [];
+    let keys = 0;
+    for (const id of ids) {
+      const {atMs, parts} = this.crashes.get(id)!;
+      if (parts.length === 0) continue;
+      keys += parts.length;
+      if (keys > maxReportedKeys) break;
+      const ageMs = Math.round(performance.now() - atMs);
+      reports.push({id, ageMs, parts});
+    }
+    return reports;
   }
 
   /** Decides whether a request with these shared parts may be sent. */
@@ -243,17 +258,19 @@
     this.probedAtMs.set(part, performance.now());
   }
 
-  private addCrash(id: number, crash: Crash): void {
-    this.crashes.set(id, crash);
-    for (const part of crash.parts) {
+  private addCrash(id: number, atMs: number, keys: readonly number[]): void {
+    // A caller may list a part more than once.
+    const parts = [...new Set(keys)].slice(0, maxAccusedParts);
+    this.crashes.set(id, {atMs, parts});
+    for (const part of parts) {
       const accusation = this.accusations.get(part);
       if (!accusation) {
         const ids = new Set([id]);
-        this.accusations.set(part, {ids, timesMs: [crash.atMs]});
+        this.accusations.set(part, {ids, timesMs: [atMs]});
         continue;
       }
       accusation.ids.add(id);
-      accusation.timesMs = mergeTimes([...accusation.timesMs, crash.atMs]);
+      accusation.timesMs = mergeTimes([...accusation.timesMs, atMs]);
     }
     if (this.crashes.size <= maxCrashes) return;
     const [oldest] = this.crashes.keys();
--- a/tests/router/poisonParts.test.ts
+++ b/tests/router/poisonParts.test.ts
@@ -135,6 +135,20 @@
     expect(check(other, deadly)).to.equal(PartVerdictKind.Clear);
   });
 
+  // Guards against a prompt that takes a router down, or whose reports are too
+  // large for a datagram, because it lists a part twice or very many parts.
+  it('should be bounded whatever a prompt lists', () => {
+    const parts = create();
+    const many = Array.from({length: 700}, (_, i) => 1_000 + i);
+    recordCrashes(parts, 100, () => [manual, manual, ...many]);
+    const {crashes} = parts.listEvidence(true);
+    expect(crashes).not.to.be.empty;
+    expect(crashes.flatMap(crash => crash.parts).length).to.be.at.most(2_000);
+    clock.tick(700_000);
+    expect(parts.listEvidence(true).crashes).to.be.empty;
+    expect(parts.crashCount).to.equal(0);
+  });
+
   // Guards against refusing a part for good that was accused by coincidence.
   it('should be probed by one request of one router after a while', () => {
     const parts = create();
