Fill the connection until nothing more is taken, by time instead of turns

The engine's first 4.6 MB leave 3,460,337 bytes to write. The loop that fills the connection counted 1,000 turns of the event loop, which can end before the kernel takes these bytes: watched for 1.5 s after the loop, it took them 37 to 73 ms later in 4 of 6 runs. The check 1,000 turns later then found nothing left.

Ruled out: the gateway reading on; nothing more is taken once the buffers are full.

Change: the engine sends until what is left has not changed for 500 ms, up to the same 70 MB; the checks are the same.

Unwatched, the old form passed 27 of 27 runs and the new one 27 of 27, so that plain repetition shows nothing.

--- a/tests/gateway/engineStream.test.ts
+++ b/tests/gateway/engineStream.test.ts
@@ -80,12 +80,22 @@
     const [call] = engine.calls;
     const {response} = call;
     const takeTurn = () => new Promise(resolve => setImmediate(resolve));
-    // The kernel buffers more than 5 MB of a connection when the machine is busy.
-    // The engine sends until that is full: up to 70 MB, twice what it can hold.
-    for (let turn = 0; turn < 1_000; turn++) {
+    // The kernel buffers more than 5 MB of a connection, and its buffers go on
+    // growing for a while after they have filled up. The engine sends until
+    // nothing is taken any more: up to 70 MB, twice what the buffers can hold.
+    const settledMs = 500;
+    let changedAtMs = performance.now();
+    let batches = 0;
+    let pendingBytes = 0;
+    while (performance.now() - changedAtMs < settledMs && batches < 1_000) {
       if (response.writableLength === 0) {
+        batches += 1;
         for (let i = 0; i < 300; i++) call.sendToken(0);
       }
+      if (response.writableLength !== pendingBytes) {
+        pendingBytes = response.writableLength;
+        changedAtMs = performance.now();
+      }
       await takeTurn();
     }
     const before = response.writableLength;
