--- a/src/router/deploymentStore.ts
+++ b/src/router/deploymentStore.ts
@@ -36,14 +36,24 @@
    * whether it did.
    *
    * @param source - where it was read from, for the log
+   * @param readMs - how long reading it took, in milliseconds, for the log
    */
-  adopt(published: PublishedDeployment, source: string): boolean {
+  adopt(
+    published: PublishedDeployment,
+    source: string,
+    readMs?: number,
+  ): boolean {
     const {version} = published.deployment;
     if (version <= this.version) return false;
     const before = this.version;
     const table = new RouteTable(published.deployment);
     this.current = {published, table};
-    this.log.logInfo('deployment adopted', {version, before, source});
+    this.log.logInfo('deployment adopted', {
+      version,
+      before,
+      source,
+      readMs,
+    });
     for (const listener of this.listeners) listener(table);
     return true;
   }
--- a/src/router/peerStateReader.ts
+++ b/src/router/peerStateReader.ts
@@ -113,15 +113,17 @@
     peer: string,
     signal: AbortSignal,
   ): Promise<void> {
+    const startedAtMs = performance.now();
     const {statusCode, body} = await request(`http://${peer}${path}`, {signal});
     const text = await body.text();
     if (statusCode !== 200) return;
     const {deployments, servers, reader, log} = this.options;
+    const ms = Math.round(performance.now() - startedAtMs);
     switch (path) {
       case PeerPath.Deployment: {
         const deployment = reader.decodeDeployment(text);
         if (!deployment) return;
-        deployments.adopt({deployment, document: text}, peer);
+        deployments.adopt({deployment, document: text}, peer, ms);
         this.options.announce();
         return;
       }
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -124,7 +124,7 @@
    * signal aborts.
    */
   async runDeployments(signal: AbortSignal): Promise<void> {
-    const {reader, contactBoundMs} = this.options;
+    const {reader, contactBoundMs, log} = this.options;
     const watchWaitMs = Math.round(contactBoundMs * watchWaitRatio);
     let revision: number | undefined;
     let retryMs = initialRetryMs;
@@ -138,6 +138,7 @@
         revision === undefined
           ? reader.readDeployment(signal)
           : reader.watchDeployment(revision, watchWaitMs, signal);
+      const startedAtMs = performance.now();
       const change = await call;
       if (change.isOk()) {
         retryMs = initialRetryMs;
@@ -148,6 +149,13 @@
         else revision = change.value.revision;
         continue;
       }
+      if (!signal.aborted) {
+        log.warn('deployment not read', {
+          isWatch: revision !== undefined,
+          ms: Math.round(performance.now() - startedAtMs),
+          error: change.error.message,
+        });
+      }
       // Read before the next watch, so that no change is missed.
       revision = undefined;
       if (change.error instanceof HistoryLostError) continue;
