Read published state from other sources when the announcing router is slow

Cause: a router read a newer document only from the router that had announced it, in a large fleet the relay of its zone, within 1 s for one try. While the relay was slow, the reads of all its members timed out and began again, for seconds, although other routers and the platform had the document.

Ruled out: a late announcement (each router tried to read within 0.25 s) and large documents (one route more in the first change).

Change: after 400 ms without the document, the platform is asked as well, and so are other routers that announce it; the first to deliver ends the others. The same holds for the servers, of which an outdated view breaks DRAIN.

Three of the four tests in peerStateReader.test.ts failed before; the fourth guards the number of calls.

--- a/src/router/peerStateReader.ts
+++ b/src/router/peerStateReader.ts
@@ -1,7 +1,9 @@
 /** Reads newer published state from other routers. */
 import {request} from 'undici';
 import {z} from 'zod';
+import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
+import {assertNever} from '../protocol/assertNever.js';
 import {ServerState, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {StateVersions} from './peerReport.js';
@@ -16,6 +18,11 @@
 
 /** Timeout of a read from a peer, in milliseconds. */
 const readTimeoutMs = 1_000;
+/**
+ * Time after which other sources are asked too, in milliseconds. The slowest
+ * links deliver a large deployment within it, unless they are overloaded.
+ */
+const patienceMs = 400;
 
 const serversSchema = z.object({
   revision: z.number(),
@@ -49,11 +56,27 @@
   readonly announce: () => void;
 }
 
-/** Reads newer state from peers, with at most one read per path in flight. */
+/** Reads of one path that are in flight. */
+interface PathReads {
+  /** `host:port` of the peers, and `platformSource`. */
+  readonly sources: Set<string>;
+  latestStartMs: number;
+  /** Ends all of them once one has delivered. */
+  readonly done: AbortController;
+}
+
+/** Name of the platform among the sources of a read, also in logs. */
+const platformSource = 'platform';
+
+/**
+ * Reads newer state from the peers that announce it. A peer that doesn't
+ * deliver soon may be overloaded, or heard but not reached; then the platform
+ * and other peers are asked as well.
+ */
 export class PeerStateReader {
   /** Reads since the start, for logs. */
   count = 0;
-  private readonly pulls = new Set<PeerPath>();
+  private readonly reads = new Map<PeerPath, PathReads>();
 
   constructor(private readonly options: PeerStateReaderOptions) {}
 
@@ -93,50 +116,129 @@
   }
 
   private pull(path: PeerPath, peer: string, signal: AbortSignal): void {
-    if (this.pulls.has(path)) return;
-    this.pulls.add(path);
+    const nowMs = performance.now();
+    const known = this.reads.get(path);
+    if (known?.sources.has(peer)) return;
+    if (known && nowMs - known.latestStartMs < patienceMs) return;
+    const reads: PathReads = known ?? {
+      sources: new Set(),
+      latestStartMs: nowMs,
+      done: new AbortController(),
+    };
+    this.reads.set(path, reads);
+    reads.latestStartMs = nowMs;
     this.count += 1;
+    const ended = AbortSignal.any([signal, reads.done.signal]);
     const bounded = AbortSignal.any([
-      signal,
+      ended,
       AbortSignal.timeout(readTimeoutMs),
     ]);
-    void this.readPeer(path, peer, bounded)
-      .catch((error: unknown) => {
-        const {log} = this.options;
-        log.warn('read from peer failed', {path, peer, error: String(error)});
-      })
-      .finally(() => this.pulls.delete(path));
+    this.track(path, peer, reads, this.readPeer(path, peer, bounded));
+    if (known) return;
+    const fallback = this.readPlatformLater(path, ended);
+    this.track(path, platformSource, reads, fallback);
   }
 
+  /**
+   * Ends all reads of a path when one has delivered.
+   *
+   * @param isDelivered - settles when the read has ended
+   */
+  private track(
+    path: PeerPath,
+    source: string,
+    reads: PathReads,
+    isDelivered: Promise<boolean>,
+  ): void {
+    reads.sources.add(source);
+    void isDelivered
+      .then(
+        hasDelivered => {
+          if (hasDelivered) reads.done.abort();
+        },
+        (error: unknown) => {
+          if (reads.done.signal.aborted) return;
+          const {log} = this.options;
+          const fields = {path, peer: source, error: String(error)};
+          log.warn('read from peer failed', fields);
+        },
+      )
+      .finally(() => {
+        reads.sources.delete(source);
+        const isEnded = reads.done.signal.aborted || reads.sources.size === 0;
+        if (isEnded && this.reads.get(path) === reads) this.reads.delete(path);
+      });
+  }
+
+  /** Reads from the platform unless a peer delivers in time. */
+  private async readPlatformLater(
+    path: PeerPath,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    await waitFor(patienceMs, signal);
+    if (signal.aborted) return false;
+    const {reader, deployments, servers} = this.options;
+    const startedAtMs = performance.now();
+    const measureMs = () => Math.round(performance.now() - startedAtMs);
+    switch (path) {
+      case PeerPath.Deployment: {
+        const read = await reader.readDeployment(signal);
+        if (read.isErr()) throw read.error;
+        const {published} = read.value;
+        if (!published) return false;
+        if (deployments.adopt(published, platformSource, measureMs())) {
+          this.options.announce();
+        }
+        return true;
+      }
+      case PeerPath.Servers: {
+        const read = await reader.readServers(signal);
+        if (read.isErr()) throw read.error;
+        if (servers.apply(read.value, measureMs())) {
+          this.recordAdoptedServers(read.value.revision, platformSource);
+        }
+        return true;
+      }
+      default:
+        return assertNever(path);
+    }
+  }
+
+  /** True if the peer has delivered. */
   private async readPeer(
     path: PeerPath,
     peer: string,
     signal: AbortSignal,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const startedAtMs = performance.now();
     const {statusCode, body} = await request(`http://${peer}${path}`, {signal});
     const text = await body.text();
-    if (statusCode !== 200) return;
-    const {deployments, servers, reader, log} = this.options;
+    if (statusCode !== 200) return false;
+    const {deployments, servers, reader} = this.options;
     const ms = Math.round(performance.now() - startedAtMs);
     switch (path) {
       case PeerPath.Deployment: {
         const deployment = reader.decodeDeployment(text);
-        if (!deployment) return;
+        if (!deployment) return false;
         deployments.adopt({deployment, document: text}, peer, ms);
         this.options.announce();
-        return;
+        return true;
       }
       case PeerPath.Servers: {
         const view = serversSchema.parse(JSON.parse(text));
         const entries: BackendServer[] = view.servers;
         if (servers.apply({...view, servers: entries}, view.ageMs)) {
-          const {revision} = view;
-          log.logInfo('server view adopted', {revision, source: peer});
-          this.options.announce();
+          this.recordAdoptedServers(view.revision, peer);
         }
-        return;
+        return true;
       }
+      default:
+        return assertNever(path);
     }
   }
+
+  private recordAdoptedServers(revision: number, source: string): void {
+    this.options.log.logInfo('server view adopted', {revision, source});
+    this.options.announce();
+  }
 }
--- a/tests/router/fakePublishedState.ts
+++ b/tests/router/fakePublishedState.ts
@@ -19,6 +19,8 @@
   readonly failingReaders = new Set<string>();
   isDown = false;
   serverReads = 0;
+  /** Includes those after a watch. */
+  deploymentReads = 0;
   private revision = 1;
 
   /** Opens a reader whose calls can be made to fail by its name. */
@@ -67,6 +69,7 @@
   readDeployment(
     _signal: AbortSignal,
   ): ResultAsync<DeploymentChange, PlatformError> {
+    this.deploymentReads += 1;
     const {deployment, revision} = this;
     if (!deployment) return okAsync({revision});
     const document = JSON.stringify(deployment);
--- /dev/null
+++ b/tests/router/peerStateReader.test.ts
@@ -0,0 +1,149 @@
+import net from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {expect} from 'chai';
+import {Log} from '../../src/node/log.js';
+import {DeploymentStore} from '../../src/router/deploymentStore.js';
+import {ServerState, type BackendServer} from '../../src/router/deployment.js';
+import type {StateVersions} from '../../src/router/peerReport.js';
+import {PeerStateReader} from '../../src/router/peerStateReader.js';
+import {ServerDirectory} from '../../src/router/serverDirectory.js';
+import {FakePublishedState} from './fakePublishedState.js';
+import {sampleDeployment} from './routerFixture.js';
+
+/**
+ * Half of the shortest time in which a new version must be in force, in
+ * milliseconds. The other half is left for the announcement.
+ */
+const boundMs = 1_000;
+
+const server: BackendServer = {
+  id: 'server-1',
+  service: 'shop',
+  host: '10.0.0.1',
+  port: 80,
+  zone: 'a',
+  slots: 4,
+  state: ServerState.Ready,
+  warmUpMs: 0,
+};
+
+describe('read of published state from another router', () => {
+  const log = new Log({vm: 'vm-1'});
+  let stop: AbortController;
+  let platform: FakePublishedState;
+  let deployments: DeploymentStore;
+  let servers: ServerDirectory;
+  let reader: PeerStateReader;
+  let peers: net.Server[];
+
+  beforeEach(() => {
+    stop = new AbortController();
+    platform = new FakePublishedState();
+    platform.deployment = sampleDeployment;
+    platform.servers = [server];
+    deployments = new DeploymentStore(log);
+    servers = new ServerDirectory();
+    peers = [];
+    const {deployment} = platform;
+    deployments.adopt({deployment, document: ''}, 'platform');
+    servers.apply({servers: [server], revision: 1}, 0);
+    reader = new PeerStateReader({
+      deployments,
+      servers,
+      reader: platform.openReader('vm-1'),
+      log,
+      leaveBoundMs: 2_000,
+      announce: () => undefined,
+    });
+  });
+
+  afterEach(() => {
+    stop.abort();
+    for (const peer of peers) peer.close();
+  });
+
+  /** Starts a router that does with each connection what the test says. */
+  async function addPeer(handle: (socket: Socket) => void): Promise<string> {
+    const peer = net.createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => handle(socket));
+    });
+    peers.push(peer);
+    await new Promise<void>(resolve => peer.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(peer.address() as AddressInfo).port}`;
+  }
+
+  function buildVersions(changes: Partial<StateVersions>): StateVersions {
+    return {
+      deploymentVersion: deployments.version,
+      serversRevision: servers.revision,
+      serversDigest: servers.digest,
+      serversAgeMs: 0,
+      ...changes,
+    };
+  }
+
+  async function waitForChange(isDone: () => boolean): Promise<void> {
+    const endsAtMs = performance.now() + boundMs;
+    while (!isDone() && performance.now() < endsAtMs) {
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+
+  // Guards against a router that stays outdated while the one that announced a
+  // new version is too slow to deliver it.
+  it('should fall back to the platform for a deployment that a peer does not deliver', async () => {
+    platform.publishDeployment({...sampleDeployment, version: 2});
+    const silent = await addPeer(() => undefined);
+    const versions = buildVersions({deploymentVersion: 2});
+    reader.syncFrom(versions, silent, stop.signal);
+    await waitForChange(() => deployments.version === 2);
+    expect(deployments.version).to.equal(2);
+  });
+
+  // Guards against requests to a server that has left, while the router that
+  // announced the change is too slow to deliver the servers.
+  it('should fall back to the platform for servers that a peer does not deliver', async () => {
+    platform.publishServers([]);
+    const silent = await addPeer(() => undefined);
+    const versions = buildVersions({serversRevision: 9, serversDigest: 7});
+    reader.syncFrom(versions, silent, stop.signal);
+    await waitForChange(() => [...servers.listAll()].length === 0);
+    expect([...servers.listAll()]).to.have.length(0);
+  });
+
+  // Guards against a silent peer that keeps a router, which the platform turns
+  // away, from reading what other routers announce.
+  it('should read from another peer while one does not deliver', async () => {
+    platform.isDown = true;
+    const silent = await addPeer(() => undefined);
+    const document = JSON.stringify({...sampleDeployment, version: 2});
+    const sound = await addPeer(socket =>
+      socket.end(
+        `HTTP/1.1 200 OK\r\ncontent-length: ${document.length}\r\n\r\n${document}`,
+      ),
+    );
+    const versions = buildVersions({deploymentVersion: 2});
+    reader.syncFrom(versions, silent, stop.signal);
+    await waitForChange(() => {
+      reader.syncFrom(versions, sound, stop.signal);
+      return deployments.version === 2;
+    });
+    expect(deployments.version).to.equal(2);
+  });
+
+  it('should not call the platform when the peer delivers', async () => {
+    const document = JSON.stringify({...sampleDeployment, version: 2});
+    const sound = await addPeer(socket =>
+      socket.end(
+        `HTTP/1.1 200 OK\r\ncontent-length: ${document.length}\r\n\r\n${document}`,
+      ),
+    );
+    const versions = buildVersions({deploymentVersion: 2});
+    reader.syncFrom(versions, sound, stop.signal);
+    await waitForChange(() => deployments.version === 2);
+    await new Promise(resolve => setTimeout(resolve, boundMs));
+    expect(deployments.version).to.equal(2);
+    expect(platform.deploymentReads).to.equal(0);
+  });
+});
