Look for another relay among the routers known before the relay was lost

Cause: a member hears of all other routers through the relay of its zone. When that was lost, all others counted as lost after 1 s, each member gave callers its own address, became its own relay, and reported to nobody for seconds.

Ruled out: slow reads of the document (40 ms at these routers), the reader of the platform (it had the version after 20 ms).

Change: the next relay is chosen among the routers that were alive when the member last received a report. A resting router looks as soon as its relay counts as lost instead of at its next report, and gives a new relay 0.6 s.

Both new tests failed before.

--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -66,6 +66,8 @@
   /** Own load contained in the sums of a relay; subtracted from `loads`. */
   private readonly ownLoads = new LoadSums();
   private readonly ownReports = new Map<number, readonly ServerReport[]>();
+  /** When this router last received a report, from any router or relay. */
+  private lastReportAtMs = -Infinity;
   private ownContribution: OwnContribution | undefined;
 
   /** @param host - IP address of this router */
@@ -83,6 +85,7 @@
       (known?.incarnation === incarnation ? known.identity : undefined);
     if (!endpoints) return undefined;
     const heardAtMs = performance.now();
+    this.lastReportAtMs = heardAtMs;
     const peer = this.storePeer(host, endpoints, {
       incarnation,
       status,
@@ -101,6 +104,7 @@
     const {incarnation, members, sequences, servers, routers} = report;
     const {isFull} = report;
     const heardAtMs = performance.now();
+    this.lastReportAtMs = heardAtMs;
     for (const member of members) this.recordEndpoints(member, -Infinity);
     for (const [key, sequence] of sequences) {
       const member = this.hostsByKey.get(key);
@@ -174,12 +178,16 @@
 
   /** Routers that reported recently, directly or through a relay. */
   listAlive(): Peer[] {
-    const nowMs = performance.now();
-    return [...this.peers.values()].filter(({status, heardAtMs}) => {
-      const isResting = status === RouterStatus.Resting;
-      const expiryMs = isResting ? restingAliveTimeoutMs : aliveTimeoutMs;
-      return nowMs - heardAtMs <= expiryMs;
-    });
+    return this.listAliveAt(performance.now());
+  }
+
+  /**
+   * Routers that were alive when this one last received a report. A member
+   * hears from all others through its relay; once that is lost, their silence
+   * says nothing about them.
+   */
+  listAliveAtLastReport(): Peer[] {
+    return this.listAliveAt(Math.min(performance.now(), this.lastReportAtMs));
   }
 
   /** Live routers that take requests from callers. */
@@ -234,6 +242,14 @@
     this.loads.rebuild();
   }
 
+  private listAliveAt(atMs: number): Peer[] {
+    return [...this.peers.values()].filter(({status, heardAtMs}) => {
+      const isResting = status === RouterStatus.Resting;
+      const expiryMs = isResting ? restingAliveTimeoutMs : aliveTimeoutMs;
+      return atMs - heardAtMs <= expiryMs;
+    });
+  }
+
   private recordEndpoints(member: FleetMember, firstHeardAtMs: number): void {
     const {host, status} = member;
     if (host === this.host) return;
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -203,7 +203,9 @@
     const members = this.aggregator.listActive().length;
     const {isRelay} = this;
     if (reports.status === RouterStatus.Resting && !isRelay) {
-      return restingIntervalMs - sinceMs;
+      const intervalMs = restingIntervalMs - sinceMs;
+      if (!this.usesRelays) return intervalMs;
+      return Math.min(intervalMs, this.selector.measureRemainingMs() + 1);
     }
     const idleMs = isRelay ? relayIdleIntervalMs : idleIntervalMs;
     const intervalMs = this.hasChanges ? reportIntervalMs : idleMs;
--- a/src/router/relaySelector.ts
+++ b/src/router/relaySelector.ts
@@ -14,7 +14,11 @@
  * its longest report interval.
  */
 const relayTimeoutMs = 600;
-/** The same at a resting router, which hears from its relay less often. */
+/**
+ * The same at a resting router, which hears from its relay less often. A relay
+ * answers a router that joins at once, so the shorter limit holds for the first
+ * report of a new relay.
+ */
 const restingRelayTimeoutMs = 1_500;
 /** A silent relay isn't selected again for this long, in milliseconds. */
 const exclusionPeriodMs = 3_000;
@@ -46,14 +50,9 @@
     const {host, zone} = this.own;
     const nowMs = performance.now();
     let relay = this.selectForZone(zone) ?? host;
-    if (relay === this.selected && relay !== host) {
-      const heardAtMs = this.fleet.getRelayHeardAtMs(relay);
-      const isResting = this.own.getStatus() === RouterStatus.Resting;
-      const limitMs = isResting ? restingRelayTimeoutMs : relayTimeoutMs;
-      if (nowMs - Math.max(heardAtMs, this.selectedAtMs) > limitMs) {
-        this.excludedUntilMs.set(relay, nowMs + exclusionPeriodMs);
-        relay = this.selectForZone(zone) ?? host;
-      }
+    if (relay === this.selected && relay !== host && nowMs > this.endsAtMs) {
+      this.excludedUntilMs.set(relay, nowMs + exclusionPeriodMs);
+      relay = this.selectForZone(zone) ?? host;
     }
     if (relay !== this.selected) {
       this.selected = relay;
@@ -62,12 +61,31 @@
     return relay === host ? undefined : relay;
   }
 
+  /**
+   * Time until the selected relay counts as lost, in milliseconds, unless it
+   * reports before; Infinity if this router is its own relay.
+   */
+  measureRemainingMs(): number {
+    if (this.selected === this.own.host) return Infinity;
+    return this.endsAtMs - performance.now();
+  }
+
+  /** When the selected relay counts as lost, unless it reports before. */
+  private get endsAtMs(): number {
+    const heardAtMs = this.fleet.getRelayHeardAtMs(this.selected);
+    const isResting = this.own.getStatus() === RouterStatus.Resting;
+    const hasJoined = heardAtMs >= this.selectedAtMs;
+    return isResting && hasJoined
+      ? heardAtMs + restingRelayTimeoutMs
+      : Math.max(heardAtMs, this.selectedAtMs) + relayTimeoutMs;
+  }
+
   /** Selects the relay of a zone; undefined if no router is known there. */
   selectForZone(zone: string): string | undefined {
     const {fleet, own} = this;
     const nowMs = performance.now();
     const routers = fleet
-      .listAlive()
+      .listAliveAtLastReport()
       .filter(({identity}) => identity.zone === zone)
       .filter(({host}) => (this.excludedUntilMs.get(host) ?? 0) <= nowMs)
       .map(({host, status, identity: {linkMbps}}) => ({
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -283,6 +283,56 @@
     expect(second).not.to.equal(first);
   });
 
+  /** A fleet as a resting router hears of it from its zone's relay. */
+  function startRestingMember() {
+    const fleet = new FleetView(ownHost);
+    let status = RouterStatus.Resting;
+    const selector = new RelaySelector(fleet, {
+      host: ownHost,
+      zone: 'a',
+      linkMbps: linkMbps / 10,
+      getStatus: () => status,
+    });
+    const aggregator = new RelayAggregator();
+    const hearRelay = () => {
+      const alive = [relayHost, otherHost].map(buildMember);
+      const report = aggregator.buildHeartbeat(buildSelf(0), alive, true);
+      fleet.recordRelayReport(relayHost, report);
+    };
+    hearRelay();
+    const setStatus = (value: RouterStatus) => {
+      status = value;
+    };
+    return {fleet, selector, hearRelay, setStatus};
+  }
+
+  // Guards against routers that stay outdated for seconds when their relay is
+  // lost: they took all others for lost as well, and became relays themselves.
+  it('should be replaced by another router once a member hears from no one', () => {
+    const {fleet, selector, hearRelay, setStatus} = startRestingMember();
+    const first = selector.select()!;
+    const others = [relayHost, otherHost].filter(host => host !== first);
+    clock.tick(400);
+    hearRelay();
+    clock.tick(1_600);
+    expect(fleet.listReady()).to.have.length(0);
+    // A router that hears of no others gives callers its own address.
+    setStatus(RouterStatus.Ready);
+    expect(selector.select()).to.equal(others[0]);
+  });
+
+  // Guards against a resting router that looks for a lost relay only when its
+  // next report is due.
+  it('should tell a resting member when its relay counts as lost', () => {
+    const {selector, hearRelay} = startRestingMember();
+    selector.select();
+    clock.tick(400);
+    hearRelay();
+    expect(selector.measureRemainingMs()).to.be.within(0, 1_500);
+    clock.tick(selector.measureRemainingMs() + 1);
+    expect(selector.measureRemainingMs()).to.be.lessThan(0);
+  });
+
   // Guards against a router that joins without knowing the zone's relay and
   // then reports to another router permanently, because that router doesn't
   // include the zone's relay in its reports.
