Let a router that hears from no other read the platform at once

Change: without a report for 1 s, the rank is 0. The rank is computed in a module of its own. The test failed while hasContact was ignored.

--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -181,6 +181,11 @@
     return this.listAliveAt(performance.now());
   }
 
+  /** True if this router has recently received a report from any other. */
+  hasContact(): boolean {
+    return performance.now() - this.lastReportAtMs <= aliveTimeoutMs;
+  }
+
   /**
    * Routers that were alive when this one last received a report. A member
    * hears from all others through its relay; once that is lost, their silence
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -21,6 +21,7 @@
 import {PoisonParts} from './poisonParts.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
 import type {PublishedStateReader} from './publishedState.js';
+import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
 import {RetryBudgets} from './retryBudgets.js';
@@ -59,13 +60,6 @@
  */
 const minImmediateReportTokens = 2_048;
 
-/**
- * In a fleet with relays, the state that a router has read reaches the others
- * through two of them. Routers that aren't relays start this many ranks later
- * in the read order to allow for the delay.
- */
-const relayReadDelayRanks = 7;
-
 /** Platform-specific components of a router. */
 export interface RouterPlatform {
   readonly codec: MessageCodec;
@@ -426,22 +420,15 @@
     }
   }
 
-  /**
-   * Position in the order in which routers read the published state: relays
-   * first, then the others, both sorted by address. All routers with the same
-   * view of the fleet compute the same order.
-   */
   private computeReadRank(): number {
-    const {address} = this.settings;
-    const relays = new Set(this.fleet.listRelays());
-    const {isRelay} = this.exchange;
-    if (isRelay) relays.add(address);
-    const isBefore = (host: string) =>
-      relays.has(host) === isRelay ? host < address : !isRelay;
-    const hosts = this.fleet.listAlive().map(({host}) => host);
-    const rank = hosts.filter(isBefore).length;
-    const readsAfterRelays = relays.size > 0 && !isRelay;
-    return readsAfterRelays ? rank + relayReadDelayRanks : rank;
+    const {fleet, exchange, settings} = this;
+    return computeReadRank({
+      host: settings.address,
+      isRelay: exchange.isRelay,
+      relays: fleet.listRelays(),
+      alive: fleet.listAlive().map(({host}) => host),
+      hasContact: fleet.hasContact(),
+    });
   }
 
   /** Of the routers that callers use, one probes a blocked prompt part. */
