Bound the age at which a router reads the platform, whatever its rank

Cause: when both routers of a zone that callers use were suspended, each of its members took over the reads in turn, 70 ms for each router that it still counted as alive. Of 98 sound routers 10 had the version over 2 s after its confirmation, the last, edge-kaap-d-32, 3.66 s; its servers were 4.6 s old, where 3 s are allowed after one leaves. With 380 routers the last would have waited 27 s.

Change: the age at which a router reads for itself grows with its rank up to 0.8 of the bound for leaving servers. So that a platform that is down isn't called by all routers each second, failed reads are repeated the later, the later a router is in the order, up to 5 s.

The new test of the age fails with the old formula, which gives 27,900 ms for rank 380 and a bound of 2,000.

--- a/src/router/readOrder.ts
+++ b/src/router/readOrder.ts
@@ -7,6 +7,18 @@
  */
 const relayReadDelayRanks = 7;
 
+/** Time in which a report of a read reaches all routers, in milliseconds. */
+const reportPropagationMs = 500;
+/** Delay per rank in the read order, in milliseconds. */
+const staggerMs = 70;
+/**
+ * Ratio of `leaveBoundMs` at which each router reads for itself, whatever its
+ * rank. The rest is left to the read and to the deployment, which is read next.
+ */
+const maxAgeRatio = 0.8;
+/** Longest delay between failed reads of one router, in milliseconds. */
+const maxRetryDelayMs = 5_000;
+
 /** What a router knows of the fleet when it computes its rank. */
 export interface ReadOrderView {
   /** IP address of this router. */
@@ -52,3 +64,35 @@
   const readsAfterRelays = relayHosts.size > 0 && !isRelay;
   return readsAfterRelays ? rank + relayReadDelayRanks : rank;
 }
+
+/**
+ * Returns the age of the published state at which a router reads it because the
+ * reading router seems to be lost, in milliseconds. Grows with the rank up to a
+ * limit.
+ *
+ * @param readIntervalMs - time between the reads of the reading router
+ * @param leaveBoundMs - time within which all routers must be up to date
+ * @example
+ * computeTakeoverAgeMs(0, 800, 2_000) === 1_300
+ */
+export function computeTakeoverAgeMs(
+  rank: number,
+  readIntervalMs: number,
+  leaveBoundMs: number,
+): number {
+  const firstMs = readIntervalMs + reportPropagationMs;
+  const spanMs = Math.max(0, leaveBoundMs * maxAgeRatio - firstMs);
+  const rankMs = rank * staggerMs;
+  return rankMs === 0 ? firstMs : firstMs + spanMs / (1 + spanMs / rankMs);
+}
+
+/**
+ * Returns the shortest delay after a failed read, in milliseconds. While the
+ * platform is down, those late in the order read less often.
+ *
+ * @example
+ * computeRetryDelayMs(10) === 700
+ */
+export function computeRetryDelayMs(rank: number): number {
+  return Math.min(maxRetryDelayMs, rank * staggerMs);
+}
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -12,6 +12,7 @@
   type DeploymentChange,
   type PublishedStateReader,
 } from './publishedState.js';
+import {computeRetryDelayMs, computeTakeoverAgeMs} from './readOrder.js';
 import type {ServerDirectory} from './serverDirectory.js';
 
 /**
@@ -20,10 +21,6 @@
  * delay of the next reader and the propagation time of its report.
  */
 const readIntervalRatio = 0.4;
-/** Time in which a report of a read reaches all routers, in milliseconds. */
-const reportPropagationMs = 500;
-/** Additional delay per rank in the read order, in milliseconds. */
-const readStaggerMs = 70;
 /**
  * Wait of one watch of the deployment, as a ratio of `contactBoundMs`. A dead
  * connection hides a new deployment for this wait, the time-out after it and
@@ -90,7 +87,7 @@
 
   /** Reads the servers whenever a read is due, until the signal aborts. */
   async runServers(signal: AbortSignal): Promise<void> {
-    const {servers, reader, announce, log} = this.options;
+    const {servers, reader, announce, log, getReadRank} = this.options;
     let retryMs = initialRetryMs;
     while (!signal.aborted) {
       const waitMs = this.computeReadWaitMs();
@@ -104,7 +101,8 @@
       if (read.isErr()) {
         this.readAtMs = undefined;
         this.recordFailure(read.error, signal);
-        await waitFor(retryMs * (0.75 + Math.random() / 2), signal);
+        const delayMs = Math.max(retryMs, computeRetryDelayMs(getReadRank()));
+        await waitFor(delayMs * (0.75 + Math.random() / 2), signal);
         retryMs = Math.min(maxRetryMs, retryMs * 2);
         continue;
       }
@@ -190,8 +188,11 @@
     if (ageMs === Infinity) return this.firstReadAtMs - nowMs;
     if (this.isReader()) return this.readIntervalMs - ageMs;
     this.readAtMs = undefined;
-    const rankMs = getReadRank() * readStaggerMs;
-    return this.readIntervalMs + reportPropagationMs + rankMs - ageMs;
+    const {leaveBoundMs} = this.options;
+    const rank = getReadRank();
+    return (
+      computeTakeoverAgeMs(rank, this.readIntervalMs, leaveBoundMs) - ageMs
+    );
   }
 
   /**
--- a/tests/router/readOrder.test.ts
+++ b/tests/router/readOrder.test.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
-import {computeReadRank} from '../../src/router/readOrder.js';
+import {
+  computeReadRank,
+  computeRetryDelayMs,
+  computeTakeoverAgeMs,
+} from '../../src/router/readOrder.js';
 
 const hosts = Array.from({length: 35}, (_, i) => `10.0.1.${10 + i}`);
 
@@ -38,4 +42,27 @@
     });
     expect(rank).to.equal(0);
   });
+
+  // Guards against routers that use outdated servers and deployments for seconds:
+  // when both relays of a zone were lost, the last of 35 members read 3.6 s
+  // after the reader had stopped.
+  it('should let the last router read before the bound for leaving servers', () => {
+    for (const leaveBoundMs of [2_000, 3_000, 4_000]) {
+      const readIntervalMs = leaveBoundMs * 0.4;
+      const ages = [0, 1, 10, 42, 380].map(rank =>
+        computeTakeoverAgeMs(rank, readIntervalMs, leaveBoundMs),
+      );
+      expect(ages).to.deep.equal([...ages].sort((a, b) => a - b));
+      expect(ages[0]).to.be.at.least(readIntervalMs);
+      expect(ages[4]).to.be.at.most(0.8 * leaveBoundMs);
+    }
+  });
+
+  // Guards against a fleet whose routers all call a platform that is down, each
+  // once a second.
+  it('should let routers late in the order retry less often', () => {
+    expect(computeRetryDelayMs(0)).to.equal(0);
+    expect(computeRetryDelayMs(30)).to.be.within(1_500, 3_000);
+    expect(computeRetryDelayMs(380)).to.equal(5_000);
+  });
 });
