Agree on one relay when the routers that callers use are lost

Change: a router that hears of no other counts itself as resting, and its own readiness alone doesn't make it the relay; the members then choose the same one of the resting routers.

--- a/src/router/relaySelector.ts
+++ b/src/router/relaySelector.ts
@@ -6,7 +6,7 @@
  */
 import {pickByWeight} from '../node/rendezvous.js';
 import type {FleetView} from './fleetView.js';
-import {RouterStatus} from './peerReport.js';
+import {isServing, RouterStatus} from './peerReport.js';
 import {selectFastVms} from './vmLinks.js';
 
 /**
@@ -95,10 +95,18 @@
       }));
     if (zone === own.zone) {
       const {host, linkMbps} = own;
-      routers.push({host, status: own.getStatus(), linkMbps});
+      // A router that hears of no other gives callers its own address, as all
+      // members of the zone do then. They still have to agree on a relay.
+      const status = fleet.hasContact()
+        ? own.getStatus()
+        : RouterStatus.Resting;
+      routers.push({host, status, linkMbps});
     }
     const ready = routers.filter(({status}) => status === RouterStatus.Ready);
-    const candidates = ready.length > 0 ? ready : routers;
+    const hasOtherReady = ready.some(({host}) => host !== own.host);
+    const serving = routers.filter(({status}) => isServing(status));
+    const fallback = serving.length > 0 ? serving : routers;
+    const candidates = hasOtherReady ? ready : fallback;
     const fast = selectFastVms(candidates);
     return pickByWeight('relay', fast, ({host}) => host)?.host;
   }
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -321,6 +321,35 @@
     expect(selector.select()).to.equal(others[0]);
   });
 
+  // Guards against members that each become their own relay, and stay outdated,
+  // when all routers of the zone that callers are sent to are lost.
+  it('should be the same resting router for all members when the others are lost', () => {
+    const resting = Array.from({length: 12}, (_, i) => `10.0.1.${i}`);
+    const relays = resting.map(own => {
+      const fleet = new FleetView(own);
+      const restingMembers = resting
+        .filter(host => host !== own)
+        .map(host => ({...buildMember(host), status: RouterStatus.Resting}));
+      const alive = [buildMember(relayHost), ...restingMembers];
+      const report = new RelayAggregator().buildHeartbeat(
+        buildSelf(0),
+        alive,
+        true,
+      );
+      fleet.recordRelayReport(relayHost, report);
+      let status = RouterStatus.Resting;
+      const getStatus = () => status;
+      const identity = {host: own, zone: 'a', linkMbps, getStatus};
+      const selector = new RelaySelector(fleet, identity);
+      expect(selector.select()).to.equal(relayHost);
+      clock.tick(1_600);
+      status = RouterStatus.Ready;
+      return selector.select() ?? own;
+    });
+    expect(new Set(relays).size).to.equal(1);
+    expect(resting).to.include(relays[0]);
+  });
+
   // Guards against a resting router that looks for a lost relay only when its
   // next report is due.
   it('should tell a resting member when its relay counts as lost', () => {
