Keep the limits that backend servers state, by turns of the whole fleet

What callers saw: nothing.

Cause: no router decoded Server-Limit. Ruled out by the first hypothesis alone: a limit that is read, but kept by each router for itself.

Change: a limit is one decision of the fleet. The routers that callers use take turns at such a server, 1/limit apart, from a common beginning; whatever is sent there uses a turn: first sends, retries, probes. An unused turn expires after 2 s. Its first part belongs to the most urgent of the requests that come to that router. Others go to the sound servers. If there are none, a request waits for a turn that comes within half of its target, or is refused with the time in which the fleet's limits allow one more.

RequestForwarder's types moved to files of their own (forwardedRequest.ts, forwarderOptions.ts), hasUpdates to relayReport.ts; no change of what they do.

--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -1,6 +1,6 @@
 /** Fields of the log lines about attempts. */
 import type {AdmissionDecision} from './promptAdmission.js';
-import type {ForwardedRequest} from './requestForwarder.js';
+import type {ForwardedRequest} from './forwardedRequest.js';
 import type {Selection} from './serverSelector.js';
 import type {StreamProgress} from './streamProgress.js';
 
--- a/src/router/messageCodec.ts
+++ b/src/router/messageCodec.ts
@@ -56,6 +56,8 @@
   readonly isLeaving: boolean;
   /** The server asked this router to send no requests for this long. */
   readonly retryAfterMs?: number;
+  /** Requests a second that the server takes from the whole fleet. */
+  readonly limitPerSecond?: number;
   readonly load?: ReportedLoad;
 }
 
--- a/src/router/ownReportBuilder.ts
+++ b/src/router/ownReportBuilder.ts
@@ -8,6 +8,7 @@
   ServerReport,
   StateVersions,
 } from './peerReport.js';
+import type {ServerLimitReport, ServerLimits} from './serverLimits.js';
 import type {ServerReporter} from './serverReporter.js';
 import type {ServerSelector} from './serverSelector.js';
 import type {SharedNotices} from './sharedNotices.js';
@@ -18,6 +19,7 @@
   readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
   readonly poisonParts: PoisonParts;
+  readonly limits: ServerLimits;
   readonly getStatus: () => RouterStatus;
   readonly getVersions: () => StateVersions;
 }
@@ -52,6 +54,11 @@
     return this.options.poisonParts.listEvidence(isFull);
   }
 
+  /** Returns limits of backend servers; see `ServerLimits.listReports`. */
+  listLimits(isFull: boolean): ServerLimitReport[] {
+    return this.options.limits.listReports(isFull);
+  }
+
   /** Returns the server loads as reported up to the latest report. */
   listReported(): ServerReport[] {
     return this.options.reporter.listReported();
@@ -101,6 +108,7 @@
       ...versions,
       notices: this.listNotices(),
       partEvidence: this.listPartEvidence(identity !== undefined),
+      limits: this.listLimits(identity !== undefined),
       identity,
     };
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -21,8 +21,9 @@
 import type {PublishedStateReader} from './publishedState.js';
 import {RelaySelector} from './relaySelector.js';
 import {RelayAggregator, type RelaySelf} from './relayAggregator.js';
-import type {RelayReport} from './relayReport.js';
+import {hasUpdates, type RelayReport} from './relayReport.js';
 import type {ServerDirectory} from './serverDirectory.js';
+import type {ServerLimits} from './serverLimits.js';
 import type {SharedNotices} from './sharedNotices.js';
 
 /**
@@ -69,6 +70,7 @@
   readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
   readonly poisonParts: PoisonParts;
+  readonly limits: ServerLimits;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
@@ -309,6 +311,7 @@
       notices: reports.listNotices(),
       // Resting and new members get no other report with all evidence.
       partEvidence: reports.listPartEvidence(true),
+      limits: reports.listLimits(true),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
     };
@@ -464,6 +467,7 @@
     }
     this.options.notices.recordPeer(report.notices, report.isForRelay);
     this.options.poisonParts.recordPeer(report.partEvidence, report.isForRelay);
+    this.options.limits.recordPeer(report.limits, report.isForRelay);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
@@ -488,6 +492,7 @@
     }
     this.options.notices.recordPeer(report.notices, false);
     this.options.poisonParts.recordPeer(report.partEvidence, false);
+    this.options.limits.recordPeer(report.limits, false);
     const ownKey = computeCompactKey(address);
     for (const [router, fingerprint, breaks] of report.suspects) {
       if (router === ownKey) continue;
@@ -517,14 +522,3 @@
     }
   }
 }
-
-/** True for a report whose content should be passed on without delay. */
-function hasUpdates({
-  servers,
-  placements,
-  suspects,
-  notices,
-}: PeerReport | RelayReport): boolean {
-  const lists = [servers, placements, suspects, notices];
-  return lists.some(list => list.length > 0);
-}
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,6 +1,7 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
 import type {PartEvidence} from './poisonParts.js';
+import type {ServerLimitReport} from './serverLimits.js';
 import {emptyBacklog} from './prefillBacklog.js';
 import {pauseWeightDenominator, type ServerLoad} from './serverLoad.js';
 import {urgencyRankCount} from './urgencyScale.js';
@@ -55,6 +56,10 @@
   z.array(z.array(z.number())),
   z.array(z.number()),
 ]);
+/** Rows of key, epoch, limit and age. */
+export const serverLimitsSchema = z.array(
+  z.tuple([z.number(), z.number(), z.number().nullable(), z.number()]),
+);
 export const peerReportSchema = z.tuple([
   z.number(),
   z.number(),
@@ -66,6 +71,7 @@
   z.array(z.number()),
   z.array(z.number()),
   partEvidenceSchema,
+  serverLimitsSchema,
   identitySchema.nullable(),
 ]);
 
@@ -127,6 +133,7 @@
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
   readonly partEvidence: PartEvidence;
+  readonly limits: readonly ServerLimitReport[];
   /** Present only in full reports. */
   readonly identity?: PeerIdentity;
 }
@@ -147,6 +154,7 @@
     report.suspects.flat(),
     [...report.notices],
     listEvidenceFields(report.partEvidence),
+    listLimitFields(report.limits),
     identity
       ? [
           identity.vm,
@@ -165,7 +173,7 @@
 export function readReportFields(
   fields: z.infer<typeof peerReportSchema>,
 ): PeerReport {
-  const identity = fields[10];
+  const identity = fields[11];
   return {
     incarnation: fields[0],
     sequence: fields[1],
@@ -177,6 +185,7 @@
     suspects: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
     notices: fields[8],
     partEvidence: readEvidenceFields(fields[9]),
+    limits: readLimitFields(fields[10]),
     identity: identity
       ? {
           vm: identity[0],
@@ -210,6 +219,30 @@
   return {crashes, acquitted};
 }
 
+/** Lists limits in the order of the schema. */
+export function listLimitFields(
+  limits: readonly ServerLimitReport[],
+): z.infer<typeof serverLimitsSchema> {
+  return limits.map(({key, epoch, perSecond, ageMs}) => [
+    key,
+    epoch,
+    perSecond ?? null,
+    ageMs,
+  ]);
+}
+
+/** The reverse of `listLimitFields`. */
+export function readLimitFields(
+  rows: z.infer<typeof serverLimitsSchema>,
+): ServerLimitReport[] {
+  return rows.map(([key, epoch, perSecond, ageMs]) => ({
+    key,
+    epoch,
+    perSecond: perSecond ?? undefined,
+    ageMs,
+  }));
+}
+
 /** Lists versions in the order of the schema. */
 export function listVersions(
   versions: StateVersions,
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -41,6 +41,7 @@
   readonly suspects: PeerReport['suspects'];
   readonly notices: PeerReport['notices'];
   readonly partEvidence: PeerReport['partEvidence'];
+  readonly limits: PeerReport['limits'];
   /** Number of routers that it knows, including itself. */
   readonly routers: number;
   /**
@@ -196,7 +197,8 @@
     states: readonly MemberState[],
   ): Omit<RelayReport, 'isFull' | 'servers' | 'members'> {
     const key = computeCompactKey(self.member.host);
-    const {incarnation, versions, routers, notices, partEvidence} = self;
+    const {incarnation, versions, routers, notices, partEvidence, limits} =
+      self;
     return {
       incarnation,
       routers,
@@ -226,6 +228,7 @@
       ],
       notices,
       partEvidence,
+      limits,
     };
   }
 
@@ -242,10 +245,12 @@
    * keys
    */
   buildHeartbeat(
-    {member, incarnation, versions, routers, notices, partEvidence}: RelaySelf,
+    self: RelaySelf,
     alive: readonly FleetMember[],
     isFull: boolean,
   ): RelayReport {
+    const {member, incarnation, versions, routers} = self;
+    const {notices, partEvidence, limits} = self;
     const listed = [...alive, member];
     return {
       incarnation,
@@ -259,6 +264,7 @@
       suspects: [],
       notices,
       partEvidence,
+      limits,
       members: isFull ? listed : [],
     };
   }
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -6,19 +6,24 @@
 import {
   joinServerRows,
   listEvidenceFields,
+  listLimitFields,
   listVersions,
   partEvidenceSchema,
   readEvidenceFields,
+  readLimitFields,
   readVersions,
   RouterStatus,
+  serverLimitsSchema,
   splitRows,
   splitServerRows,
   versionsSchema,
+  type PeerReport,
   type RouterEndpoints,
   type ServerReport,
   type StateVersions,
 } from './peerReport.js';
 import type {PartEvidence} from './poisonParts.js';
+import type {ServerLimitReport} from './serverLimits.js';
 
 /** A router as listed in relay reports and rosters. */
 export interface FleetMember extends RouterEndpoints {
@@ -56,6 +61,7 @@
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
   readonly partEvidence: PartEvidence;
+  readonly limits: readonly ServerLimitReport[];
   /** New and changed members; all members in a full report. */
   readonly members: readonly FleetMember[];
 }
@@ -84,6 +90,7 @@
   z.array(z.number()),
   z.array(z.number()),
   partEvidenceSchema,
+  serverLimitsSchema,
   rosterSchema,
 ]);
 
@@ -133,6 +140,7 @@
     report.suspects.flat(),
     [...report.notices],
     listEvidenceFields(report.partEvidence),
+    listLimitFields(report.limits),
     listMemberFields(report.members),
   ];
 }
@@ -153,6 +161,18 @@
     suspects: splitRows(fields[8], 3).map(row => [row[0], row[1], row[2]]),
     notices: fields[9],
     partEvidence: readEvidenceFields(fields[10]),
-    members: readMemberFields(fields[11]),
+    limits: readLimitFields(fields[11]),
+    members: readMemberFields(fields[12]),
   };
 }
+
+/** True for a report whose content should be passed on without delay. */
+export function hasUpdates({
+  servers,
+  placements,
+  suspects,
+  notices,
+}: PeerReport | RelayReport): boolean {
+  const lists = [servers, placements, suspects, notices];
+  return lists.some(list => list.length > 0);
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -1,6 +1,5 @@
 /** Forwards a caller's request to backend servers, with retries. */
 import {waitFor} from '../node/delay.js';
-import type {Log} from '../node/log.js';
 import type {RequestBudget} from '../node/requestBudget.js';
 import {assertNever} from '../protocol/assertNever.js';
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
@@ -13,16 +12,14 @@
   type AttemptResult,
   type StreamListener,
 } from './backendAttempt.js';
-import type {BackendConnections} from './backendConnections.js';
-import type {CallerExchange} from './callerExchange.js';
-import {computeFingerprint, type CrashSuspects} from './crashSuspects.js';
+import {computeFingerprint} from './crashSuspects.js';
 import {computeCompactKey} from './compactKey.js';
 import {chooseReusePolicy, isStaleConnection} from './connectionReuse.js';
-import {formatProcess, RouteKind, type Route} from './deployment.js';
-import type {IdleReuseSuspensions} from './forgetfulServices.js';
-import type {LeavingServers} from './leavingServers.js';
-import type {BackendAnswer, MessageCodec} from './messageCodec.js';
-import {PartVerdictKind, type PoisonParts} from './poisonParts.js';
+import {formatProcess, RouteKind} from './deployment.js';
+import type {ForwardedRequest} from './forwardedRequest.js';
+import type {RequestForwarderOptions} from './forwarderOptions.js';
+import {computeLimitWaitMs} from './limitWait.js';
+import {PartVerdictKind} from './poisonParts.js';
 import {
   AdmissionDecision,
   computeCallerTimeoutMs,
@@ -30,13 +27,14 @@
   recheckIntervalMs,
 } from './promptAdmission.js';
 import {RequestLog} from './requestLog.js';
-import type {RetryBudgets} from './retryBudgets.js';
 import {estimateRetryAfterMs} from './returnTime.js';
-import {RetryCause, type RouterMetrics} from './routerMetrics.js';
-import type {ServerDirectory} from './serverDirectory.js';
-import type {LoadTicket, ServerLoadTracker} from './serverLoads.js';
-import type {ServerOutcomes} from './serverOutcomes.js';
-import type {Selection, ServerSelector} from './serverSelector.js';
+import {RetryCause} from './routerMetrics.js';
+import type {LoadTicket} from './serverLoads.js';
+import {
+  computeLimitKey,
+  type Selection,
+  type SelectionRequest,
+} from './serverSelector.js';
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
 const minRemainingMs = 40;
@@ -51,37 +49,6 @@
 /** Retry delay for the caller of a request that broke connections. */
 const suspectRetryAfterMs = 4_000;
 
-export interface RequestForwarderOptions {
-  readonly codec: MessageCodec;
-  readonly directory: ServerDirectory;
-  readonly selector: ServerSelector;
-  readonly connections: BackendConnections;
-  readonly loads: ServerLoadTracker;
-  readonly outcomes: ServerOutcomes;
-  readonly suspects: CrashSuspects;
-  readonly poisonParts: PoisonParts;
-  readonly leaving: LeavingServers;
-  readonly idleReuse: IdleReuseSuspensions;
-  readonly metrics: RouterMetrics;
-  readonly log: Log;
-  readonly budgets: RetryBudgets;
-}
-
-/** A request with everything that its attempts need. */
-export interface ForwardedRequest {
-  readonly exchange: CallerExchange;
-  readonly route: Route;
-  readonly service: string;
-  readonly customer?: string;
-  /** Priority at an engine from 0, the most urgent, to 9. */
-  readonly urgency: number;
-  /** Version of the deployment that the route was taken from. */
-  readonly deploymentVersion: number;
-  readonly body: Buffer;
-  /** Longer answers are cut off and fail the attempt. */
-  readonly maxAnswerBytes: number;
-}
-
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
   constructor(private readonly options: RequestForwarderOptions) {}
@@ -172,8 +139,13 @@
       }
       const selection = this.select();
       if (!selection) {
-        this.failWithoutServer();
-        return;
+        const waitMs = this.measureLimitWaitMs();
+        if (waitMs === undefined) {
+          this.failWithoutServer();
+          return;
+        }
+        await waitFor(waitMs, exchange.signal);
+        continue;
       }
       if (this.shouldHold(selection)) {
         // Jitter keeps routers that hold prompts from sending all at once.
@@ -240,12 +212,36 @@
   }
 
   private select(): Selection | undefined {
-    if (this.log.sends >= maxSends || this.remainingMs < minRemainingMs) {
-      return undefined;
-    }
+    return this.canSend
+      ? this.options.selector.select(this.buildSelectionRequest())
+      : undefined;
+  }
+
+  private get canSend(): boolean {
+    return this.log.sends < maxSends && this.remainingMs >= minRemainingMs;
+  }
+
+  /**
+   * Time until a server whose limit is used up takes the request, in
+   * milliseconds; undefined if that is too late for the target.
+   */
+  private measureLimitWaitMs(): number | undefined {
+    const {route} = this.request;
+    const {limits} = this.options;
+    if (limits.isEmpty || !this.canSend || this.hasEvents) return undefined;
+    const request = this.buildSelectionRequest();
+    return computeLimitWaitMs({
+      waitMs: this.options.selector.measureLimitWaitMs(request),
+      waitedMs: request.waitedMs,
+      targetMs: route.targetMs,
+      remainingMs: this.remainingMs - minRemainingMs,
+    });
+  }
+
+  private buildSelectionRequest(): SelectionRequest {
     const {exchange, service, body} = this.request;
     const {promptParts, promptTokens} = exchange.request;
-    return this.options.selector.select({
+    return {
       service,
       failed: this.failed,
       excluded: this.excluded,
@@ -259,7 +255,7 @@
       failureCostMs: this.isRetryable
         ? retryableFailureCostMs
         : finalFailureCostMs,
-    });
+    };
   }
 
   private async send(selection: Selection): Promise<AttemptResult> {
@@ -267,6 +263,7 @@
     const {codec, connections, loads} = this.options;
     const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
+    this.options.limits.recordSend(computeLimitKey(server));
     this.log.sends += 1;
     this.sentAtMs = performance.now();
     if (this.log.sends === 1) {
@@ -313,7 +310,8 @@
       attemptId: exchange.request.attemptId,
       codec,
       stream: route.kind === RouteKind.Stream ? this : undefined,
-      receiveAnswer: answer => this.recordServerState(selection, answer),
+      receiveAnswer: answer =>
+        this.options.answerNotices.record(server, answer, this.sentAtMs),
       maxAnswerBytes,
     });
     try {
@@ -334,15 +332,6 @@
     }
   }
 
-  private recordServerState(
-    selection: Selection,
-    {isLeaving}: BackendAnswer,
-  ): void {
-    const {server} = selection;
-    if (!isLeaving || !this.options.leaving.record(server)) return;
-    this.options.log.logInfo('backend server is leaving', {server: server.id});
-  }
-
   /** True when another server may run the request if this attempt fails. */
   private canRetry(): boolean {
     return (
@@ -486,7 +475,12 @@
 
   /** Ends a request for which no server is left. */
   private failWithoutServer(): void {
-    const backoffMs = this.options.selector.getBackoffMs(this.request.service);
+    const {selector} = this.options;
+    const {service} = this.request;
+    const backoffMs = Math.max(
+      selector.getBackoffMs(service),
+      selector.getLimitIntervalMs(service),
+    );
     this.failUnsent(
       this.runs > 0
         ? 'no other backend server can take the request'
--- a/src/router/requestLog.ts
+++ b/src/router/requestLog.ts
@@ -3,7 +3,7 @@
 import type {Refusal} from '../protocol/refusal.js';
 import {listAttemptFields} from './attemptLog.js';
 import {AdmissionDecision} from './promptAdmission.js';
-import type {ForwardedRequest} from './requestForwarder.js';
+import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {Selection} from './serverSelector.js';
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -4,6 +4,7 @@
 import type {LogSinkCounts} from '../node/logSink.js';
 import {pickByWeight} from '../node/rendezvous.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
+import {AnswerNotices} from './answerNotices.js';
 import {listAddresses} from './callerAddresses.js';
 import {computeCompactKey} from './compactKey.js';
 import {BackendConnections} from './backendConnections.js';
@@ -29,10 +30,11 @@
 import {RouterMetrics} from './routerMetrics.js';
 import type {RouterSettings} from './routerSettings.js';
 import {ServerDirectory} from './serverDirectory.js';
+import {ServerLimits, type TurnPosition} from './serverLimits.js';
 import {ServerLoadTracker} from './serverLoads.js';
 import {ServerOutcomes} from './serverOutcomes.js';
 import {ServerReporter} from './serverReporter.js';
-import {ServerSelector} from './serverSelector.js';
+import {computeLimitKey, ServerSelector} from './serverSelector.js';
 import {SharedNotices} from './sharedNotices.js';
 import {StateFollower} from './stateFollower.js';
 
@@ -83,6 +85,10 @@
     announce: () => this.exchange.announce(),
     isProber: part => this.isProber(part),
   });
+  private readonly limits = new ServerLimits({
+    announce: () => this.exchange.announce(),
+    getPosition: () => this.findTurnPosition(),
+  });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly connections = new BackendConnections();
@@ -115,6 +121,7 @@
     this.fleet = new FleetView(address);
     const {directory, loads, outcomes, fleet, prompts, suspects} = this;
     const {metrics, connections, deployments, log, notices, poisonParts} = this;
+    const {limits} = this;
     const {codec, reader} = platform;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
@@ -126,6 +133,7 @@
       directory,
       loads,
       outcomes,
+      limits,
       fleet,
       prompts,
       deployments,
@@ -136,6 +144,7 @@
       suspects,
       notices,
       poisonParts,
+      limits,
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
     });
@@ -157,6 +166,7 @@
       suspects,
       notices,
       poisonParts,
+      limits,
       reader,
       log,
       leaveBoundMs: settings.leaveBoundMs,
@@ -171,9 +181,10 @@
       connections,
       loads,
       outcomes,
+      limits,
       suspects,
       poisonParts,
-      leaving,
+      answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
       metrics,
       log,
@@ -265,6 +276,10 @@
         })),
       },
       forgetfulServices: this.idleReuse.list(),
+      limitedServers: [...directory.listAll()].flatMap(server => {
+        const perSecond = this.limits.getPerSecond(computeLimitKey(server));
+        return perSecond === undefined ? [] : [{id: server.id, perSecond}];
+      }),
       blockedPromptParts: this.poisonParts.listBlocked(),
       relays: fleet.listRelays(),
       datagrams: {
@@ -396,6 +411,10 @@
     for (const server of this.directory.listAll()) {
       this.serverProcesses.set(server.id, formatProcess(server));
     }
+    if (this.limits.isEmpty) return;
+    const keys = [...this.directory.listAll()].map(computeLimitKey);
+    const running = new Set(keys);
+    this.limits.forgetEnded(key => running.has(key));
   }
 
   /** Logs counters at a fixed interval. */
@@ -431,6 +450,21 @@
     });
   }
 
+  /**
+   * Position of this router among those that callers use, by address, for turns
+   * at limited servers.
+   */
+  private findTurnPosition(): TurnPosition | undefined {
+    if (!this.isOffered) return undefined;
+    const {address} = this.settings;
+    const hosts = this.fleet
+      .listReady()
+      .filter(({status}) => status === RouterStatus.Ready)
+      .map(({host}) => host);
+    const index = hosts.filter(host => host < address).length;
+    return {index, count: hosts.length + 1};
+  }
+
   /** Of the routers that callers use, one probes a blocked prompt part. */
   private isProber(part: number): boolean {
     const {address} = this.settings;
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -1,7 +1,7 @@
 /** Selects backend servers by the load and outcomes that routers report. */
 import {sortByWeight} from '../node/rendezvous.js';
 import {computeCompactKey} from './compactKey.js';
-import type {BackendServer} from './deployment.js';
+import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import {
   firstEventOverheadMs,
@@ -26,6 +26,7 @@
 import type {PrefixCacheDirectory} from './promptDirectory.js';
 import type {RouteTable} from './routeTable.js';
 import type {ServerDirectory} from './serverDirectory.js';
+import type {ServerLimits} from './serverLimits.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 
@@ -34,6 +35,9 @@
 /** Assumed service time of a plain service before the first sample. */
 const initialServiceTimeMs = 80;
 
+/** Time between two requests to a service whose servers take none. */
+const maxLimitIntervalMs = 10_000;
+
 /** Properties of a request that affect the choice of its server. */
 export interface SelectionRequest {
   readonly service: string;
@@ -89,6 +93,7 @@
   readonly directory: ServerDirectory;
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
+  readonly limits: ServerLimits;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -202,19 +207,48 @@
     return Math.min(...servers.map(({id}) => outcomes.getBackoffMs(id)));
   }
 
+  /**
+   * Returns the time until this router may send the request to a server that
+   * only its limit excludes now, in milliseconds; Infinity if there is none.
+   */
+  measureLimitWaitMs(request: SelectionRequest): number {
+    const waits = this.listEligible(request).map(server =>
+      this.options.limits.measureWaitMs(computeLimitKey(server), request),
+    );
+    return Math.min(Infinity, ...waits);
+  }
+
+  /**
+   * Returns the mean time between two requests that a service takes from the
+   * whole fleet, in milliseconds; 0 unless all its servers have limits.
+   */
+  getLimitIntervalMs(service: string): number {
+    const {directory, limits} = this.options;
+    if (limits.isEmpty) return 0;
+    const perSecond = directory
+      .listUsable(service)
+      .map(server => limits.getPerSecond(computeLimitKey(server)) ?? Infinity)
+      .reduce((sum, limit) => sum + limit, 0);
+    return perSecond > 0 ? 1_000 / perSecond : maxLimitIntervalMs;
+  }
+
   /** Average service time of a plain service in milliseconds. */
   getServiceTimeMs(service: string): number {
     return this.serviceTimesMs.get(service) ?? initialServiceTimeMs;
   }
 
   private listCandidates(request: SelectionRequest): BackendServer[] {
-    const {outcomes} = this.options;
-    const servers = this.rankServers(request.service);
-    const eligible = servers.filter(
-      ({id}) => !request.excluded.has(id) && outcomes.getBackoffMs(id) === 0,
-    );
+    const {outcomes, limits} = this.options;
+    limits.recordRequest(request);
+    const eligible = this.listEligible(request);
+    const allowed = limits.isEmpty
+      ? eligible
+      : eligible.filter(
+          server =>
+            limits.measureWaitMs(computeLimitKey(server), request) === 0,
+        );
     const reachable = selectPreferred(
-      eligible,
+      allowed,
       ({id}) => !outcomes.isUnreachable(id),
     );
     const notFailed = selectPreferred(
@@ -224,6 +258,14 @@
     return selectPreferred(notFailed, ({id}) => !outcomes.isUnwilling(id));
   }
 
+  /** Lists the servers that may be sent the request, apart from limits. */
+  private listEligible(request: SelectionRequest): BackendServer[] {
+    const {outcomes} = this.options;
+    return this.rankServers(request.service).filter(
+      ({id}) => !request.excluded.has(id) && outcomes.getBackoffMs(id) === 0,
+    );
+  }
+
   /** Returns the servers of a service in the same order on all routers. */
   private rankServers(service: string): BackendServer[] {
     const servers = this.options.directory.listUsable(service);
@@ -382,6 +424,11 @@
   }
 }
 
+/** Returns the key of a server's process in `ServerLimits`. */
+export function computeLimitKey(server: BackendServer): number {
+  return computeCompactKey(formatProcess(server));
+}
+
 /** Returns the preferred servers, or all servers when none is preferred. */
 function selectPreferred(
   servers: BackendServer[],
--- a/tests/platform/headerCodec.test.ts
+++ b/tests/platform/headerCodec.test.ts
@@ -109,6 +109,15 @@
     expect(decode(200, '1.5')).to.equal(undefined);
   });
 
+  it('should read the limit that a server states', () => {
+    const decode = (value: string) =>
+      codec.decodeAnswer(200, ['Server-Limit', value]).limitPerSecond;
+    expect(decode('2.3')).to.equal(2.3);
+    expect(decode('0')).to.equal(0);
+    expect(decode('many')).to.equal(undefined);
+    expect(codec.decodeAnswer(200, []).limitPerSecond).to.equal(undefined);
+  });
+
   it('should encode the retry delay in seconds with fractions', () => {
     expect(codec.encodeRefusal('a', 350)).to.deep.equal([
       ...['Attempt-Id', 'a', 'Retry-After', '0.350'],
--- a/tests/router/plainCodec.ts
+++ b/tests/router/plainCodec.ts
@@ -74,6 +74,7 @@
       isOtherProcess: status === 421,
       isLeaving: find(headers, 'x-leaving') !== undefined,
       retryAfterMs: findNumber(headers, 'x-retry-ms'),
+      limitPerSecond: findNumber(headers, 'x-limit'),
       isNotRun: status === 421 || find(headers, 'x-not-run') !== undefined,
     };
   }
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -69,6 +69,7 @@
       crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
       acquitted: [3],
     },
+    limits: [{key: 6, epoch: 2, perSecond: 1.5, ageMs: 70}],
     identity: {
       ...buildEndpoints(host),
       contacts: [],
@@ -92,6 +93,7 @@
       crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
       acquitted: [3],
     },
+    limits: [{key: 6, epoch: 2, perSecond: 1.5, ageMs: 70}],
     routers: 3,
     relay: undefined,
   };
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -60,6 +60,10 @@
       crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
       acquitted: [3],
     },
+    limits: [
+      {key: 6, epoch: 2, perSecond: 1.5, ageMs: 70},
+      {key: 7, epoch: 3, perSecond: undefined, ageMs: 90},
+    ],
     identity: {
       vm: 'vm-2',
       zone: 'a',
@@ -92,6 +96,10 @@
       crashes: [{id: 5, ageMs: 40, parts: [1, 2]}],
       acquitted: [3],
     },
+    limits: [
+      {key: 6, epoch: 2, perSecond: 1.5, ageMs: 70},
+      {key: 7, epoch: 3, perSecond: undefined, ageMs: 90},
+    ],
     members: [
       {
         host: '127.0.0.2',
