Let only a router that callers are sent to probe a blocked prompt part

The choice of one router, and the position of each at limited servers, are pure functions now. The test finds several routers chosen when isChosen ignores isOffered, as isProber did.

--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -2,7 +2,6 @@
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
 import type {LogSinkCounts} from '../node/logSink.js';
-import {pickByWeight} from '../node/rendezvous.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
 import {listAddresses} from './callerAddresses.js';
@@ -16,6 +15,7 @@
 import {IdleReuseSuspensions} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
 import type {MessageCodec} from './messageCodec.js';
+import {findPosition, isChosen, type OfferedRouters} from './offeredRouters.js';
 import {PeerExchange} from './peerExchange.js';
 import {OwnReportBuilder} from './ownReportBuilder.js';
 import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
@@ -30,7 +30,7 @@
 import {RouterMetrics} from './routerMetrics.js';
 import type {RouterSettings} from './routerSettings.js';
 import {ServerDirectory} from './serverDirectory.js';
-import {ServerLimits, type TurnPosition} from './serverLimits.js';
+import {ServerLimits} from './serverLimits.js';
 import {ServerLoadTracker} from './serverLoads.js';
 import {ServerOutcomes} from './serverOutcomes.js';
 import {ServerReporter} from './serverReporter.js';
@@ -83,11 +83,11 @@
   private readonly suspects = new CrashSuspects();
   private readonly poisonParts = new PoisonParts({
     announce: () => this.exchange.announce(),
-    isProber: part => this.isProber(part),
+    isProber: part => isChosen(String(part), this.findOffered()),
   });
   private readonly limits = new ServerLimits({
     announce: () => this.exchange.announce(),
-    getPosition: () => this.findTurnPosition(),
+    getPosition: () => findPosition(this.findOffered()),
   });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
@@ -450,29 +450,14 @@
     });
   }
 
-  /**
-   * Position of this router among those that callers use, by address, for turns
-   * at limited servers.
-   */
-  private findTurnPosition(): TurnPosition | undefined {
-    if (!this.isOffered) return undefined;
-    const {address} = this.settings;
-    const hosts = this.fleet
+  /** This router and the others that callers are sent to. */
+  private findOffered(): OfferedRouters {
+    const others = this.fleet
       .listReady()
       .filter(({status}) => status === RouterStatus.Ready)
       .map(({host}) => host);
-    const index = hosts.filter(host => host < address).length;
-    return {index, count: hosts.length + 1};
-  }
-
-  /** Of the routers that callers use, one probes a blocked prompt part. */
-  private isProber(part: number): boolean {
-    const {address} = this.settings;
-    const active = this.fleet
-      .listReady()
-      .filter(({status}) => status === RouterStatus.Ready);
-    const hosts = [address, ...active.map(({host}) => host)];
-    return pickByWeight(String(part), hosts, host => host) === address;
+    const {isOffered, settings} = this;
+    return {host: settings.address, isOffered, others};
   }
 
   private listAddresses(zone: string | undefined): string[] {
