Don't take a rejection for the end of a server's limit

Found while reading: an answer without the limit ended it for the whole fleet also if the server had rejected the request. If rejections lack the header, each would have let all routers send until the next answer stated the limit again.

--- a/src/router/answerNotices.ts
+++ b/src/router/answerNotices.ts
@@ -32,12 +32,14 @@
 
   private recordLimit(
     server: BackendServer,
-    {isOtherProcess, hasStamp, limitPerSecond}: BackendAnswer,
+    {isOtherProcess, isNotRun, hasStamp, limitPerSecond}: BackendAnswer,
     sentAtMs: number,
   ): void {
-    // Only the server's own answers show that its limit has ended.
-    const isOwn = !isOtherProcess && (hasStamp || limitPerSecond !== undefined);
-    if (!isOwn) return;
+    if (isOtherProcess) return;
+    // A rejection may come from what stands before the server; it doesn't show
+    // that the limit has ended.
+    const isRun = hasStamp && !isNotRun;
+    if (limitPerSecond === undefined && !isRun) return;
     const {limits, log} = this.options;
     const key = computeLimitKey(server);
     if (!limits.recordAnswer(key, limitPerSecond, sentAtMs)) return;
