--- a/tests/router/answerNotices.test.ts
+++ b/tests/router/answerNotices.test.ts
@@ -1,24 +1,14 @@
 import {expect} from 'chai';
 import {Log} from '../../src/node/log.js';
 import {AnswerNotices} from '../../src/router/answerNotices.js';
-import {ServerState, type BackendServer} from '../../src/router/deployment.js';
 import {LeavingServers} from '../../src/router/leavingServers.js';
 import type {BackendAnswer} from '../../src/router/messageCodec.js';
 import {ServerDirectory} from '../../src/router/serverDirectory.js';
 import {ServerLimits} from '../../src/router/serverLimits.js';
 import {computeLimitKey} from '../../src/router/serverSelector.js';
 import {SharedNotices} from '../../src/router/sharedNotices.js';
+import {sampleServer} from './routerFixture.js';
 
-const server: BackendServer = {
-  id: 'server-1',
-  service: 'shop',
-  host: '10.0.0.1',
-  port: 80,
-  zone: 'a',
-  slots: 4,
-  state: ServerState.Ready,
-  warmUpMs: 0,
-};
 const answer: BackendAnswer = {
   hasStamp: true,
   isNotRun: false,
@@ -39,8 +29,8 @@
   });
 
   function record(change: Partial<BackendAnswer>): number | undefined {
-    notices.record(server, {...answer, ...change}, performance.now());
-    return limits.getPerSecond(computeLimitKey(server));
+    notices.record(sampleServer, {...answer, ...change}, performance.now());
+    return limits.getPerSecond(computeLimitKey(sampleServer));
   }
 
   it('should begin, change and end the limit of the server', () => {
--- a/tests/router/peerStateReader.test.ts
+++ b/tests/router/peerStateReader.test.ts
@@ -3,12 +3,11 @@
 import {expect} from 'chai';
 import {Log} from '../../src/node/log.js';
 import {DeploymentStore} from '../../src/router/deploymentStore.js';
-import {ServerState, type BackendServer} from '../../src/router/deployment.js';
 import type {StateVersions} from '../../src/router/peerReport.js';
 import {PeerStateReader} from '../../src/router/peerStateReader.js';
 import {ServerDirectory} from '../../src/router/serverDirectory.js';
 import {FakePublishedState} from './fakePublishedState.js';
-import {sampleDeployment} from './routerFixture.js';
+import {sampleDeployment, sampleServer} from './routerFixture.js';
 
 /**
  * Half of the shortest time in which a new version must be in force, in
@@ -16,17 +15,6 @@
  */
 const boundMs = 1_000;
 
-const server: BackendServer = {
-  id: 'server-1',
-  service: 'shop',
-  host: '10.0.0.1',
-  port: 80,
-  zone: 'a',
-  slots: 4,
-  state: ServerState.Ready,
-  warmUpMs: 0,
-};
-
 describe('read of published state from another router', () => {
   const log = new Log({vm: 'vm-1'});
   let stop: AbortController;
@@ -40,13 +28,13 @@
     stop = new AbortController();
     platform = new FakePublishedState();
     platform.deployment = sampleDeployment;
-    platform.servers = [server];
+    platform.servers = [sampleServer];
     deployments = new DeploymentStore(log);
     servers = new ServerDirectory();
     peers = [];
     const {deployment} = platform;
     deployments.adopt({deployment, document: ''}, 'platform');
-    servers.apply({servers: [server], revision: 1}, 0);
+    servers.apply({servers: [sampleServer], revision: 1}, 0);
     reader = new PeerStateReader({
       deployments,
       servers,
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -117,6 +117,16 @@
 
   afterEach(() => clock.uninstall());
 
+  // Guards against routers that don't learn of a server's limit because their
+  // relay doesn't pass it on.
+  it('should pass on limits of servers to all members', () => {
+    const aggregator = new RelayAggregator();
+    const self = buildSelf(0);
+    expect(aggregator.build(self, false).limits).to.equal(self.limits);
+    const heartbeat = aggregator.buildHeartbeat(self, [], false);
+    expect(heartbeat.limits).to.equal(self.limits);
+  });
+
   // Guards against own requests that are counted twice when a server is
   // selected.
   it('should give a member the load of all others', () => {
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -64,6 +64,18 @@
   customers: [{name: 'museum', keys: ['k1']}],
 };
 
+/** A server of the sample deployment that no test connects to. */
+export const sampleServer: BackendServer = {
+  id: 'server-1',
+  service: 'shop',
+  host: '10.0.0.1',
+  port: 80,
+  zone: 'a',
+  slots: 4,
+  state: ServerState.Ready,
+  warmUpMs: 0,
+};
+
 /** An answer as it reached the caller. */
 export interface CallerAnswer {
   readonly status: number;
