Tell callers of a service without servers to come back soon again

Found while reading: while a server of any service had a limit, callers of a service without usable servers were told to come back after 10 s, as if all its servers took no requests. The sum is a function of ServerLimits now, with a test that covers the empty service.

--- a/src/router/serverLimits.ts
+++ b/src/router/serverLimits.ts
@@ -99,6 +99,16 @@
     return this.limits.get(key)?.perSecond;
   }
 
+  /**
+   * Returns the mean time between two requests that servers take together, in
+   * milliseconds; 0 unless all of them have limits.
+   */
+  computeIntervalMs(keys: readonly number[]): number {
+    const limits = keys.map(key => this.getPerSecond(key) ?? Infinity);
+    const perSecond = limits.reduce((sum, limit) => sum + limit, 0);
+    return limits.length === 0 ? 0 : 1_000 / Math.max(minPerSecond, perSecond);
+  }
+
   /**
    * Records the limit that an answer states, or that it states none.
    *
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -35,9 +35,6 @@
 /** Assumed service time of a plain service before the first sample. */
 const initialServiceTimeMs = 80;
 
-/** Time between two requests to a service whose servers take none. */
-const maxLimitIntervalMs = 10_000;
-
 /** Properties of a request that affect the choice of its server. */
 export interface SelectionRequest {
   readonly service: string;
@@ -225,11 +222,8 @@
   getLimitIntervalMs(service: string): number {
     const {directory, limits} = this.options;
     if (limits.isEmpty) return 0;
-    const perSecond = directory
-      .listUsable(service)
-      .map(server => limits.getPerSecond(computeLimitKey(server)) ?? Infinity)
-      .reduce((sum, limit) => sum + limit, 0);
-    return perSecond > 0 ? 1_000 / perSecond : maxLimitIntervalMs;
+    const servers = directory.listUsable(service);
+    return limits.computeIntervalMs(servers.map(computeLimitKey));
   }
 
   /** Average service time of a plain service in milliseconds. */
--- a/tests/router/serverLimits.test.ts
+++ b/tests/router/serverLimits.test.ts
@@ -185,6 +185,22 @@
     expect(relay.listReports(true)).to.have.length(0);
   });
 
+  // Guards against callers who are told to come back late because of the limits
+  // of another service's servers.
+  it('should give the time between requests only where all servers have limits', () => {
+    const limits = new ServerLimits({
+      announce: () => undefined,
+      getPosition: () => undefined,
+    });
+    limits.recordAnswer(1, 3, performance.now());
+    limits.recordAnswer(2, 1, performance.now());
+    limits.recordAnswer(3, 0, performance.now());
+    expect(limits.computeIntervalMs([1, 2])).to.equal(250);
+    expect(limits.computeIntervalMs([3])).to.equal(10_000);
+    expect(limits.computeIntervalMs([1, 9])).to.equal(0);
+    expect(limits.computeIntervalMs([])).to.equal(0);
+  });
+
   // Guards against callers that wait for a turn that comes too late for them.
   it('should let a request wait only if its turn comes in time for the target', () => {
     const times = {waitedMs: 20, targetMs: 300, remainingMs: 900};
