--- a/src/router/peerStateReader.ts
+++ b/src/router/peerStateReader.ts
@@ -142,16 +142,16 @@
   /**
    * Ends all reads of a path when one has delivered.
    *
-   * @param isDelivered - settles when the read has ended
+   * @param read - resolves to whether the source has delivered
    */
   private track(
     path: PeerPath,
     source: string,
     reads: PathReads,
-    isDelivered: Promise<boolean>,
+    read: Promise<boolean>,
   ): void {
     reads.sources.add(source);
-    void isDelivered
+    void read
       .then(
         hasDelivered => {
           if (hasDelivered) reads.done.abort();
