--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -145,12 +145,6 @@
     return this.aggregator.listMembers().length > 0;
   }
 
-  /** True if this router is its own relay and no other reports to it. */
-  get isIsolated(): boolean {
-    const {address} = this.options;
-    return this.usesRelays && this.relay === address && !this.isRelay;
-  }
-
   /** Opens the socket; receives datagrams until the signal aborts. */
   async listen(signal: AbortSignal): Promise<void> {
     const {address, port, log} = this.options;
--- a/src/router/readOrder.ts
+++ b/src/router/readOrder.ts
@@ -12,16 +12,10 @@
 /** Delay per rank in the read order, in milliseconds. */
 const staggerMs = 70;
 /**
- * Ratio of `leaveBoundMs` at which the first `boundedRanks` routers have read.
- * The rest is left to the read and to the deployment, which is read next.
+ * Ratio of `leaveBoundMs` at which each router reads for itself, whatever its
+ * rank. The rest is left to the read and to the deployment, which is read next.
  */
 const maxAgeRatio = 0.8;
-/**
- * Routers that read within that time if they have to. In a larger fleet the
- * others hear of one of these reads. If all read while the platform is slow or
- * down, calls of it cost more than they are worth.
- */
-const boundedRanks = 24;
 /** Longest delay between failed reads of one router, in milliseconds. */
 const maxRetryDelayMs = 5_000;
 
@@ -35,7 +29,7 @@
   readonly relays: readonly string[];
   /** IP addresses of the live routers. */
   readonly alive: readonly string[];
-  /** True if this router hears of what others read. */
+  /** True if this router has recently received a report. */
   readonly hasContact: boolean;
 }
 
@@ -73,8 +67,8 @@
 
 /**
  * Returns the age of the published state at which a router reads it because the
- * reading router seems to be lost, in milliseconds. It stays below the bound for
- * the first routers in the order, and grows with the rank for the others.
+ * reading router seems to be lost, in milliseconds. Grows with the rank up to a
+ * limit.
  *
  * @param readIntervalMs - time between the reads of the reading router
  * @param leaveBoundMs - time within which all routers must be up to date
@@ -88,10 +82,8 @@
 ): number {
   const firstMs = readIntervalMs + reportPropagationMs;
   const spanMs = Math.max(0, leaveBoundMs * maxAgeRatio - firstMs);
-  const rankMs = Math.min(rank, boundedRanks) * staggerMs;
-  const boundedMs = rankMs === 0 ? 0 : spanMs / (1 + spanMs / rankMs);
-  const lateMs = Math.max(0, rank - boundedRanks) * staggerMs;
-  return firstMs + boundedMs + lateMs;
+  const rankMs = rank * staggerMs;
+  return rankMs === 0 ? firstMs : firstMs + spanMs / (1 + spanMs / rankMs);
 }
 
 /**
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -446,7 +446,7 @@
       isRelay: exchange.isRelay,
       relays: fleet.listRelays(),
       alive: fleet.listAlive().map(({host}) => host),
-      hasContact: fleet.hasContact() && !exchange.isIsolated,
+      hasContact: fleet.hasContact(),
     });
   }
 
