Bound for the whole fleet how often a request that crashes servers is sent

Cause: the unit that decided was the router, while the bound is the fleet's. A break within 350 ms on a connection that had rested counted as stale and not as a crash (six of the first eight in the incident's logs); counts were reported once, in datagrams that may be lost; each router ended its block by itself and then sent to as many servers as the route allows; a router that started knew nothing; an error answer of a faulty server cleared the request. Class: what a VM decides that the fleet must bound.

Ruled out: the fingerprint. All crashes in the incident are of the same path, customer and body, and other requests weren't refused with them.

Change: the quarantine of prompt parts (evidence that is repeated, relayed and given to routers that start) now holds requests too, and replaces CrashSuspects and its fields in the reports (format 11). Each lost connection accuses the request unless its server turns out to be alive. After crashes of three servers the fleet sends one probe after 4 s, one 8 s after the first failed, then one in ten minutes. Probes are reported to the others, for parts as well, whose probes could be repeated by another router when the fleet changed. Requests that have lost several copies at one server aren't blocked.

The tests of CrashSuspects go with the class; the same promises (three breaks over all routers, let through after an answer or some time) are tested in crashQuarantine.test.ts, with the bound for the fleet beside them.

--- /dev/null
+++ b/src/router/crashQuarantine.ts
@@ -0,0 +1,521 @@
+/**
+ * Finds requests and prompt parts that crash every backend server that runs
+ * them, and keeps them away from the servers.
+ *
+ * Each crash accuses the requests that were lost with it, and all shared parts of
+ * their prompts. A request that is answered somewhere is innocent, and so is a
+ * part on which an answer starts. What has no such alibi is blocked once it
+ * explains several crashes better than the other suspects of the same crashes.
+ *
+ * Routers share crashes, acquittals and probes, so that the whole fleet sends a
+ * blocked suspect to a few servers at most.
+ */
+import {isRequestKey} from './requestKey.js';
+
+/** Crashes that a suspect must explain before it is blocked. */
+export const minCrashes = 3;
+/**
+ * Crashes that occur within this time count as one, in milliseconds. A rack that
+ * loses power accuses every part that was in use there, but only once. Crashes
+ * of different servers under the same request all count.
+ */
+const crashMergeMs = 250;
+/**
+ * Time from the loss of a connection until the engine counts as crashed, in
+ * milliseconds. A live engine sends events of other streams within it.
+ */
+const confirmMs = 300;
+/**
+ * Time from the decisive crash to the block, in milliseconds. Within it, the
+ * other routers report the answers that have started, also through two relays.
+ */
+const settleMs = 500;
+/**
+ * Duration of the first block, in milliseconds. It doubles with each further
+ * crash. Blocks end, because a part may have been accused by coincidence.
+ */
+const initialBlockMs = 10_000;
+/** A part with this many crashes stays blocked while requests with it come. */
+const maxProbedCrashes = 7;
+/**
+ * Duration of the first block of a request, in milliseconds. It doubles after a
+ * probe that crashed a server.
+ */
+const initialRequestBlockMs = 4_000;
+/**
+ * Probes of a request that may crash servers before probes become rare. The
+ * users allow three more crashes; one is left for two routers that probe at the
+ * same moment.
+ */
+const maxQuickProbes = 2;
+/** Time for which a crash accuses a suspect that is not blocked. */
+const suspicionMs = 60_000;
+/** A blocked suspect is forgotten when no request had it for this long. */
+const blockRetentionMs = 600_000;
+/**
+ * Time after which twice as many routers may probe a suspect, in milliseconds.
+ * Rare requests may never reach the first of them.
+ */
+const proberDoublingMs = 1_000;
+/**
+ * Time for which each report repeats new evidence, in milliseconds, because
+ * reports may be lost. Resting routers get one in 400 ms.
+ */
+const repeatPeriodMs = 1_500;
+/** Each takes about 200 bytes. */
+const maxCrashes = 1_000;
+/** Suspects of one crash; a prompt may list hundreds of parts. */
+const maxAccused = 32;
+/** Keys in one report, of each kind; about 5 bytes each. */
+const maxReportedKeys = 2_000;
+/** Range of the random ids of crashes and probes. */
+const idRange = 2 ** 32;
+
+/** A crash as routers report it to each other. */
+export interface CrashReport {
+  /** Random; the same in each repetition of the report. */
+  readonly id: number;
+  readonly ageMs: number;
+  /** Compact key of the server. */
+  readonly server: number;
+  /**
+   * Keys of the prompt's shared parts, first to last, and of the request. Parts
+   * on which the answer had started are left out.
+   */
+  readonly suspects: readonly number[];
+}
+
+/** A request that was sent although it, or a part of it, had been blocked. */
+export interface ProbeReport {
+  /** Random; the same in each repetition of the report. */
+  readonly id: number;
+  readonly ageMs: number;
+  readonly suspect: number;
+}
+
+/** Evidence of one router for the others. */
+export interface CrashEvidence {
+  readonly crashes: readonly CrashReport[];
+  /** Accused requests that were answered, and parts on which an answer started. */
+  readonly acquitted: readonly number[];
+  readonly probes: readonly ProbeReport[];
+}
+
+export const noCrashEvidence: CrashEvidence = {
+  crashes: [],
+  acquitted: [],
+  probes: [],
+};
+
+export enum VerdictKind {
+  /** Nothing is blocked. */
+  Clear = 'clear',
+  /** A block has ended, and this request tests whether it crashes a server. */
+  Probe = 'probe',
+  Blocked = 'blocked',
+}
+
+/** Whether a request may be sent. */
+export type Verdict =
+  | {kind: VerdictKind.Clear}
+  | {kind: VerdictKind.Probe; suspect: number; crashes: number}
+  | {
+      kind: VerdictKind.Blocked;
+      suspect: number;
+      crashes: number;
+      /** Time until the block ends. */
+      retryAfterMs: number;
+    };
+
+export interface CrashQuarantineOptions {
+  /** Sends the evidence to the other routers at once. */
+  readonly announce: () => void;
+  /**
+   * True if this router is one of the few that send a request with the suspect
+   * after its block has ended.
+   *
+   * @param count - number of such routers in the fleet
+   */
+  readonly isProber: (suspect: number, count: number) => boolean;
+}
+
+/** A lost request, as seen by the router that had sent it. */
+export interface LostRequest {
+  /** Keys of the shared parts of its prompt that may have crashed the server. */
+  readonly parts: readonly number[];
+  /** See `computeRequestKey`. */
+  readonly request: number;
+  /** Compact key of the server. */
+  readonly server: number;
+}
+
+/** A crash with the suspects that are still accused of it. */
+interface Crash {
+  readonly atMs: number;
+  readonly server: number;
+  suspects: readonly number[];
+}
+
+/** Crashes of which a suspect is accused. */
+interface Accusation {
+  readonly ids: Set<number>;
+  /** Times of the crashes that count. */
+  timesMs: number[];
+  /** Times of the probes, by id. */
+  readonly probesAtMs: Map<number, number>;
+}
+
+/** A suspect that is kept away from servers. */
+interface Block {
+  readonly crashes: number;
+  readonly endsAtMs: number;
+}
+
+/**
+ * Collects evidence against requests and prompt parts, of this router and of the
+ * others.
+ *
+ * @example
+ * const [manual, unit] = ['5c1e', '91bd'].map(computeCompactKey);
+ * const request = computeRequestKey('/ask/', 'museum', body);
+ * quarantine.recordCrash({parts: [manual, unit], request, server});
+ * quarantine.check([manual, unit, request]).kind === VerdictKind.Clear
+ */
+export class CrashQuarantine {
+  /** By id, the oldest first. */
+  private readonly crashes = new Map<number, Crash>();
+  private readonly accusations = new Map<number, Accusation>();
+  private readonly repeatUntilMs = new Map<number, number>();
+  private readonly acquittedUntilMs = new Map<number, number>();
+  private readonly probes = new Map<number, ProbeState>();
+  private readonly requestedAtMs = new Map<number, number>();
+
+  constructor(private readonly options: CrashQuarantineOptions) {}
+
+  /** Number of crashes that are remembered. */
+  get crashCount(): number {
+    return this.crashes.size;
+  }
+
+  /** Lists the blocked requests and parts with the crashes that each explains. */
+  listBlocked(): Array<readonly [suspect: number, crashes: number]> {
+    return [...this.accusations.keys()].flatMap(suspect => {
+      const block = this.findBlock(suspect);
+      return block ? [[suspect, block.crashes] as const] : [];
+    });
+  }
+
+  /**
+   * Records that a connection was lost before the answer was complete, unless
+   * the server turns out to be alive soon afterwards.
+   */
+  suspectCrash(lost: LostRequest, isAlive: () => boolean): void {
+    setTimeout(() => {
+      if (!isAlive()) this.recordCrash(lost);
+    }, confirmMs);
+  }
+
+  /** Records that a server crashed while it ran a request. */
+  recordCrash({parts, request, server}: LostRequest): void {
+    const id = drawId();
+    const suspects = [...parts.slice(0, maxAccused - 1), request];
+    this.addCrash(id, {atMs: performance.now(), server, suspects});
+    this.repeatUntilMs.set(id, performance.now() + repeatPeriodMs);
+    this.options.announce();
+  }
+
+  /** Records that an answer has started, which none of the parts prevented. */
+  recordStart(parts: readonly number[]): void {
+    for (const part of parts) this.recordInnocent(part);
+  }
+
+  /** Records that a server has answered the request and is still alive. */
+  recordAnswer(request: number): void {
+    this.recordInnocent(request);
+  }
+
+  private recordInnocent(suspect: number): void {
+    if (!this.acquit(suspect)) return;
+    this.acquittedUntilMs.set(suspect, performance.now() + repeatPeriodMs);
+  }
+
+  /**
+   * Records the evidence in another router's report.
+   *
+   * @param shouldRelay - true on a relay, for reports of its members
+   */
+  recordPeer(evidence: CrashEvidence, shouldRelay: boolean): void {
+    const nowMs = performance.now();
+    const untilMs = nowMs + repeatPeriodMs;
+    const crashes = evidence.crashes.filter(({id}) => !this.crashes.has(id));
+    for (const {id, ageMs, server, suspects} of crashes) {
+      const atMs = nowMs - Math.max(0, ageMs);
+      this.addCrash(id, {atMs, server, suspects: suspects.slice(-maxAccused)});
+      if (shouldRelay) this.repeatUntilMs.set(id, untilMs);
+    }
+    const probes = evidence.probes.filter(
+      ({id, suspect}) => !this.probes.has(id) && this.accusations.has(suspect),
+    );
+    for (const {id, ageMs, suspect} of probes) {
+      this.addProbe(id, suspect, nowMs - Math.max(0, ageMs));
+      if (shouldRelay) this.probes.get(id)!.repeatUntilMs = untilMs;
+    }
+    const acquitted = evidence.acquitted.filter(key => this.acquit(key));
+    if (!shouldRelay) return;
+    for (const key of acquitted) this.acquittedUntilMs.set(key, untilMs);
+    const news = [crashes, probes, acquitted];
+    if (news.some(list => list.length > 0)) this.options.announce();
+  }
+
+  /**
+   * Lists the evidence for the next report.
+   *
+   * @param isFull - includes all evidence against blocked suspects, for routers
+   * that have started since it was reported
+   */
+  listEvidence(isFull: boolean): CrashEvidence {
+    if (this.crashes.size === 0 && this.acquittedUntilMs.size === 0) {
+      return noCrashEvidence;
+    }
+    const nowMs = performance.now();
+    removeBefore(this.repeatUntilMs, nowMs);
+    removeBefore(this.acquittedUntilMs, nowMs);
+    this.evictExpired();
+    const ids = new Set(this.repeatUntilMs.keys());
+    const blocked = new Set<number>();
+    if (isFull) {
+      for (const [suspect] of this.listBlocked()) {
+        blocked.add(suspect);
+        for (const id of this.accusations.get(suspect)!.ids) ids.add(id);
+      }
+    }
+    const probes = [...this.probes].filter(
+      ([, {suspect, repeatUntilMs}]) =>
+        repeatUntilMs >= nowMs || blocked.has(suspect),
+    );
+    const acquitted = [...this.acquittedUntilMs.keys()];
+    return {
+      crashes: this.listReports([...ids].reverse()),
+      acquitted: acquitted.slice(-maxReportedKeys),
+      probes: probes.slice(-maxReportedKeys).map(([id, {suspect, atMs}]) => ({
+        id,
+        ageMs: Math.round(nowMs - atMs),
+        suspect,
+      })),
+    };
+  }
+
+  /** Lists crashes until the report is full. */
+  private listReports(ids: readonly number[]): CrashReport[] {
+    const reports: CrashReport[] = [];
+    let keys = 0;
+    for (const id of ids) {
+      const {atMs, server, suspects} = this.crashes.get(id)!;
+      if (suspects.length === 0) continue;
+      keys += suspects.length;
+      if (keys > maxReportedKeys) break;
+      const ageMs = Math.round(performance.now() - atMs);
+      reports.push({id, ageMs, server, suspects});
+    }
+    return reports;
+  }
+
+  /** Decides whether a request with these suspects may be sent. */
+  check(suspects: readonly number[]): Verdict {
+    const nowMs = performance.now();
+    for (const suspect of suspects) {
+      const block = this.findBlock(suspect);
+      if (!block) continue;
+      const {crashes, endsAtMs} = block;
+      this.requestedAtMs.set(suspect, nowMs);
+      if (nowMs >= endsAtMs && this.canProbe(suspect, nowMs - endsAtMs)) {
+        return {kind: VerdictKind.Probe, suspect, crashes};
+      }
+      const retryAfterMs = Math.max(settleMs, endsAtMs - nowMs);
+      return {kind: VerdictKind.Blocked, suspect, crashes, retryAfterMs};
+    }
+    return {kind: VerdictKind.Clear};
+  }
+
+  private canProbe(suspect: number, sinceMs: number): boolean {
+    const count = 2 ** Math.floor(sinceMs / proberDoublingMs);
+    return this.options.isProber(suspect, count);
+  }
+
+  /** Records, for all routers, that a request with a suspect is sent as a probe. */
+  recordProbe(suspect: number): void {
+    const id = drawId();
+    const nowMs = performance.now();
+    this.addProbe(id, suspect, nowMs);
+    this.probes.get(id)!.repeatUntilMs = nowMs + repeatPeriodMs;
+    this.options.announce();
+  }
+
+  private addProbe(id: number, suspect: number, atMs: number): void {
+    this.probes.set(id, {suspect, atMs, repeatUntilMs: -Infinity});
+    this.accusations.get(suspect)?.probesAtMs.set(id, atMs);
+  }
+
+  private addCrash(id: number, crash: Crash): void {
+    // A caller may list a part more than once.
+    const suspects = [...new Set(crash.suspects)];
+    this.crashes.set(id, {...crash, suspects});
+    for (const suspect of suspects) {
+      const accusation = this.accusations.get(suspect) ?? {
+        ids: new Set<number>(),
+        timesMs: [],
+        probesAtMs: new Map<number, number>(),
+      };
+      accusation.ids.add(id);
+      accusation.timesMs = this.listTimes(suspect, accusation.ids);
+      this.accusations.set(suspect, accusation);
+    }
+    if (this.crashes.size <= maxCrashes) return;
+    const [oldest] = this.crashes.keys();
+    this.removeCrash(oldest);
+  }
+
+  private removeCrash(id: number): void {
+    for (const suspect of this.crashes.get(id)?.suspects ?? []) {
+      const accusation = this.accusations.get(suspect)!;
+      accusation.ids.delete(id);
+      accusation.timesMs = this.listTimes(suspect, accusation.ids);
+      if (accusation.ids.size === 0) this.forgetSuspect(suspect);
+    }
+    this.crashes.delete(id);
+    this.repeatUntilMs.delete(id);
+  }
+
+  /** Clears a suspect of all crashes so far; false if it wasn't accused. */
+  private acquit(suspect: number): boolean {
+    const accusation = this.accusations.get(suspect);
+    if (!accusation) return false;
+    // The crash stays, because other routers repeat their reports of it.
+    for (const id of accusation.ids) {
+      const crash = this.crashes.get(id)!;
+      crash.suspects = crash.suspects.filter(other => other !== suspect);
+    }
+    this.forgetSuspect(suspect);
+    return true;
+  }
+
+  private forgetSuspect(suspect: number): void {
+    for (const id of this.accusations.get(suspect)?.probesAtMs.keys() ?? []) {
+      this.probes.delete(id);
+    }
+    this.accusations.delete(suspect);
+    this.requestedAtMs.delete(suspect);
+  }
+
+  private evictExpired(): void {
+    const nowMs = performance.now();
+    for (const [id, {atMs, suspects}] of this.crashes) {
+      if (nowMs - atMs < suspicionMs) continue;
+      const isNeeded = suspects.some(key => this.findBlock(key) !== undefined);
+      if (!isNeeded) this.removeCrash(id);
+    }
+  }
+
+  private findBlock(suspect: number): Block | undefined {
+    const accusation = this.accusations.get(suspect);
+    if (!accusation || accusation.timesMs.length < minCrashes) return undefined;
+    const nowMs = performance.now();
+    const explained = [...accusation.ids].filter(
+      id => this.findMainSuspect(id) === suspect,
+    );
+    const timesMs = this.listTimes(suspect, explained);
+    const crashes = timesMs.length;
+    if (crashes < minCrashes) return undefined;
+    if (nowMs < timesMs[minCrashes - 1] + settleMs) return undefined;
+    const lastAtMs = timesMs[crashes - 1];
+    const requestedAtMs = this.requestedAtMs.get(suspect) ?? lastAtMs;
+    if (nowMs - requestedAtMs > blockRetentionMs) return undefined;
+    const probesAtMs = [...accusation.probesAtMs.values()];
+    const startMs = Math.max(lastAtMs, ...probesAtMs);
+    if (isRequestKey(suspect)) {
+      const durationMs = computeRequestBlockMs(timesMs, probesAtMs);
+      return {crashes, endsAtMs: startMs + durationMs};
+    }
+    if (crashes >= maxProbedCrashes) {
+      return {crashes, endsAtMs: requestedAtMs + blockRetentionMs};
+    }
+    const durationMs = initialBlockMs * 2 ** (crashes - minCrashes);
+    return {crashes, endsAtMs: startMs + durationMs};
+  }
+
+  /**
+   * Returns the suspect that explains the most crashes. Among equals it is the
+   * last, which the fewest other requests share.
+   */
+  private findMainSuspect(id: number): number | undefined {
+    let main: number | undefined;
+    let most = 0;
+    for (const suspect of this.crashes.get(id)!.suspects) {
+      const count = this.accusations.get(suspect)!.timesMs.length;
+      if (count >= most) main = suspect;
+      most = Math.max(most, count);
+    }
+    return main;
+  }
+
+  /** Lists the times of the crashes that count against a suspect. */
+  private listTimes(suspect: number, ids: Iterable<number>): number[] {
+    const crashes = [...ids].map(id => this.crashes.get(id)!);
+    if (!isRequestKey(suspect)) {
+      return mergeTimes(crashes.map(({atMs}) => atMs));
+    }
+    const servers = new Set(crashes.map(({server}) => server));
+    const times = [...servers].flatMap(server =>
+      mergeTimes(
+        crashes.filter(crash => crash.server === server).map(c => c.atMs),
+      ),
+    );
+    return times.sort((a, b) => a - b);
+  }
+}
+
+/** A probe, and how long this router reports it. */
+interface ProbeState {
+  readonly suspect: number;
+  readonly atMs: number;
+  repeatUntilMs: number;
+}
+
+/**
+ * Returns the duration of a request's block. It grows with each probe that
+ * crashed a server; crashes of requests that were already on their way don't
+ * count.
+ */
+function computeRequestBlockMs(
+  crashesAtMs: readonly number[],
+  probesAtMs: readonly number[],
+): number {
+  const sorted = [...probesAtMs].sort((a, b) => a - b);
+  const failed = sorted.filter((atMs, index) => {
+    const nextAtMs = sorted[index + 1] ?? Infinity;
+    return crashesAtMs.some(time => time >= atMs && time < nextAtMs);
+  });
+  return failed.length < maxQuickProbes
+    ? initialRequestBlockMs * 2 ** failed.length
+    : blockRetentionMs;
+}
+
+function drawId(): number {
+  return Math.floor(Math.random() * idRange);
+}
+
+/** Sorts times and keeps the first of those that are close together. */
+function mergeTimes(timesMs: readonly number[]): number[] {
+  const merged: number[] = [];
+  for (const timeMs of [...timesMs].sort((a, b) => a - b)) {
+    const lastMs = merged.at(-1) ?? -Infinity;
+    if (timeMs - lastMs > crashMergeMs) merged.push(timeMs);
+  }
+  return merged;
+}
+
+function removeBefore(untilMs: Map<number, number>, nowMs: number): void {
+  for (const [key, endMs] of untilMs) {
+    if (endMs < nowMs) untilMs.delete(key);
+  }
+}
--- a/src/router/forwarderOptions.ts
+++ b/src/router/forwarderOptions.ts
@@ -2,10 +2,9 @@
 import type {Log} from '../node/log.js';
 import type {AnswerNotices} from './answerNotices.js';
 import type {BackendConnections} from './backendConnections.js';
-import type {CrashSuspects} from './crashSuspects.js';
+import type {CrashQuarantine} from './crashQuarantine.js';
 import type {IdleReuseSuspensions} from './forgetfulServices.js';
 import type {MessageCodec} from './messageCodec.js';
-import type {PoisonParts} from './poisonParts.js';
 import type {RetryBudgets} from './retryBudgets.js';
 import type {RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
@@ -22,8 +21,7 @@
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
-  readonly suspects: CrashSuspects;
-  readonly poisonParts: PoisonParts;
+  readonly quarantine: CrashQuarantine;
   readonly answerNotices: AnswerNotices;
   readonly idleReuse: IdleReuseSuspensions;
   readonly metrics: RouterMetrics;
--- a/src/router/offeredRouters.ts
+++ b/src/router/offeredRouters.ts
@@ -1,5 +1,5 @@
 /** Decisions that the routers that callers are sent to share among themselves. */
-import {pickByWeight} from '../node/rendezvous.js';
+import {sortByWeight} from '../node/rendezvous.js';
 import type {TurnPosition} from './serverLimits.js';
 
 /** A router's view of the routers that callers are sent to. */
@@ -31,15 +31,19 @@
 }
 
 /**
- * True at one of the routers, the same for all with the same view.
+ * True at some of the routers, the same for all with the same view.
  *
+ * @param count - number of such routers
  * @example
- * isChosen('part 7', {host: '10.0.0.2', isOffered: true, others: []}) === true
+ * const offered = {host: '10.0.0.2', isOffered: true, others: []};
+ * isAmongChosen('part 7', 1, offered) === true
  */
-export function isChosen(
+export function isAmongChosen(
   key: string,
+  count: number,
   {host, isOffered, others}: OfferedRouters,
 ): boolean {
   if (!isOffered) return false;
-  return pickByWeight(key, [host, ...others], other => other) === host;
+  const sorted = sortByWeight(key, [host, ...others], other => other);
+  return sorted.indexOf(host) < count;
 }
--- a/src/router/ownReportBuilder.ts
+++ b/src/router/ownReportBuilder.ts
@@ -1,6 +1,5 @@
 /** Builds the reports that this router sends about itself. */
-import type {CrashSuspects} from './crashSuspects.js';
-import type {PartEvidence, PoisonParts} from './poisonParts.js';
+import type {CrashEvidence, CrashQuarantine} from './crashQuarantine.js';
 import type {
   PeerIdentity,
   PeerReport,
@@ -16,9 +15,8 @@
 export interface OwnReportBuilderOptions {
   readonly reporter: ServerReporter;
   readonly selector: ServerSelector;
-  readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
-  readonly poisonParts: PoisonParts;
+  readonly quarantine: CrashQuarantine;
   readonly limits: ServerLimits;
   readonly getStatus: () => RouterStatus;
   readonly getVersions: () => StateVersions;
@@ -49,9 +47,9 @@
     return this.options.notices.listPending();
   }
 
-  /** Returns evidence against prompt parts; see `PoisonParts.listEvidence`. */
-  listPartEvidence(isFull: boolean): PartEvidence {
-    return this.options.poisonParts.listEvidence(isFull);
+  /** Returns evidence against suspects; see `CrashQuarantine.listEvidence`. */
+  listCrashEvidence(isFull: boolean): CrashEvidence {
+    return this.options.quarantine.listEvidence(isFull);
   }
 
   /** Returns limits of backend servers; see `ServerLimits.listReports`. */
@@ -71,13 +69,12 @@
    * @param isForRelay - the receiver relays the report to other routers
    */
   build(isForRelay: boolean, identity?: PeerIdentity): PeerReport {
-    const {reporter, selector, suspects} = this.options;
+    const {reporter, selector} = this.options;
     this.number += 1;
     return {
       ...this.buildHeader(isForRelay, identity),
       servers: identity ? reporter.listAll() : reporter.listChanges(),
       placements: selector.drainPlacements(),
-      suspects: suspects.drainChanged(),
     };
   }
 
@@ -91,14 +88,13 @@
       ...this.buildHeader(isForRelay, identity),
       servers: this.options.reporter.listCurrent(),
       placements: [],
-      suspects: [],
     };
   }
 
   private buildHeader(
     isForRelay: boolean,
     identity?: PeerIdentity,
-  ): Omit<PeerReport, 'servers' | 'placements' | 'suspects'> {
+  ): Omit<PeerReport, 'servers' | 'placements'> {
     const {incarnation, sequence, status, versions} = this;
     return {
       incarnation,
@@ -107,7 +103,7 @@
       status,
       ...versions,
       notices: this.listNotices(),
-      partEvidence: this.listPartEvidence(identity !== undefined),
+      crashEvidence: this.listCrashEvidence(identity !== undefined),
       limits: this.listLimits(identity !== undefined),
       identity,
     };
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -3,8 +3,6 @@
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
-import {computeCompactKey} from './compactKey.js';
-import type {CrashSuspects} from './crashSuspects.js';
 import {DatagramKind, decodeDatagram, encodeDatagram} from './datagramCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView, Peer} from './fleetView.js';
@@ -17,7 +15,7 @@
   type RouterEndpoints,
 } from './peerReport.js';
 import {PeerStateReader} from './peerStateReader.js';
-import type {PoisonParts} from './poisonParts.js';
+import type {CrashQuarantine} from './crashQuarantine.js';
 import type {PublishedStateReader} from './publishedState.js';
 import {RelaySelector} from './relaySelector.js';
 import {RelayAggregator, type RelaySelf} from './relayAggregator.js';
@@ -67,9 +65,8 @@
   readonly fleet: FleetView;
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
-  readonly suspects: CrashSuspects;
   readonly notices: SharedNotices;
-  readonly poisonParts: PoisonParts;
+  readonly quarantine: CrashQuarantine;
   readonly limits: ServerLimits;
   readonly reader: PublishedStateReader;
   readonly log: Log;
@@ -259,7 +256,7 @@
       else this.sendDatagram(host, bytes);
     }
     if (!this.tryStartHeartbeat() || resting.length === 0) return;
-    const heartbeat = {...report, servers: [], placements: [], suspects: []};
+    const heartbeat = {...report, servers: [], placements: []};
     const heartbeatBytes = encodeDatagram({
       kind: DatagramKind.Report,
       report: heartbeat,
@@ -307,10 +304,9 @@
       sequence,
       servers: own?.servers ?? [],
       placements: own?.placements ?? [],
-      suspects: own?.suspects ?? [],
       notices: reports.listNotices(),
       // Resting and new members get no other report with all evidence.
-      partEvidence: reports.listPartEvidence(true),
+      crashEvidence: reports.listCrashEvidence(true),
       limits: reports.listLimits(true),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
@@ -452,7 +448,7 @@
     host: string,
     signal: AbortSignal,
   ): void {
-    const {fleet, suspects, recordPlacement} = this.options;
+    const {fleet, recordPlacement} = this.options;
     const peer = fleet.record(host, report);
     const isUnknownMember = !report.identity && !this.aggregator.isMember(host);
     if (!peer || (report.isForRelay && isUnknownMember)) {
@@ -462,11 +458,8 @@
     for (const [part, server] of report.placements) {
       recordPlacement(part, server);
     }
-    for (const [fingerprint, breaks] of report.suspects) {
-      suspects.recordPeerBreaks(computeCompactKey(host), fingerprint, breaks);
-    }
     this.options.notices.recordPeer(report.notices, report.isForRelay);
-    this.options.poisonParts.recordPeer(report.partEvidence, report.isForRelay);
+    this.options.quarantine.recordPeer(report.crashEvidence, report.isForRelay);
     this.options.limits.recordPeer(report.limits, report.isForRelay);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
@@ -485,19 +478,14 @@
   }
 
   private receiveRelayReport(report: RelayReport, host: string): void {
-    const {fleet, suspects, recordPlacement, address} = this.options;
+    const {fleet, recordPlacement} = this.options;
     fleet.recordRelayReport(host, report);
     for (const [part, server] of report.placements) {
       recordPlacement(part, server);
     }
     this.options.notices.recordPeer(report.notices, false);
-    this.options.poisonParts.recordPeer(report.partEvidence, false);
+    this.options.quarantine.recordPeer(report.crashEvidence, false);
     this.options.limits.recordPeer(report.limits, false);
-    const ownKey = computeCompactKey(address);
-    for (const [router, fingerprint, breaks] of report.suspects) {
-      if (router === ownKey) continue;
-      suspects.recordPeerBreaks(router, fingerprint, breaks);
-    }
   }
 
   /**
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,6 +1,6 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
-import type {PartEvidence} from './poisonParts.js';
+import type {CrashEvidence} from './crashQuarantine.js';
 import type {ServerLimitReport} from './serverLimits.js';
 import {emptyBacklog} from './prefillBacklog.js';
 import {pauseWeightDenominator, type ServerLoad} from './serverLoad.js';
@@ -51,10 +51,14 @@
   z.number(),
   z.number(),
 ]);
-/** Rows of id, age and parts of a crash; then the acquitted parts. */
-export const partEvidenceSchema = z.tuple([
+/**
+ * Rows of id, age, server and suspects of a crash; then the acquitted suspects;
+ * then id, age and suspect of each probe.
+ */
+export const crashEvidenceSchema = z.tuple([
   z.array(z.array(z.number())),
   z.array(z.number()),
+  z.array(z.number()),
 ]);
 /** Rows of key, epoch, limit and age. */
 export const serverLimitsSchema = z.array(
@@ -69,8 +73,7 @@
   z.array(z.number()),
   z.array(z.number()),
   z.array(z.number()),
-  z.array(z.number()),
-  partEvidenceSchema,
+  crashEvidenceSchema,
   serverLimitsSchema,
   identitySchema.nullable(),
 ]);
@@ -126,13 +129,9 @@
    * Prompt parts and the engines recently selected for them, by compact key.
    */
   readonly placements: ReadonlyArray<readonly [part: number, server: number]>;
-  /** Fingerprints of requests, with the number of connections that broke. */
-  readonly suspects: ReadonlyArray<
-    readonly [fingerprint: number, breaks: number]
-  >;
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
-  readonly partEvidence: PartEvidence;
+  readonly crashEvidence: CrashEvidence;
   readonly limits: readonly ServerLimitReport[];
   /** Present only in full reports. */
   readonly identity?: PeerIdentity;
@@ -151,9 +150,8 @@
     listVersions(report),
     joinServerRows(report.servers),
     report.placements.flat(),
-    report.suspects.flat(),
     [...report.notices],
-    listEvidenceFields(report.partEvidence),
+    listEvidenceFields(report.crashEvidence),
     listLimitFields(report.limits),
     identity
       ? [
@@ -173,7 +171,7 @@
 export function readReportFields(
   fields: z.infer<typeof peerReportSchema>,
 ): PeerReport {
-  const identity = fields[11];
+  const identity = fields[10];
   return {
     incarnation: fields[0],
     sequence: fields[1],
@@ -182,10 +180,9 @@
     ...readVersions(fields[4]),
     servers: splitServerRows(fields[5]),
     placements: splitRows(fields[6], 2).map(row => [row[0], row[1]]),
-    suspects: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
-    notices: fields[8],
-    partEvidence: readEvidenceFields(fields[9]),
-    limits: readLimitFields(fields[10]),
+    notices: fields[7],
+    crashEvidence: readEvidenceFields(fields[8]),
+    limits: readLimitFields(fields[9]),
     identity: identity
       ? {
           vm: identity[0],
@@ -204,19 +201,29 @@
 export function listEvidenceFields({
   crashes,
   acquitted,
-}: PartEvidence): z.infer<typeof partEvidenceSchema> {
-  const rows = crashes.map(({id, ageMs, parts}) => [id, ageMs, ...parts]);
-  return [rows, [...acquitted]];
+  probes,
+}: CrashEvidence): z.infer<typeof crashEvidenceSchema> {
+  const rows = crashes.map(({id, ageMs, server, suspects}) => [
+    id,
+    ageMs,
+    server,
+    ...suspects,
+  ]);
+  const probeRows = probes.map(({id, ageMs, suspect}) => [id, ageMs, suspect]);
+  return [rows, [...acquitted], probeRows.flat()];
 }
 
-/** The reverse of `listEvidenceFields`; drops rows without parts. */
-export function readEvidenceFields([rows, acquitted]: z.infer<
-  typeof partEvidenceSchema
->): PartEvidence {
+/** The reverse of `listEvidenceFields`; drops rows without suspects. */
+export function readEvidenceFields([rows, acquitted, probeRows]: z.infer<
+  typeof crashEvidenceSchema
+>): CrashEvidence {
   const crashes = rows
     .filter(row => row.length > crashRowWidth)
-    .map(([id, ageMs, ...parts]) => ({id, ageMs, parts}));
-  return {crashes, acquitted};
+    .map(([id, ageMs, server, ...suspects]) => ({id, ageMs, server, suspects}));
+  const probes = splitRows(probeRows, probeRowWidth).map(
+    ([id, ageMs, suspect]) => ({id, ageMs, suspect}),
+  );
+  return {crashes, acquitted, probes};
 }
 
 /** Lists limits in the order of the schema. */
@@ -267,8 +274,10 @@
   };
 }
 
-/** Numbers of a crash's row before its parts. */
-const crashRowWidth = 2;
+/** Numbers of a crash's row before its suspects. */
+const crashRowWidth = 3;
+/** Numbers of a probe's row. */
+const probeRowWidth = 3;
 /** Numbers of a server's row before its backlog. */
 const serverRowWidth = 7;
 
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -38,9 +38,8 @@
   readonly sequence: number;
   readonly servers: readonly ServerReport[];
   readonly placements: PeerReport['placements'];
-  readonly suspects: PeerReport['suspects'];
   readonly notices: PeerReport['notices'];
-  readonly partEvidence: PeerReport['partEvidence'];
+  readonly crashEvidence: PeerReport['crashEvidence'];
   readonly limits: PeerReport['limits'];
   /** Number of routers that it knows, including itself. */
   readonly routers: number;
@@ -59,7 +58,6 @@
   private readonly reportedHosts = new Set<string>();
   private readonly changedHosts = new Set<string>();
   private placements: Array<readonly [number, number]> = [];
-  private suspects: Array<readonly [number, number, number]> = [];
   private otherRelayDatagrams: Array<[string, Uint8Array]> = [];
 
   /** True if a full report of the router was received. */
@@ -121,10 +119,6 @@
     if (identity) this.sums.replace(host, servers);
     else this.sums.update(host, servers);
     this.placements.push(...report.placements);
-    const key = computeCompactKey(host);
-    for (const [fingerprint, breaks] of report.suspects) {
-      this.suspects.push([key, fingerprint, breaks]);
-    }
     if (isChanged) this.changedHosts.add(host);
     return isChanged;
   }
@@ -159,7 +153,6 @@
     this.reportedHosts.clear();
     this.changedHosts.clear();
     this.placements = [];
-    this.suspects = [];
     return report;
   }
 
@@ -197,7 +190,7 @@
     states: readonly MemberState[],
   ): Omit<RelayReport, 'isFull' | 'servers' | 'members'> {
     const key = computeCompactKey(self.member.host);
-    const {incarnation, versions, routers, notices, partEvidence, limits} =
+    const {incarnation, versions, routers, notices, crashEvidence, limits} =
       self;
     return {
       incarnation,
@@ -216,18 +209,8 @@
         ]),
       ],
       placements: [...this.placements, ...self.placements],
-      suspects: [
-        ...this.suspects,
-        ...self.suspects.map(
-          ([fingerprint, breaks]): [number, number, number] => [
-            key,
-            fingerprint,
-            breaks,
-          ],
-        ),
-      ],
       notices,
-      partEvidence,
+      crashEvidence,
       limits,
     };
   }
@@ -250,7 +233,7 @@
     isFull: boolean,
   ): RelayReport {
     const {member, incarnation, versions, routers} = self;
-    const {notices, partEvidence, limits} = self;
+    const {notices, crashEvidence, limits} = self;
     const listed = [...alive, member];
     return {
       incarnation,
@@ -261,9 +244,8 @@
       servers: [],
       sequences: listed.map(({host}) => [computeCompactKey(host), 0]),
       placements: [],
-      suspects: [],
       notices,
-      partEvidence,
+      crashEvidence,
       limits,
       members: isFull ? listed : [],
     };
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -8,7 +8,7 @@
   listEvidenceFields,
   listLimitFields,
   listVersions,
-  partEvidenceSchema,
+  crashEvidenceSchema,
   readEvidenceFields,
   readLimitFields,
   readVersions,
@@ -22,7 +22,7 @@
   type ServerReport,
   type StateVersions,
 } from './peerReport.js';
-import type {PartEvidence} from './poisonParts.js';
+import type {CrashEvidence} from './crashQuarantine.js';
 import type {ServerLimitReport} from './serverLimits.js';
 
 /** A router as listed in relay reports and rosters. */
@@ -51,16 +51,9 @@
    * Prompt parts and the engines recently selected for them, by compact key.
    */
   readonly placements: ReadonlyArray<readonly [part: number, server: number]>;
-  /**
-   * Compact keys of routers, fingerprints of requests, and the number of
-   * connections that broke.
-   */
-  readonly suspects: ReadonlyArray<
-    readonly [router: number, fingerprint: number, breaks: number]
-  >;
   /** Compact keys; see `SharedNotices`. */
   readonly notices: readonly number[];
-  readonly partEvidence: PartEvidence;
+  readonly crashEvidence: CrashEvidence;
   readonly limits: readonly ServerLimitReport[];
   /** New and changed members; all members in a full report. */
   readonly members: readonly FleetMember[];
@@ -88,8 +81,7 @@
   z.array(z.number()),
   z.array(z.number()),
   z.array(z.number()),
-  z.array(z.number()),
-  partEvidenceSchema,
+  crashEvidenceSchema,
   serverLimitsSchema,
   rosterSchema,
 ]);
@@ -137,9 +129,8 @@
     joinServerRows(report.servers),
     report.sequences.flat(),
     report.placements.flat(),
-    report.suspects.flat(),
     [...report.notices],
-    listEvidenceFields(report.partEvidence),
+    listEvidenceFields(report.crashEvidence),
     listLimitFields(report.limits),
     listMemberFields(report.members),
   ];
@@ -158,11 +149,10 @@
     servers: splitServerRows(fields[5]),
     sequences: splitRows(fields[6], 2).map(row => [row[0], row[1]]),
     placements: splitRows(fields[7], 2).map(row => [row[0], row[1]]),
-    suspects: splitRows(fields[8], 3).map(row => [row[0], row[1], row[2]]),
-    notices: fields[9],
-    partEvidence: readEvidenceFields(fields[10]),
-    limits: readLimitFields(fields[11]),
-    members: readMemberFields(fields[12]),
+    notices: fields[8],
+    crashEvidence: readEvidenceFields(fields[9]),
+    limits: readLimitFields(fields[10]),
+    members: readMemberFields(fields[11]),
   };
 }
 
@@ -170,9 +160,8 @@
 export function hasUpdates({
   servers,
   placements,
-  suspects,
   notices,
 }: PeerReport | RelayReport): boolean {
-  const lists = [servers, placements, suspects, notices];
+  const lists = [servers, placements, notices];
   return lists.some(list => list.length > 0);
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -12,14 +12,13 @@
   type AttemptResult,
   type StreamListener,
 } from './backendAttempt.js';
-import {computeFingerprint} from './crashSuspects.js';
+import {VerdictKind, type Verdict} from './crashQuarantine.js';
 import {computeCompactKey} from './compactKey.js';
 import {chooseReusePolicy, isStaleConnection} from './connectionReuse.js';
 import {formatProcess, RouteKind} from './deployment.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestForwarderOptions} from './forwarderOptions.js';
 import {computeLimitWaitMs} from './limitWait.js';
-import {PartVerdictKind} from './poisonParts.js';
 import {
   AdmissionDecision,
   computeCallerTimeoutMs,
@@ -27,6 +26,7 @@
   recheckIntervalMs,
 } from './promptAdmission.js';
 import {RequestLog} from './requestLog.js';
+import {computeRequestKey, isRequestKey} from './requestKey.js';
 import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause} from './routerMetrics.js';
 import type {LoadTicket} from './serverLoads.js';
@@ -46,8 +46,11 @@
 const finalFailureCostMs = 600;
 /** Answers with this status or a higher one count as server failures. */
 const minServerErrorStatus = 500;
-/** Retry delay for the caller of a request that broke connections. */
-const suspectRetryAfterMs = 4_000;
+/**
+ * Time after a lost connection in which answers may arrive that the server had
+ * sent before, in milliseconds.
+ */
+const bufferedAnswerMs = 50;
 
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
@@ -64,7 +67,7 @@
   private readonly deadlineMs: number;
   private readonly deadlineAtMs: number;
   private readonly isRetryable: boolean;
-  private readonly fingerprint: number;
+  private readonly requestKey: number;
   /** Compact keys of the prompt's parts without the request's own, the last. */
   private readonly sharedParts: readonly number[];
   /** Servers at which an attempt failed; selected again as a last resort. */
@@ -74,6 +77,8 @@
   private readonly budget: RequestBudget;
   /** Failed attempts that may have run. */
   private runs = 0;
+  /** True once this request tests whether a suspect crashes servers. */
+  private isProbe = false;
   /** Id of the last event that was sent to the caller. */
   private lastEventId: number | undefined;
   /** Selection of the current attempt. */
@@ -105,36 +110,26 @@
       .slice(0, -1)
       .map(({id}) => computeCompactKey(id));
     const path = exchange.incoming.url ?? '';
-    this.fingerprint = computeFingerprint(path, customer, body);
+    this.requestKey = computeRequestKey(path, customer, body);
     this.budget = options.budgets.get(request.service);
     this.budget.refill();
   }
 
   async run(): Promise<void> {
     const {exchange} = this.request;
-    if (this.options.suspects.isBlocked(this.fingerprint)) {
-      this.refuse(
-        new Refusal(
-          RefusalReason.NoBackendServer,
-          Outcome.NotRun,
-          'connections broke each time a backend server ran the request',
-          {retryAfterMs: suspectRetryAfterMs},
-        ),
-      );
-      return;
-    }
     for (;;) {
       if (exchange.signal.aborted) {
         this.log.recordCallerGone();
         return;
       }
-      const verdict = this.options.poisonParts.check(this.sharedParts);
-      if (verdict.kind === PartVerdictKind.Blocked) {
-        const {crashes, retryAfterMs} = verdict;
-        this.failUnsent(
-          `a part of the prompt crashed ${crashes} backend servers`,
-          retryAfterMs,
-        );
+      const verdict = this.checkQuarantine();
+      if (verdict.kind === VerdictKind.Blocked) {
+        const {suspect, crashes, retryAfterMs} = verdict;
+        const what = isRequestKey(suspect)
+          ? 'the request'
+          : 'a part of the prompt';
+        const message = `${what} crashed ${crashes} backend servers`;
+        this.failUnsent(message, retryAfterMs);
         return;
       }
       const selection = this.select();
@@ -153,14 +148,23 @@
         await waitFor(delayMs, exchange.signal);
         continue;
       }
-      if (verdict.kind === PartVerdictKind.Probe) {
-        this.options.poisonParts.recordProbe(verdict.part);
+      if (verdict.kind === VerdictKind.Probe) {
+        this.isProbe = true;
+        this.options.quarantine.recordProbe(verdict.suspect);
+        this.log.recordEvent('probing a suspect', selection, verdict.suspect);
       }
       const result = await this.send(selection);
       if (this.settle(selection, result)) return;
     }
   }
 
+  /** A probe goes on until a server runs it. */
+  private checkQuarantine(): Verdict {
+    return this.isProbe
+      ? {kind: VerdictKind.Clear}
+      : this.options.quarantine.check([...this.sharedParts, this.requestKey]);
+  }
+
   receiveHead(status: number, headers: string[]): void {
     const {exchange} = this.request;
     if (!exchange.isHeadSent) exchange.startStream(status, headers);
@@ -182,7 +186,7 @@
 
   private recordFirstEvent(): void {
     this.hasEvents = true;
-    this.options.poisonParts.recordStart(this.sharedParts);
+    this.options.quarantine.recordStart(this.sharedParts);
     this.ticket?.finishPrefill();
     this.options.selector.recordFirstEvent(
       this.selection!,
@@ -336,6 +340,7 @@
   private canRetry(): boolean {
     return (
       this.isRetryable &&
+      !this.isProbe &&
       this.runs + 1 < this.request.route.maxServers &&
       this.remainingMs > minRemainingMs &&
       this.budget.describe() >= 1
@@ -348,12 +353,14 @@
    */
   private settle(selection: Selection, result: AttemptResult): boolean {
     const {exchange, service} = this.request;
-    const {outcomes, selector, directory, suspects, metrics} = this.options;
+    const {outcomes, selector, directory, quarantine, metrics} = this.options;
     const {id} = selection.server;
-    const isAnswered =
-      result.kind === AttemptKind.Answered ||
-      result.kind === AttemptKind.Streamed;
-    if (isAnswered) suspects.removeSuspect(this.fingerprint);
+    // A faulty server may answer with an error what crashes the others.
+    const isInnocent =
+      result.kind === AttemptKind.Streamed ||
+      (result.kind === AttemptKind.Answered &&
+        result.status < minServerErrorStatus);
+    if (isInnocent) quarantine.recordAnswer(this.requestKey);
     if (exchange.signal.aborted) {
       this.log.recordEvent('caller gone', selection);
       return true;
@@ -426,15 +433,9 @@
           );
         } else {
           outcomes.recordFailure(id);
-          if (!(result.error instanceof DeadlineError)) {
-            suspects.recordBreak(this.fingerprint);
-          }
         }
-        if (result.isConnectionLost && !this.hasEvents) {
-          const lostAtMs = performance.now();
-          this.options.poisonParts.suspectCrash(this.sharedParts, () =>
-            outcomes.hasEventSince(id, lostAtMs),
-          );
+        if (!(result.error instanceof DeadlineError)) {
+          this.suspectCrash(id, result.isConnectionLost);
         }
         if (this.retry(selection, result.error.message)) return false;
         this.fail(selection, result.error);
@@ -444,6 +445,19 @@
     }
   }
 
+  private suspectCrash(serverId: string, isConnectionLost: boolean): void {
+    const {outcomes, quarantine} = this.options;
+    const sinceMs = performance.now() + bufferedAnswerMs;
+    const lost = {
+      parts: isConnectionLost && !this.hasEvents ? this.sharedParts : [],
+      request: this.requestKey,
+      server: computeCompactKey(serverId),
+    };
+    quarantine.suspectCrash(lost, () =>
+      outcomes.hasAnsweredSince(serverId, sinceMs),
+    );
+  }
+
   private retry(selection: Selection, cause: string): boolean {
     if (!this.canRetry()) {
       this.runs += 1;
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -8,18 +8,22 @@
 import {computeCompactKey} from './compactKey.js';
 import {BackendConnections} from './backendConnections.js';
 import {ControlServers} from './controlServers.js';
-import {CrashSuspects} from './crashSuspects.js';
+import {CrashQuarantine} from './crashQuarantine.js';
+import {isRequestKey} from './requestKey.js';
 import {formatProcess} from './deployment.js';
 import {DeploymentStore} from './deploymentStore.js';
 import {FleetView} from './fleetView.js';
 import {IdleReuseSuspensions} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
 import type {MessageCodec} from './messageCodec.js';
-import {findPosition, isChosen, type OfferedRouters} from './offeredRouters.js';
+import {
+  findPosition,
+  isAmongChosen,
+  type OfferedRouters,
+} from './offeredRouters.js';
 import {PeerExchange} from './peerExchange.js';
 import {OwnReportBuilder} from './ownReportBuilder.js';
 import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
-import {PoisonParts} from './poisonParts.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
 import type {PublishedStateReader} from './publishedState.js';
 import {computeReadRank} from './readOrder.js';
@@ -80,10 +84,10 @@
   private readonly outcomes = new ServerOutcomes();
   private readonly fleet: FleetView;
   private readonly prompts = new PrefixCacheDirectory();
-  private readonly suspects = new CrashSuspects();
-  private readonly poisonParts = new PoisonParts({
+  private readonly quarantine = new CrashQuarantine({
     announce: () => this.exchange.announce(),
-    isProber: part => isChosen(String(part), this.findOffered()),
+    isProber: (suspect, count) =>
+      isAmongChosen(String(suspect), count, this.findOffered()),
   });
   private readonly limits = new ServerLimits({
     announce: () => this.exchange.announce(),
@@ -119,8 +123,8 @@
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
     this.fleet = new FleetView(address);
-    const {directory, loads, outcomes, fleet, prompts, suspects} = this;
-    const {metrics, connections, deployments, log, notices, poisonParts} = this;
+    const {directory, loads, outcomes, fleet, prompts} = this;
+    const {metrics, connections, deployments, log, notices, quarantine} = this;
     const {limits} = this;
     const {codec, reader} = platform;
     this.idleReuse = new IdleReuseSuspensions(
@@ -141,9 +145,8 @@
     const reports = new OwnReportBuilder({
       reporter: new ServerReporter(directory, loads, outcomes),
       selector: this.selector,
-      suspects,
       notices,
-      poisonParts,
+      quarantine,
       limits,
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
@@ -163,9 +166,8 @@
       fleet,
       deployments,
       servers: directory,
-      suspects,
       notices,
-      poisonParts,
+      quarantine,
       limits,
       reader,
       log,
@@ -182,8 +184,7 @@
       loads,
       outcomes,
       limits,
-      suspects,
-      poisonParts,
+      quarantine,
       answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
       metrics,
@@ -280,7 +281,11 @@
         const perSecond = this.limits.getPerSecond(computeLimitKey(server));
         return perSecond === undefined ? [] : [{id: server.id, perSecond}];
       }),
-      blockedPromptParts: this.poisonParts.listBlocked(),
+      quarantine: this.quarantine.listBlocked().map(([key, crashes]) => ({
+        kind: isRequestKey(key) ? 'request' : 'promptPart',
+        key,
+        crashes,
+      })),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
--- a/src/router/serverOutcomes.ts
+++ b/src/router/serverOutcomes.ts
@@ -24,6 +24,7 @@
   unwillingUntilMs: number;
   backoffUntilMs: number;
   lastEventAtMs: number;
+  answeredAtMs: number;
   slowness: number;
   slownessAtMs: number;
 }
@@ -33,7 +34,9 @@
   private readonly servers = new Map<string, Outcomes>();
 
   recordAnswer(serverId: string): void {
-    this.decay(serverId).answers += 1;
+    const outcomes = this.decay(serverId);
+    outcomes.answers += 1;
+    outcomes.answeredAtMs = performance.now();
   }
 
   recordFailure(serverId: string): void {
@@ -90,10 +93,15 @@
     return performance.now() - lastEventAtMs < recentEventMs;
   }
 
-  /** @param sinceMs - `performance.now()` of an earlier moment */
-  hasEventSince(serverId: string, sinceMs: number): boolean {
-    const lastEventAtMs = this.servers.get(serverId)?.lastEventAtMs;
-    return lastEventAtMs !== undefined && lastEventAtMs > sinceMs;
+  /**
+   * True if the server has sent an answer or an event of a stream since.
+   *
+   * @param sinceMs - `performance.now()` of an earlier moment
+   */
+  hasAnsweredSince(serverId: string, sinceMs: number): boolean {
+    const outcomes = this.servers.get(serverId);
+    if (!outcomes) return false;
+    return Math.max(outcomes.lastEventAtMs, outcomes.answeredAtMs) > sinceMs;
   }
 
   isUnwilling(serverId: string): boolean {
@@ -128,6 +136,7 @@
         unwillingUntilMs: 0,
         backoffUntilMs: 0,
         lastEventAtMs: -Infinity,
+        answeredAtMs: -Infinity,
         slowness: 0,
         slownessAtMs: -Infinity,
       };
