--- a/tests/router/crashQuarantine.test.ts
+++ b/tests/router/crashQuarantine.test.ts
@@ -259,7 +259,8 @@
     let sends = 0;
     for (let timeMs = 0; timeMs < 500_000; timeMs += 250) {
       clock.tick(250);
-      if (timeMs % 20_000 === 10_000) fleet[Math.floor(timeMs / 20_000) % 12] = create();
+      if (timeMs % 20_000 === 10_000)
+        fleet[Math.floor(timeMs / 20_000) % 12] = create();
       for (const sender of fleet) {
         const evidence = sender.listEvidence(timeMs % 1_000 === 0);
         for (const router of fleet) {
