Add the failing tests of a platform that comes back from an old copy

Cause: not named yet; the postmortem has the timeline and two hypotheses. The test tells them apart, so that no log line is added first.

--- a/tests/router/fakePublishedState.ts
+++ b/tests/router/fakePublishedState.ts
@@ -2,6 +2,7 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {waitFor} from '../../src/node/delay.js';
 import {PlatformError} from '../../src/protocol/errors.js';
+import {HistoryLostError} from '../../src/router/publishedState.js';
 import type {BackendServer, Deployment} from '../../src/router/deployment.js';
 import type {
   DeploymentChange,
@@ -26,6 +27,7 @@
   /** Includes those after a watch. */
   deploymentReads = 0;
   private revision = 1;
+  private epoch = 1;
 
   /** Opens a reader whose calls can be made to fail by its name. */
   openReader(name: string): PublishedStateReader {
@@ -70,14 +72,28 @@
     this.revision += 1;
   }
 
+  /** Raises the revision as writes that change nothing do. */
+  writeHeartbeats(count: number): void {
+    this.revision += count;
+  }
+
+  /** Returns to an old copy, whose revisions are given out again. */
+  resetTo(copy: {servers: BackendServer[]; deployment: Deployment}): void {
+    this.servers = copy.servers;
+    this.deployment = copy.deployment;
+    this.revision = 1;
+    this.epoch += 1;
+  }
+
   readDeployment(
     _signal: AbortSignal,
   ): ResultAsync<DeploymentChange, PlatformError> {
     this.deploymentReads += 1;
-    const {deployment, revision} = this;
-    if (!deployment) return okAsync({revision});
+    const {deployment, revision, epoch} = this;
+    if (!deployment) return okAsync({revision, epoch});
     const document = JSON.stringify(deployment);
-    return okAsync({published: {deployment, document}, revision});
+    const published = {deployment, document};
+    return okAsync({published, revision, epoch});
   }
 
   watchDeployment(
@@ -92,6 +108,9 @@
         () => errAsync(new PlatformError('no answer (injected fault)')),
       );
     }
+    if (after > this.revision) {
+      return errAsync(new HistoryLostError('revision lost (injected fault)'));
+    }
     const wait = async () => {
       const endsAtMs = performance.now() + waitMs;
       while (this.revision <= after && performance.now() < endsAtMs) {
@@ -108,8 +127,8 @@
     this.serverReads += 1;
     this.calls.reads += 1;
     this.revision += 1;
-    const {servers, revision} = this;
-    return okAsync({servers, revision});
+    const {servers, revision, epoch} = this;
+    return okAsync({servers, revision, epoch});
   }
 
   decodeDeployment(document: string): Deployment | undefined {
