Follow a platform that is restored from an old copy

Cause: the router took a number that the platform publishes, the revision, for one that only rises. A restored store starts from a lower one, so that each view was dropped as outdated. Its age grew, every router took the read for overdue and read again after 5 ms, until the revisions had passed the old one. Meanwhile the fleet knew nothing new of its servers. Class: what trusts that a published number only rises.

Ruled out: the watch of the deployment.

--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -50,6 +50,7 @@
   z.number(),
   z.number(),
   z.number(),
+  z.number(),
 ]);
 /**
  * Rows of id, age, server and suspects of a crash; then the acquitted suspects;
@@ -106,6 +107,8 @@
 /** Versions and age of the published state that a router has. */
 export interface StateVersions {
   readonly deploymentVersion: number;
+  /** See `PublishedPosition`. */
+  readonly serversEpoch: number;
   readonly serversRevision: number;
   readonly serversDigest: number;
   /** Age of the view of backend servers, in milliseconds; -1 without one. */
@@ -256,6 +259,7 @@
 ): z.infer<typeof versionsSchema> {
   return [
     versions.deploymentVersion,
+    versions.serversEpoch,
     versions.serversRevision,
     versions.serversDigest,
     versions.serversAgeMs,
@@ -268,9 +272,10 @@
 ): StateVersions {
   return {
     deploymentVersion: fields[0],
-    serversRevision: fields[1],
-    serversDigest: fields[2],
-    serversAgeMs: fields[3],
+    serversEpoch: fields[1],
+    serversRevision: fields[2],
+    serversDigest: fields[3],
+    serversAgeMs: fields[4],
   };
 }
 
--- a/src/router/peerStateReader.ts
+++ b/src/router/peerStateReader.ts
@@ -7,7 +7,7 @@
 import {ServerState, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {StateVersions} from './peerReport.js';
-import type {PublishedStateReader} from './publishedState.js';
+import {isBefore, type PublishedStateReader} from './publishedState.js';
 import type {ServerDirectory} from './serverDirectory.js';
 
 /** Paths of the published state at each router. */
@@ -25,6 +25,7 @@
 const patienceMs = 400;
 
 const serversSchema = z.object({
+  epoch: z.number(),
   revision: z.number(),
   ageMs: z.number(),
   servers: z.array(
@@ -88,12 +89,13 @@
       this.pull(PeerPath.Deployment, peer, signal);
     }
     if (versions.serversAgeMs < 0) return;
-    if (versions.serversRevision < servers.revision) return;
+    const position = {
+      epoch: versions.serversEpoch,
+      revision: versions.serversRevision,
+    };
+    if (isBefore(position, servers.position)) return;
     if (versions.serversDigest === servers.digest) {
-      servers.updateFreshnessFromPeer(
-        versions.serversRevision,
-        versions.serversAgeMs,
-      );
+      servers.updateFreshnessFromPeer(position, versions.serversAgeMs);
     } else {
       this.pull(PeerPath.Servers, peer, signal);
     }
--- a/src/router/publishedState.ts
+++ b/src/router/publishedState.ts
@@ -3,6 +3,31 @@
 import {PlatformError} from '../protocol/errors.js';
 import type {BackendServer, Deployment} from './deployment.js';
 
+/**
+ * A state of what the platform publishes. When the platform is restored from an
+ * old copy, its epoch rises, and revisions go back and are given out again.
+ */
+export interface PublishedPosition {
+  readonly epoch: number;
+  /** Grows with each change within an epoch. */
+  readonly revision: number;
+}
+
+/**
+ * True if a position is older than another.
+ *
+ * @example
+ * isBefore({epoch: 1, revision: 900}, {epoch: 2, revision: 40}) === true
+ */
+export function isBefore(
+  position: PublishedPosition,
+  other: PublishedPosition,
+): boolean {
+  return position.epoch === other.epoch
+    ? position.revision < other.revision
+    : position.epoch < other.epoch;
+}
+
 /** The platform no longer has the history since the requested revision. */
 export class HistoryLostError extends PlatformError {}
 
@@ -16,16 +41,12 @@
  * Answer of a read or watch; without a deployment if there is none, or if
  * nothing changed within the wait.
  */
-export interface DeploymentChange {
+export interface DeploymentChange extends PublishedPosition {
   readonly published?: PublishedDeployment;
-  /** Revision from which the next watch continues. */
-  readonly revision: number;
 }
 
-export interface PublishedServers {
+export interface PublishedServers extends PublishedPosition {
   readonly servers: readonly BackendServer[];
-  /** Grows with each change of what the platform publishes. */
-  readonly revision: number;
 }
 
 /** Numbers of calls to the platform since the start of the process. */
@@ -41,7 +62,11 @@
   readDeployment(
     signal: AbortSignal,
   ): ResultAsync<DeploymentChange, PlatformError>;
-  /** Waits for a newer deployment for at most `waitMs`. */
+  /**
+   * Waits for a newer deployment for at most `waitMs`.
+   *
+   * @param after - revision from which the watch continues
+   */
   watchDeployment(
     after: number,
     waitMs: number,
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -265,7 +265,7 @@
       status: RouterStatus[this.status],
       deployment: deployments.version,
       servers: {
-        revision: directory.revision,
+        ...directory.position,
         ageMs: Math.round(directory.measureAgeMs()),
         usable: [...directory.listAll()].map(server => ({
           id: server.id,
@@ -432,7 +432,8 @@
         reads: calls.reads,
         watches: calls.watches,
         failedCalls: calls.failed,
-        serversRevision: this.directory.revision,
+        serversEpoch: this.directory.position.epoch,
+        serversRevision: this.directory.position.revision,
         reports: this.exchange.counts.sent,
         reportBytes: this.exchange.counts.sentBytes,
         pulls: this.exchange.pulls,
@@ -485,9 +486,11 @@
 
   private describeVersions(): StateVersions {
     const ageMs = this.directory.measureAgeMs();
+    const {position} = this.directory;
     return {
       deploymentVersion: this.deployments.version,
-      serversRevision: this.directory.revision,
+      serversEpoch: position.epoch,
+      serversRevision: position.revision,
       serversDigest: this.directory.digest,
       serversAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
     };
--- a/src/router/serverDirectory.ts
+++ b/src/router/serverDirectory.ts
@@ -2,6 +2,11 @@
 import {h32} from '../node/hashFunctions.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, ServerState, type BackendServer} from './deployment.js';
+import {
+  isBefore,
+  type PublishedPosition,
+  type PublishedServers,
+} from './publishedState.js';
 
 /**
  * A gap between views longer than this counts as an outage of the platform, in
@@ -15,11 +20,17 @@
  */
 const reregistrationPeriodMs = 2_300;
 
-/** All registered backend servers at one revision. */
-export interface ServerView {
-  readonly servers: readonly BackendServer[];
-  readonly revision: number;
-}
+/**
+ * Time after a restore of the platform in which servers that had left may still
+ * be listed by the old copy, in milliseconds: three heartbeats until a
+ * registration expires, and the time in which live servers register again.
+ */
+const restoredPeriodMs = 6_000;
+/** Old copies are some seconds old; a departure is remembered this long. */
+const departureRetentionMs = 120_000;
+
+/** All registered backend servers at one position. */
+export type ServerView = PublishedServers;
 
 /**
  * A peer's view must have been read at least this much later to count as
@@ -34,20 +45,28 @@
 
 /** Keeps the latest view and its age. */
 export class ServerDirectory {
-  private view: ServerView = {servers: [], revision: 0};
+  private view: ServerView = {servers: [], epoch: 0, revision: 0};
   private viewDigest = 0;
   private freshAtMs = -Infinity;
   private reregistrationEndsAtMs = -Infinity;
-  /** True while servers are kept that are missing from the view. */
-  private hasRetained = false;
+  private restoredUntilMs = -Infinity;
+  /**
+   * True while servers are kept that are missing from the view, or not used
+   * although it lists them.
+   */
+  private hasExceptions = false;
+  /** Times at which processes were seen to leave, by compact key. */
+  private readonly departedAtMs = new Map<number, number>();
   private readonly usable = new Map<string, BackendServer>();
   private usableByKey = new Map<number, BackendServer>();
   /** Compact keys of processes that are no longer used, oldest first. */
   private readonly removedProcesses = new Set<number>();
   private usableByService = new Map<string, BackendServer[]>();
 
-  get revision(): number {
-    return this.view.revision;
+  /** Position of the newest view that was read. */
+  get position(): PublishedPosition {
+    const {epoch, revision} = this.view;
+    return {epoch, revision};
   }
 
   /** Changes with the servers and their states, not with their heartbeats. */
@@ -67,21 +86,22 @@
 
   /** Applies a view read `ageMs` ago; returns whether servers changed. */
   apply(view: ServerView, ageMs: number): boolean {
-    if (view.revision < this.view.revision) return false;
+    if (isBefore(view, this.view)) return false;
     const digest = computeDigest(view.servers);
-    this.updateFreshness(view.revision, ageMs);
+    this.updateFreshness(view, ageMs);
     this.view = view;
-    if (digest === this.viewDigest && !this.isReregistering()) return false;
+    const isSettled = !this.isReregistering() && !this.isRestored();
+    if (digest === this.viewDigest && isSettled) return false;
     this.viewDigest = digest;
     this.rebuild();
     return true;
   }
 
   /** Notes that a peer read the same servers `ageMs` ago. */
-  updateFreshnessFromPeer(revision: number, ageMs: number): void {
+  updateFreshnessFromPeer(position: PublishedPosition, ageMs: number): void {
     const gainMs = this.measureAgeMs() - ageMs;
-    if (revision > this.view.revision || gainMs >= minFreshnessGainMs) {
-      this.updateFreshness(revision, ageMs);
+    if (isBefore(this.view, position) || gainMs >= minFreshnessGainMs) {
+      this.updateFreshness(position, ageMs);
     }
   }
 
@@ -123,18 +143,29 @@
   }
 
   /**
-   * Notes that the platform was read `ageMs` ago. Detects the end of an outage.
+   * Notes that the platform was read `ageMs` ago. Detects the end of an outage
+   * and a restore.
    */
-  private updateFreshness(revision: number, ageMs: number): void {
+  private updateFreshness(position: PublishedPosition, ageMs: number): void {
     const nowMs = performance.now();
     const readAtMs = nowMs - ageMs;
     const gapMs = readAtMs - this.freshAtMs;
-    if (gapMs > outageThresholdMs && this.usable.size > 0) {
+    const isRestore = position.epoch > this.view.epoch;
+    if ((gapMs > outageThresholdMs || isRestore) && this.usable.size > 0) {
       this.reregistrationEndsAtMs = nowMs + reregistrationPeriodMs;
     }
+    if (isRestore) this.restoredUntilMs = nowMs + restoredPeriodMs;
     this.freshAtMs = Math.max(this.freshAtMs, readAtMs);
-    if (revision > this.view.revision) this.view = {...this.view, revision};
-    if (this.hasRetained && !this.isReregistering()) this.rebuild();
+    if (isBefore(this.view, position)) {
+      const {epoch, revision} = position;
+      this.view = {...this.view, epoch, revision};
+    }
+    const isSettled = !this.isReregistering() && !this.isRestored();
+    if (this.hasExceptions && isSettled) this.rebuild();
+  }
+
+  private isRestored(): boolean {
+    return performance.now() < this.restoredUntilMs;
   }
 
   private isReregistering(): boolean {
@@ -142,19 +173,27 @@
   }
 
   private rebuild(): void {
-    this.hasRetained = false;
+    this.hasExceptions = false;
     const published = new Map(this.view.servers.map(s => [s.id, s]));
-    for (const id of this.usable.keys()) {
+    for (const [id, server] of this.usable) {
       const isMissing = !published.has(id);
       if (isMissing && this.isReregistering()) {
-        this.hasRetained = true;
+        this.hasExceptions = true;
         continue;
       }
+      if (isMissing) this.recordDeparture(server);
       this.usable.delete(id);
     }
     for (const server of published.values()) {
-      if (server.state !== ServerState.Ready) this.usable.delete(server.id);
-      else this.usable.set(server.id, server);
+      if (server.state !== ServerState.Ready) {
+        this.recordDeparture(server);
+        this.usable.delete(server.id);
+      } else if (this.isRestored() && this.hasDeparted(server)) {
+        this.hasExceptions = true;
+      } else {
+        this.departedAtMs.delete(computeCompactKey(formatProcess(server)));
+        this.usable.set(server.id, server);
+      }
     }
     for (const server of this.usable.values()) {
       if (!this.removedProcesses.has(computeCompactKey(formatProcess(server))))
@@ -170,6 +209,21 @@
       this.usableByService.set(server.service, servers);
     }
   }
+
+  private hasDeparted(server: BackendServer): boolean {
+    return this.departedAtMs.has(computeCompactKey(formatProcess(server)));
+  }
+
+  private recordDeparture(server: BackendServer): void {
+    const nowMs = performance.now();
+    const key = computeCompactKey(formatProcess(server));
+    this.departedAtMs.delete(key);
+    this.departedAtMs.set(key, nowMs);
+    for (const [oldest, atMs] of this.departedAtMs) {
+      if (nowMs - atMs < departureRetentionMs) break;
+      this.departedAtMs.delete(oldest);
+    }
+  }
 }
 
 function computeDigest(servers: readonly BackendServer[]): number {
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -10,6 +10,7 @@
 import {
   HistoryLostError,
   type DeploymentChange,
+  type PublishedPosition,
   type PublishedStateReader,
 } from './publishedState.js';
 import {computeRetryDelayMs, computeTakeoverAgeMs} from './readOrder.js';
@@ -78,6 +79,8 @@
    * Time of the last own read; undefined while another router is the reader.
    */
   private readAtMs: number | undefined;
+  /** Start of the last own read that was answered. */
+  private readStartedAtMs = -Infinity;
 
   constructor(private readonly options: StateFollowerOptions) {
     const {leaveBoundMs} = options;
@@ -109,10 +112,11 @@
       retryMs = initialRetryMs;
       this.recordSuccess();
       this.readAtMs = performance.now();
+      this.readStartedAtMs = startedAtMs;
       if (servers.apply(read.value, this.readAtMs - startedAtMs)) {
-        const {revision} = read.value;
+        const {epoch, revision} = read.value;
         const count = read.value.servers.length;
-        log.logInfo('server view read', {revision, servers: count});
+        log.logInfo('server view read', {epoch, revision, servers: count});
       }
       announce();
     }
@@ -125,18 +129,19 @@
   async runDeployments(signal: AbortSignal): Promise<void> {
     const {reader, contactBoundMs, log} = this.options;
     const watchWaitMs = Math.round(contactBoundMs * watchWaitRatio);
-    let revision: number | undefined;
+    let position: PublishedPosition | undefined;
     let retryMs = initialRetryMs;
+    let historyLostAtMs = -Infinity;
     while (!signal.aborted) {
       if (!this.isReader()) {
-        revision = undefined;
+        position = undefined;
         await waitFor(readerPollMs, signal);
         continue;
       }
       const call =
-        revision === undefined
+        position === undefined
           ? reader.readDeployment(signal)
-          : reader.watchDeployment(revision, watchWaitMs, signal);
+          : reader.watchDeployment(position.revision, watchWaitMs, signal);
       const startedAtMs = performance.now();
       const change = await call;
       if (change.isOk()) {
@@ -145,20 +150,29 @@
         const isDeploymentMissing = this.options.deployments.version === 0;
         // The first deployment may be published after the router has started.
         if (isDeploymentMissing) await waitFor(initialRetryMs, signal);
-        else revision = change.value.revision;
+        // A watch that continues from a revision of another epoch misses changes.
+        const {epoch} = position ?? change.value;
+        const canContinue =
+          !isDeploymentMissing && epoch === change.value.epoch;
+        position = canContinue ? change.value : undefined;
         continue;
       }
       if (!signal.aborted) {
         log.warn('deployment not read', {
-          isWatch: revision !== undefined,
+          isWatch: position !== undefined,
           ms: Math.round(performance.now() - startedAtMs),
           error: change.error.message,
         });
       }
       // Read before the next watch, so that no change is missed.
-      revision = undefined;
-      if (change.error instanceof HistoryLostError) continue;
-      this.recordFailure(change.error, signal);
+      position = undefined;
+      if (change.error instanceof HistoryLostError) {
+        const sinceMs = performance.now() - historyLostAtMs;
+        historyLostAtMs = performance.now();
+        if (sinceMs > maxRetryMs) continue;
+      } else {
+        this.recordFailure(change.error, signal);
+      }
       await waitFor(retryMs * (0.75 + Math.random() / 2), signal);
       retryMs = Math.min(maxRetryMs, retryMs * 2);
     }
@@ -180,8 +194,17 @@
     );
   }
 
-  /** Time until the next read; reads by another router postpone it. */
+  /**
+   * Time until the next read; reads by another router postpone it. A read that
+   * was answered is not repeated sooner than after an interval, even if the
+   * answer turned out to be outdated.
+   */
   private computeReadWaitMs(): number {
+    const sinceMs = performance.now() - this.readStartedAtMs;
+    return Math.max(this.computeDueMs(), this.readIntervalMs - sinceMs);
+  }
+
+  private computeDueMs(): number {
     const {servers, getReadRank} = this.options;
     const nowMs = performance.now();
     const ageMs = servers.measureAgeMs();
--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -113,6 +113,30 @@
     ]);
   });
 
+  // Guards against revisions of a restored store that are compared with those
+  // from before.
+  it('should state the epoch in which revisions count', async () => {
+    handle = (_url, response) => {
+      response.setHeader('Store-Era', '3');
+      sendJson(response, {entries: [], at: 9});
+    };
+    const change = (await client.readDeployment(signal))._unsafeUnwrap();
+    expect(change).to.deep.equal({epoch: 3, revision: 9});
+    const view = (await client.readServers(signal))._unsafeUnwrap();
+    expect(view).to.deep.equal({servers: [], epoch: 3, revision: 9});
+  });
+
+  it('should not join pages from before and after a restore', async () => {
+    let era = 3;
+    handle = (_url, response) => {
+      response.setHeader('Store-Era', era++);
+      const entry = {key: 'servers/i-1', value: encode(runner), revision: 3};
+      sendJson(response, {entries: [entry], hasMore: era === 4, at: 9});
+    };
+    expect((await client.readServers(signal)).isErr()).to.equal(true);
+    expect((await client.readServers(signal)).isOk()).to.equal(true);
+  });
+
   // Other programs may write invalid entries; the valid ones must still be
   // used.
   it('should leave out entries that name no usable backend server', async () => {
--- a/tests/router/leavingModel.test.ts
+++ b/tests/router/leavingModel.test.ts
@@ -164,7 +164,7 @@
 
   private publish(): void {
     const revision = this.history.length + 1;
-    this.history.push({servers: [...this.servers], revision});
+    this.history.push({servers: [...this.servers], epoch: 1, revision});
   }
 }
 
--- a/tests/router/peerStateReader.test.ts
+++ b/tests/router/peerStateReader.test.ts
@@ -34,7 +34,7 @@
     peers = [];
     const {deployment} = platform;
     deployments.adopt({deployment, document: ''}, 'platform');
-    servers.apply({servers: [sampleServer], revision: 1}, 0);
+    servers.apply({servers: [sampleServer], epoch: 1, revision: 1}, 0);
     reader = new PeerStateReader({
       deployments,
       servers,
@@ -64,7 +64,8 @@
   function buildVersions(changes: Partial<StateVersions>): StateVersions {
     return {
       deploymentVersion: deployments.version,
-      serversRevision: servers.revision,
+      serversEpoch: servers.position.epoch,
+      serversRevision: servers.position.revision,
       serversDigest: servers.digest,
       serversAgeMs: 0,
       ...changes,
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -16,6 +16,7 @@
 
 const versions = {
   deploymentVersion: 1,
+  serversEpoch: 2,
   serversRevision: 1,
   serversDigest: 1,
   serversAgeMs: 10,
--- a/tests/router/serverDirectory.test.ts
+++ b/tests/router/serverDirectory.test.ts
@@ -32,8 +32,8 @@
 
   afterEach(() => clock.uninstall());
 
-  function apply(revision: number, servers: BackendServer[]): void {
-    directory.apply({servers, revision}, 0);
+  function apply(revision: number, servers: BackendServer[], epoch = 1): void {
+    directory.apply({servers, epoch, revision}, 0);
   }
 
   function listIds(): string[] {
@@ -98,4 +98,56 @@
     apply(2, [{...buildServer('x'), startedAt: 7}]);
     expect(listIds()).to.deep.equal(['x']);
   });
+
+  // Guards against ignoring each view of a store that was restored from an old
+  // copy, until its revisions have passed the last one before.
+  it('should follow a restored platform, whose revisions go back', () => {
+    apply(900, [buildServer('x')]);
+    clock.tick(2_000);
+    apply(40, [buildServer('x'), buildServer('z')], 2);
+    expect(directory.measureAgeMs()).to.equal(0);
+    expect(listIds()).to.have.members(['x', 'z']);
+    // An answer from before the restore that arrives late.
+    apply(901, [buildServer('y')], 1);
+    expect(listIds()).to.have.members(['x', 'z']);
+  });
+
+  // Guards against requests to a server that had left before a restore (DRAIN),
+  // and against one that is never used again although it has come back.
+  it('should use servers that had left only when they outlast a restore', () => {
+    apply(900, [buildServer('x'), buildServer('y'), buildServer('z')]);
+    apply(901, [buildServer('x', ServerState.Draining), buildServer('z')]);
+    const copy = [buildServer('x'), buildServer('y'), buildServer('z')];
+    for (let revision = 40; revision < 45; revision++) {
+      apply(revision, copy, 2);
+      expect(listIds()).to.deep.equal(['z']);
+      clock.tick(1_000);
+    }
+    clock.tick(1_000);
+    apply(46, [buildServer('y'), buildServer('z')], 2);
+    expect(listIds()).to.have.members(['y', 'z']);
+  });
+
+  it('should keep servers that an old copy lacks until they register', () => {
+    apply(900, [buildServer('x'), buildServer('y')]);
+    clock.tick(500);
+    apply(40, [buildServer('x')], 2);
+    expect(listIds()).to.have.members(['x', 'y']);
+    clock.tick(2_400);
+    apply(41, [buildServer('x')], 2);
+    expect(listIds()).to.deep.equal(['x']);
+  });
+
+  it('should follow restores that come in series, also heard from a peer', () => {
+    apply(900, [buildServer('x'), buildServer('y')]);
+    apply(901, [buildServer('x')]);
+    apply(40, [buildServer('x')], 2);
+    clock.tick(500);
+    directory.updateFreshnessFromPeer({epoch: 3, revision: 12}, 0);
+    expect(directory.position).to.deep.equal({epoch: 3, revision: 12});
+    apply(30, [buildServer('x'), buildServer('y')], 3);
+    expect(listIds()).to.deep.equal(['x']);
+    apply(99, [buildServer('y')], 2);
+    expect(listIds()).to.deep.equal(['x']);
+  });
 });
