Keep the evidence against a repeated suspect when many requests are lost

What callers would see: after the loss of a rack, whose many requests are each accused of one crash, a request that crashes servers could reach them again.

Cause: at 1,000 remembered crashes the oldest went first, also those that hold up a block.

Change: the oldest crash goes whose suspects are accused of no other.

Measured: the new test of crashQuarantine.test.ts fails before (clear, not blocked, after 3,000 other losses) and passes now.

--- a/src/router/crashQuarantine.ts
+++ b/src/router/crashQuarantine.ts
@@ -370,9 +370,19 @@
       accusation.timesMs = this.listTimes(suspect, accusation.ids);
       this.accusations.set(suspect, accusation);
     }
-    if (this.crashes.size <= maxCrashes) return;
+    if (this.crashes.size > maxCrashes) this.removeCrash(this.findExcess());
+  }
+
+  /** Finds the oldest crash whose suspects are accused of no other one. */
+  private findExcess(): number {
     const [oldest] = this.crashes.keys();
-    this.removeCrash(oldest);
+    for (const [id, {suspects}] of this.crashes) {
+      const isRepeated = suspects.some(
+        suspect => this.accusations.get(suspect)!.timesMs.length > 1,
+      );
+      if (!isRepeated) return id;
+    }
+    return oldest;
   }
 
   private removeCrash(id: number): void {
--- a/tests/router/crashQuarantine.test.ts
+++ b/tests/router/crashQuarantine.test.ts
@@ -309,4 +309,17 @@
     clock.tick(3_000);
     expect(check(quarantine)).to.equal(VerdictKind.Probe);
   });
+
+  // Guards against forgetting such a request because a rack is lost, with all
+  // that runs there.
+  it('should stay refused whatever else is lost at the same time', () => {
+    const quarantine = create();
+    recordCrashes(quarantine, [1, 2, 3]);
+    clock.tick(1_000);
+    for (let i = 1; i <= 3_000; i++) {
+      quarantine.recordCrash({parts: [], request: request + i, server: 4});
+    }
+    expect(check(quarantine)).to.equal(VerdictKind.Blocked);
+    expect(quarantine.crashCount).to.be.at.most(1_000);
+  });
 });
