Drop servers in time that stay missing after a restore of the platform

What callers would see: for up to 6 s after a restore, requests to a server that has ended meanwhile, from routers that hear from others that nothing else has changed.

Cause: since the list was only made anew when both periods after a restore had ended, that of missing servers (2.3 s) and that of servers that the old copy brings back (6 s).

Change: it is made anew from the end of the first one on.

Measured: the new test of serverDirectory.test.ts fails before (y is used 2.4 s after the restore) and passes now.

--- a/src/router/serverDirectory.ts
+++ b/src/router/serverDirectory.ts
@@ -160,8 +160,7 @@
       const {epoch, revision} = position;
       this.view = {...this.view, epoch, revision};
     }
-    const isSettled = !this.isReregistering() && !this.isRestored();
-    if (this.hasExceptions && isSettled) this.rebuild();
+    if (this.hasExceptions && !this.isReregistering()) this.rebuild();
   }
 
   private isRestored(): boolean {
--- a/tests/router/serverDirectory.test.ts
+++ b/tests/router/serverDirectory.test.ts
@@ -150,4 +150,21 @@
     apply(99, [buildServer('y')], 2);
     expect(listIds()).to.deep.equal(['x']);
   });
+
+  // Guards against requests to a server that has left during a restore, by routers
+  // that learn from others that nothing else has changed.
+  it('should drop servers that stay missing after a restore, with only news of peers', () => {
+    apply(900, [buildServer('x'), buildServer('y'), buildServer('z')]);
+    apply(901, [buildServer('x'), buildServer('y')]);
+    apply(40, [buildServer('x'), buildServer('z')], 2);
+    expect(listIds()).to.have.members(['x', 'y']);
+    clock.tick(2_400);
+    directory.updateFreshnessFromPeer({epoch: 2, revision: 41}, 0);
+    expect(listIds()).to.deep.equal(['x']);
+    for (let revision = 42; revision < 44; revision++) {
+      clock.tick(1_900);
+      directory.updateFreshnessFromPeer({epoch: 2, revision}, 0);
+    }
+    expect(listIds()).to.have.members(['x', 'z']);
+  });
 });
