Answer streams that fail before their first event

Callers saw their connection close without a byte of an answer when a server had sent the head of a stream and the attempt then failed before the first event: at the deadline, when the server closed its connection, and when the next server rejected or failed the request.

The exchange gave the head to Node.js as soon as it arrived. Node.js writes a head together with the first byte of the body, so that nothing was sent, but the head counted as sent and the connection could only be closed. A retry before the first event also put the head of the first server above the events of the second.

The exchange now keeps the head until the first event or the end of the stream. The bytes on the network and their timing don't change for streams that succeed.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -10,6 +10,7 @@
   readonly signal: AbortSignal;
   readonly startedAtMs = performance.now();
   readonly request: CallerRequest;
+  private streamHead: {status: number; headers: readonly string[]} | undefined;
   private readonly gone = new AbortController();
 
   constructor(
@@ -37,9 +38,12 @@
     this.response.end(body);
   }
 
-  /** Sends the head of a stream. */
+  /**
+   * Sets the head of a stream, which is sent with its first event or its end.
+   * Until then, the request can still get another answer or another head.
+   */
   startStream(status: number, headers: readonly string[]): void {
-    this.response.writeHead(status, [...headers]);
+    this.streamHead = {status, headers};
   }
 
   /**
@@ -51,6 +55,7 @@
       events.length === 1
         ? Buffer.from(events[0].bytes)
         : Buffer.concat(events.map(event => event.bytes));
+    this.sendStreamHead();
     if (this.response.write(bytes)) return true;
     this.response.once('drain', resume);
     return false;
@@ -58,9 +63,16 @@
 
   /** Ends a stream after its last event. */
   endStream(): void {
+    this.sendStreamHead();
     this.response.end();
   }
 
+  private sendStreamHead(): void {
+    if (this.isHeadSent || !this.streamHead) return;
+    const {status, headers} = this.streamHead;
+    this.response.writeHead(status, [...headers]);
+  }
+
   /** Closes the connection, so that the caller can tell the stream is cut. */
   abortStream(): void {
     this.response.destroy();
