Read late requests before their connection times out

Callers of a router whose event loop had been delayed for longer than the header timeout got a 400 for a proper request, and the request still ran at a backend server; its answer was dropped. On a kept connection the same happened to a request whose head arrived in two parts around the delay.

Node.js checks the header timeout before it reads the bytes that have arrived during the delay. The listener ended the connection, but the parser went on to read the request, and the intake forwarded it.

The listener now waits until the pending bytes have been read, and ends the connection only if no request has begun on it, with 408 instead of 400. The intake no longer handles requests of a connection that has been ended.

Ruled out: the idle timeout.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -76,10 +76,9 @@
       (incoming, response) => void this.handle(incoming, response),
     );
     this.server.on('connection', socket => this.addIdleSocket(socket));
-    this.server.on('clientError', (_error, socket) => {
-      if (!socket.writable) return;
-      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n');
-    });
+    this.server.on('clientError', (error, socket) =>
+      this.handleClientError(error, socket as Socket),
+    );
     options.deployments.watch(({deployment: {limits}}) => {
       this.server.keepAliveTimeout = limits.idleTimeoutMs;
       this.server.headersTimeout = limits.headerTimeoutMs;
@@ -130,10 +129,25 @@
     socket.once('close', () => this.idleSockets.delete(socket));
   }
 
+  private handleClientError(error: NodeJS.ErrnoException, socket: Socket) {
+    if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT') {
+      endConnection(socket, '400 Bad Request');
+      return;
+    }
+    // After a delay of the event loop, the timeout is checked before the bytes
+    // that have arrived meanwhile are read.
+    setImmediate(() => {
+      if (!this.idleSockets.has(socket)) return;
+      endConnection(socket, '408 Request Timeout');
+    });
+  }
+
   private async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // No answer can be sent after the end of the connection.
+    if (!incoming.socket.writable) return;
     this.activeCount += 1;
     this.idleSockets.delete(incoming.socket);
     response.once('close', () => {
@@ -317,3 +331,9 @@
     });
   }
 }
+
+/** Ends a connection with an answer to a request that wasn't received. */
+function endConnection(socket: Socket, status: string): void {
+  if (!socket.writable) return;
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+}
