Read pending events before an attempt counts as silent

Suspected, not run: when no other server takes such a stream, its connection is closed.

The timer that checks the silence runs before the bytes that have arrived during the delay are read, so that all attempts of the router looked silent at once. The check now confirms the silence after the pending bytes have been read.

The deadline of a request has the same order of events. It is left as it is: it ends the request with an answer.

--- a/src/router/attemptSupervisor.ts
+++ b/src/router/attemptSupervisor.ts
@@ -54,20 +54,21 @@
   const handleCallerDisconnect = () =>
     attempt.abort(new DeadlineError('caller disconnected'));
   signal.addEventListener('abort', handleCallerDisconnect, {once: true});
-  const silence = watchSilence(attempt, bounds);
+  const stopWatching = watchSilence(attempt, bounds);
   try {
     return await attempt.result;
   } finally {
     clearTimeout(deadline);
-    clearTimeout(silence);
+    stopWatching();
     signal.removeEventListener('abort', handleCallerDisconnect);
   }
 }
 
+/** Returns a function that ends the watch. */
 function watchSilence(
   attempt: Pick<BackendAttempt, 'abort' | 'measureSilenceMs'>,
   {route, expectedMs, hasEvents, isServerActive, canRetry}: AttemptBounds,
-): NodeJS.Timeout {
+): () => void {
   const isStream = route.kind === RouteKind.Stream;
   const firstLimitMs = Math.max(
     minFirstSilenceMs,
@@ -82,15 +83,28 @@
     firstLimitMs,
     isStream ? route.targetMs * busyFirstEventTargetFactor : 0,
   );
-  const check = () => {
+  const isSilent = () => {
     const defaultLimitMs = hasEvents() ? laterLimitMs : firstLimitMs;
     const limitMs =
       !hasEvents() && isServerActive() ? busyLimitMs : defaultLimitMs;
-    if (attempt.measureSilenceMs() < limitMs) timer.refresh();
+    return attempt.measureSilenceMs() >= limitMs;
+  };
+  let confirmation: NodeJS.Immediate | undefined;
+  const confirm = () => {
+    if (!isSilent()) timer.refresh();
     else if (canRetry()) {
       attempt.abort(new SilentConnectionError('no byte within the limit'));
     }
   };
+  const check = () => {
+    // After a delay of the event loop, timers run before the bytes that have
+    // arrived meanwhile are read.
+    if (isSilent()) confirmation = setImmediate(confirm);
+    else timer.refresh();
+  };
   const timer = setTimeout(check, Math.min(firstLimitMs, laterLimitMs) / 2);
-  return timer;
+  return () => {
+    clearTimeout(timer);
+    clearImmediate(confirmation);
+  };
 }
--- /dev/null
+++ b/tests/router/silentStreams.test.ts
@@ -0,0 +1,55 @@
+import net from 'node:net';
+import {expect} from 'chai';
+import {
+  formatChunk,
+  formatStreamHead,
+  lastChunk,
+  RouterFixture,
+} from './routerFixture.js';
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Occupies the event loop, as on a VM without processor time. */
+function runBusily(ms: number): void {
+  const endsAtMs = performance.now() + ms;
+  while (performance.now() < endsAtMs);
+}
+
+describe('silence of a stream', () => {
+  let fixture: RouterFixture;
+
+  beforeEach(() => {
+    fixture = new RouterFixture();
+  });
+
+  afterEach(() => fixture.stop());
+
+  async function startRouter() {
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    return router;
+  }
+
+  // Guards against aborting the streams of sound servers after a delay of the
+  // event loop: their events have arrived, but the silence is checked first.
+  it('should not include a delay of the event loop', async () => {
+    const sockets: net.Socket[] = [];
+    for (let i = 0; i < 2; i++) {
+      await fixture.addBackend((socket, request) => {
+        sockets.push(socket);
+        socket.write(formatStreamHead(request));
+        socket.write(formatChunk('id: 1\ndata: a\n\n'));
+      });
+    }
+    const router = await startRouter();
+    const answer = fixture.call(router, '/draft/1');
+    await fixture.waitUntil(() => sockets.length > 0, 'a stream');
+    await pause(50);
+    sockets[0].write(formatChunk('id: 2\ndata: b\n\n'));
+    runBusily(1_500);
+    await pause(100);
+    expect(sockets).to.have.length(1);
+    sockets[0].write(formatChunk('id: 3\ndata: c\n\n') + lastChunk);
+    expect((await answer).body).to.contain('data: c');
+  });
+});
