Don't count backpressure as silence of a server

Callers that take the bytes of a stream slowly had the stream aborted at a sound server and resumed at another one, which then did the work once more.

While the caller's send buffer is full, the router doesn't read from the server, so that no event arrives. The supervisor took this for silence of the server. It now counts as none, and the silence starts anew when reading resumes.

Measured: with a caller that reads nothing for 1.5 s, the new test ran the stream at 2 servers instead of 1 before, and passes now, as do the forwarding and troubled server tests. Whether the links of the grown site fill the send buffer wasn't measured.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -121,6 +121,8 @@
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
   private lastProgressAtMs = performance.now();
+  /** True while nothing is read because the caller takes no more events. */
+  private isPaused = false;
 
   constructor(private readonly options: AttemptOptions) {
     this.result = new Promise(resolve => (this.settle = resolve));
@@ -141,10 +143,10 @@
 
   /**
    * Milliseconds since the server last sent a head, a part of a body or, in a
-   * stream, a complete event.
+   * stream, a complete event; 0 while reading is paused.
    */
   measureSilenceMs(): number {
-    return performance.now() - this.lastProgressAtMs;
+    return this.isPaused ? 0 : performance.now() - this.lastProgressAtMs;
   }
 
   /** Closes the connection, which cancels the request at the server. */
@@ -219,10 +221,14 @@
     // still send some.
     if (events.length === 0) return;
     this.lastProgressAtMs = performance.now();
-    const canContinue = this.options.stream!.receiveEvents(events, () =>
-      controller.resume(),
-    );
-    if (!canContinue) controller.pause();
+    const canContinue = this.options.stream!.receiveEvents(events, () => {
+      this.isPaused = false;
+      this.lastProgressAtMs = performance.now();
+      controller.resume();
+    });
+    if (canContinue) return;
+    this.isPaused = true;
+    controller.pause();
   }
 
   onResponseEnd(): void {
