Answer the request in flight before invalid bytes

Callers that sent invalid bytes behind a complete request got a 400 in place of its answer, and the answer of the backend server that ran it was dropped.

The listener for parse errors ended the connection at once, although a request on it was still to be answered. It now waits for the answer to a request that was received completely.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -58,6 +58,8 @@
 export class RequestIntake {
   private readonly server: http.Server;
   private readonly idleSockets = new Set<Socket>();
+  /** Response to the latest request of each connection. */
+  private readonly responses = new WeakMap<Socket, ServerResponse>();
   private readonly turns = new TurnQueue();
   private activeCount = 0;
   private readonly createdAtMs = performance.now();
@@ -131,7 +133,14 @@
 
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket) {
     if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT') {
-      endConnection(socket, '400 Bad Request');
+      const end = () => endConnection(socket, '400 Bad Request');
+      const response = this.responses.get(socket);
+      // The invalid bytes follow a request that is still to be answered.
+      if (response?.req.complete && !response.closed) {
+        response.once('close', end);
+      } else {
+        end();
+      }
       return;
     }
     // After a delay of the event loop, the timeout is checked before the bytes
@@ -150,6 +159,7 @@
     if (!incoming.socket.writable) return;
     this.activeCount += 1;
     this.idleSockets.delete(incoming.socket);
+    this.responses.set(incoming.socket, response);
     response.once('close', () => {
       this.activeCount -= 1;
       if (!incoming.socket.destroyed) this.idleSockets.add(incoming.socket);
