Log requests that are read and end without an answer

The log names a request only once an attempt has ended, so that a connection closed while the body is read, while a request waits for a turn, or by the end of the process leaves no line at all.

Change: each request has a state (readingBody, waitingForTurn, choosingServer, atServer, writingAnswer). When the router closes a connection before the answer is complete, it logs `closed without an answer` with the request's id, age and state, and counts it by state. A close by the caller is a line at level "debug", so that both can be told apart. The shutdown logs when it closes to new requests, what is in flight when it stops, and how long its tasks took to stop.

Result: tests/router/requestLog.test.ts shows both kinds of lines.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -4,6 +4,17 @@
 import type {CallerRequest, MessageCodec} from './messageCodec.js';
 import type {StreamEvent} from './eventSplitter.js';
 
+/** What a request waits for. */
+export enum RequestState {
+  ReadingBody = 'readingBody',
+  WaitingForTurn = 'waitingForTurn',
+  /** Held back, or waiting for a backend server that may take it. */
+  ChoosingServer = 'choosingServer',
+  AtServer = 'atServer',
+  /** The answer is complete, but not yet written to the connection. */
+  WritingAnswer = 'writingAnswer',
+}
+
 /** Holds a caller's request and writes at most one answer to it. */
 export class CallerExchange {
   /** Aborts when the caller disconnects before its answer is complete. */
@@ -12,6 +23,7 @@
   readonly request: CallerRequest;
   private streamHead: {status: number; headers: readonly string[]} | undefined;
   private readonly gone = new AbortController();
+  private stage = RequestState.ReadingBody;
 
   constructor(
     readonly incoming: IncomingMessage,
@@ -26,6 +38,17 @@
     response.on('error', () => this.gone.abort());
   }
 
+  /** What the request waits for now. */
+  get state(): RequestState {
+    return this.response.writableEnded
+      ? RequestState.WritingAnswer
+      : this.stage;
+  }
+
+  set state(state: RequestState) {
+    this.stage = state;
+  }
+
   get isHeadSent(): boolean {
     return this.response.headersSent;
   }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -268,7 +268,7 @@
     const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
     this.options.limits.recordSend(computeLimitKey(server));
-    this.log.sends += 1;
+    this.log.recordSend();
     this.sentAtMs = performance.now();
     if (this.log.sends === 1) {
       const waitMs = this.sentAtMs - exchange.startedAtMs;
@@ -331,6 +331,7 @@
       if (!this.hasEvents) withdrawPlacement();
       return result;
     } finally {
+      this.log.recordSendEnd();
       connection.release();
       this.ticket.release();
     }
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -5,12 +5,12 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {waitFor} from '../node/delay.js';
-import type {Log} from '../node/log.js';
+import type {Log, LogFields} from '../node/log.js';
 import {requestArrivalGraceMs, stopListening} from '../node/stopListening.js';
 import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {CallerExchange} from './callerExchange.js';
+import {CallerExchange, RequestState} from './callerExchange.js';
 import type {Route} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {MessageCodec} from './messageCodec.js';
@@ -61,7 +61,7 @@
   /** Response to the latest request of each connection. */
   private readonly responses = new WeakMap<Socket, ServerResponse>();
   private readonly turns = new TurnQueue();
-  private activeCount = 0;
+  private readonly inFlight = new Set<CallerExchange>();
   private readonly createdAtMs = performance.now();
   private isDraining = false;
   private isRefusingRequests = false;
@@ -89,7 +89,7 @@
 
   /** Number of requests in flight. */
   get active(): number {
-    return this.activeCount;
+    return this.inFlight.size;
   }
 
   /** Listens on an address; returns the port, which the system picks for 0. */
@@ -121,9 +121,19 @@
   /** Closes all connections at once, also those with requests in flight. */
   destroy(): void {
     void stopListening(this.server);
+    // The process may end before the connections emit `close`.
+    for (const exchange of this.inFlight) this.recordUnanswered(exchange);
+    this.inFlight.clear();
     this.server.closeAllConnections();
   }
 
+  /** Logs each request in flight, its age and what it waits for. */
+  logInFlight(): void {
+    for (const exchange of this.inFlight) {
+      this.options.log.logInfo('in flight', listStateFields(exchange));
+    }
+  }
+
   private addIdleSocket(socket: Socket): void {
     this.turns.recordAccept();
     socket.setNoDelay(true);
@@ -157,15 +167,12 @@
   ): Promise<void> {
     // No answer can be sent after the end of the connection.
     if (!incoming.socket.writable) return;
-    this.activeCount += 1;
+    const exchange = new CallerExchange(incoming, response, this.options.codec);
+    this.inFlight.add(exchange);
     this.idleSockets.delete(incoming.socket);
     this.responses.set(incoming.socket, response);
-    response.once('close', () => {
-      this.activeCount -= 1;
-      if (!incoming.socket.destroyed) this.idleSockets.add(incoming.socket);
-    });
+    response.once('close', () => this.finish(exchange, response));
     if (this.isDraining) response.shouldKeepAlive = false;
-    const exchange = new CallerExchange(incoming, response, this.options.codec);
     try {
       await this.serve(exchange);
     } catch (error) {
@@ -177,6 +184,28 @@
     }
   }
 
+  private finish(exchange: CallerExchange, response: ServerResponse): void {
+    const {socket} = exchange.incoming;
+    if (!socket.destroyed) this.idleSockets.add(socket);
+    if (!this.inFlight.delete(exchange) || response.writableFinished) return;
+    if (socket.readableEnded || socket.errored) {
+      const fields = {
+        ...listStateFields(exchange),
+        cause: socket.errored?.message,
+      };
+      this.options.log.logDebug('closed by the caller', fields);
+    } else this.recordUnanswered(exchange);
+  }
+
+  /** Records that the router closed a connection in use. */
+  private recordUnanswered(exchange: CallerExchange): void {
+    this.options.metrics.countUnanswered(exchange.state);
+    this.options.log.warn(
+      'closed without an answer',
+      listStateFields(exchange),
+    );
+  }
+
   private async serve(exchange: CallerExchange): Promise<void> {
     const admission = this.admit(exchange);
     if (admission instanceof Refusal) {
@@ -187,7 +216,9 @@
     const {limits} = table.deployment;
     const body = await this.readBody(exchange, limits.maxBodyBytes);
     if (body === undefined) return;
+    exchange.state = RequestState.WaitingForTurn;
     if (!(await this.waitForTurn(exchange, admission))) return;
+    exchange.state = RequestState.ChoosingServer;
     const service = pickService(route.split, Math.random());
     if (service === undefined) {
       const reason = RefusalReason.NoBackendServer;
@@ -347,3 +378,13 @@
   if (!socket.writable) return;
   socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
 }
+
+/** Lists what identifies a request without an answer, and what it waits for. */
+function listStateFields(exchange: CallerExchange): LogFields {
+  return {
+    requestId: exchange.request.attemptId,
+    state: exchange.state,
+    isHeadSent: exchange.isHeadSent,
+    ms: Math.round(performance.now() - exchange.startedAtMs),
+  };
+}
--- a/src/router/requestLog.ts
+++ b/src/router/requestLog.ts
@@ -2,6 +2,7 @@
 import type {Log} from '../node/log.js';
 import type {Refusal} from '../protocol/refusal.js';
 import {listAttemptFields} from './attemptLog.js';
+import {RequestState} from './callerExchange.js';
 import {AdmissionDecision} from './promptAdmission.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RouterMetrics} from './routerMetrics.js';
@@ -30,6 +31,17 @@
     this.progress = new StreamProgress(request.exchange.startedAtMs);
   }
 
+  /** Counts an attempt that starts. */
+  recordSend(): void {
+    this.sends += 1;
+    this.request.exchange.state = RequestState.AtServer;
+  }
+
+  /** Records that an attempt ended; another one may follow. */
+  recordSendEnd(): void {
+    this.request.exchange.state = RequestState.ChoosingServer;
+  }
+
   /** Logs and counts an answer that was passed on. */
   recordAnswer(selection: Selection, status: number): void {
     const {firstEventMs: startMs = this.elapsedMs, maxPauseMs} = this.progress;
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -234,6 +234,10 @@
     this.exchange.announce();
     await waitFor(drainListenMs);
     await this.intake.close();
+    this.log.logInfo('closed to new requests', {
+      active: this.intake.active,
+      ms: Math.round(performance.now() - startedAtMs),
+    });
     const graceMs = this.settings.shutdown.graceSeconds * 1_000;
     const endsAtMs = startedAtMs + graceMs - exitMarginMs;
     while (this.intake.active > 0 && performance.now() < endsAtMs) {
@@ -244,8 +248,14 @@
 
   /** Stops without waiting for requests in flight. */
   async stopNow(): Promise<void> {
+    const startedAtMs = performance.now();
     this.log.logInfo('stopped', {active: this.intake.active});
+    this.intake.logInFlight();
     await this.supervisor.stop();
+    this.log.logInfo('tasks stopped', {
+      active: this.intake.active,
+      ms: Math.round(performance.now() - startedAtMs),
+    });
     this.intake.destroy();
     this.control.close();
   }
--- a/src/router/routerMetrics.ts
+++ b/src/router/routerMetrics.ts
@@ -2,6 +2,7 @@
 import {Counter, Gauge, Registry} from 'prom-client';
 import {LatencyHistogram} from '../node/latencyHistogram.js';
 import type {RefusalReason} from '../protocol/refusal.js';
+import type {RequestState} from './callerExchange.js';
 
 /** A gauge that is evaluated at each scrape. */
 export interface GaugeDefinition {
@@ -82,6 +83,7 @@
   private readonly repeats: Counter<'service' | 'cause'>;
   private readonly answers: Counter<'route' | 'status'>;
   private readonly refusals: Counter<'route' | 'reason'>;
+  private readonly unanswered: Counter<'state'>;
 
   constructor() {
     const registers = [this.registry];
@@ -97,6 +99,12 @@
       labelNames: ['route', 'reason'],
       registers,
     });
+    this.unanswered = new Counter({
+      name: 'anvilstall_unanswered_total',
+      help: 'Requests whose connection the router closed without a complete answer',
+      labelNames: ['state'],
+      registers,
+    });
     this.attainment = new Counter({
       name: 'anvilstall_attainment_total',
       help: 'Answers against the targets of their routes',
@@ -181,6 +189,10 @@
     this.refusals.inc({route, reason});
   }
 
+  countUnanswered(state: RequestState): void {
+    this.unanswered.inc({state});
+  }
+
   /** Returns all metrics in Prometheus's text exposition format. */
   format(): Promise<string> {
     return this.registry.metrics();
--- a/tests/router/requestLog.test.ts
+++ b/tests/router/requestLog.test.ts
@@ -1,3 +1,4 @@
+import http from 'node:http';
 import {expect} from 'chai';
 import loglevel from 'loglevel';
 import {
@@ -55,4 +56,43 @@
     await fixture.waitUntil(isLogged, 'line about the delay');
     expect(find('event loop delayed')?.lagMs).to.be.at.least(200);
   });
+
+  // Guards against incidents in which a request was read and nobody can tell
+  // why its connection ended without an answer.
+  it('should name a request whose connection the router closes', async () => {
+    let isReceived = false;
+    await fixture.addBackend(() => (isReceived = true));
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const call = fixture.call(router, '/orders/1').catch(() => undefined);
+    await fixture.waitUntil(() => isReceived, 'request at the server');
+    await router.daemon.stopNow();
+    await call;
+    const fields = {state: 'atServer', isHeadSent: false};
+    expect(find('in flight')).to.include(fields);
+    expect(find('closed without an answer')).to.include(fields);
+    const requestId = find('in flight')?.requestId;
+    expect(requestId).to.be.a('string');
+    expect(find('closed without an answer')).to.include({requestId});
+  });
+
+  // Guards against blaming the router for callers that leave.
+  it('should tell callers that leave from connections it closes', async () => {
+    loglevel.setLevel('debug', false);
+    let isReceived = false;
+    await fixture.addBackend(() => (isReceived = true));
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const agent = new http.Agent({keepAlive: true});
+    const call = fixture
+      .call(router, '/orders/1', {agent})
+      .catch(() => undefined);
+    await fixture.waitUntil(() => isReceived, 'request at the server');
+    agent.destroy();
+    await call;
+    const isLogged = () => find('closed by the caller') !== undefined;
+    await fixture.waitUntil(isLogged, 'line about the caller');
+    expect(find('closed by the caller')).to.include({state: 'atServer'});
+    expect(find('closed without an answer')).to.equal(undefined);
+  });
 });
