Read what has arrived before a leaving router closes connections

Callers saw a kept connection end without an answer 400 ms after they had sent a whole request on it, beyond the 200 ms that a request may cross the close (LOST around planned work).

Cause: RequestIntake.close ended the sockets that looked idle in a timer. Timers run before the poll for events, so that after a delay of the event loop a request that had arrived in time was still unread. Its connection was half-closed, then the request was read and could not be answered. The same happened to a connection on which the head of a request was arriving, and to a pipelined request in flight.

Change: close polls once after the arrival grace, ends only connections on which nothing has been read since they became idle, and destroys these instead of half-closing them, so that a request that crosses the close is never read and its caller may repeat it. Connections in the backlog are accepted before the server closes.

Ruled out: a delay within a timer callback; Node.js polls before the next timer, and the request was answered.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -57,7 +57,9 @@
 /** Accepts callers' connections and hands their requests to the forwarder. */
 export class RequestIntake {
   private readonly server: http.Server;
-  private readonly idleSockets = new Set<Socket>();
+  /** Connections without a request, with the bytes read until then. */
+  private readonly idleSockets = new Map<Socket, number>();
+  private acceptedCount = 0;
   /** Response to the latest request of each connection. */
   private readonly responses = new WeakMap<Socket, ServerResponse>();
   private readonly turns = new TurnQueue();
@@ -112,10 +114,16 @@
    * requests.
    */
   async close(): Promise<void> {
+    await this.acceptPending();
     void stopListening(this.server);
     await waitFor(requestArrivalGraceMs);
     this.isRefusingRequests = true;
-    for (const socket of this.idleSockets) socket.end();
+    await waitForPoll();
+    for (const [socket, bytesRead] of this.idleSockets) {
+      // A request that arrives on a half-closed connection would be read and
+      // couldn't be answered. Its caller may repeat one that is never read.
+      if (socket.bytesRead === bytesRead) socket.destroySoon();
+    }
   }
 
   /** Closes all connections at once, also those with requests in flight. */
@@ -134,10 +142,24 @@
     }
   }
 
+  /**
+   * Accepts the connections that wait in the backlog, which are reset when the
+   * server closes. The event loop accepts one in each iteration.
+   */
+  private async acceptPending(): Promise<void> {
+    const endsAtMs = performance.now() + requestArrivalGraceMs;
+    let count: number;
+    do {
+      count = this.acceptedCount;
+      await waitForPoll();
+    } while (this.acceptedCount > count && performance.now() < endsAtMs);
+  }
+
   private addIdleSocket(socket: Socket): void {
     this.turns.recordAccept();
+    this.acceptedCount += 1;
     socket.setNoDelay(true);
-    this.idleSockets.add(socket);
+    this.idleSockets.set(socket, socket.bytesRead);
     socket.once('close', () => this.idleSockets.delete(socket));
   }
 
@@ -186,7 +208,10 @@
 
   private finish(exchange: CallerExchange, response: ServerResponse): void {
     const {socket} = exchange.incoming;
-    if (!socket.destroyed) this.idleSockets.add(socket);
+    const isLatest = this.responses.get(socket) === response;
+    if (isLatest && !socket.destroyed) {
+      this.idleSockets.set(socket, socket.bytesRead);
+    }
     if (!this.inFlight.delete(exchange) || response.writableFinished) return;
     if (socket.readableEnded || socket.errored) {
       const fields = {
@@ -373,6 +398,14 @@
   }
 }
 
+/**
+ * Waits until the event loop has polled for events. Timers run before the poll,
+ * so that what has arrived by the time of a timer may still be unread.
+ */
+function waitForPoll(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 /** Ends a connection with an answer to a request that wasn't received. */
 function endConnection(socket: Socket, status: string): void {
   if (!socket.writable) return;
