Close callers' connections before waiting for tasks to stop

A router whose child task ignored its signal stayed beyond the grace period: the stop took 8,055 ms of 4,000, the platform would have killed the process, and callers waited on open connections meanwhile.

Cause: stopNow waited up to 5 s for the tasks before it closed the connections, at the end of the grace period.

Change: connections are closed first, and the tasks get 100 ms of the margin before the end.

Ruled out: delays of 250 ms each that postpone the timers of a shutdown; it ended in time (second test, passed before). No child of the router was seen to ignore its signal.

Measured: the test with a child that doesn't stop failed on and passes now.

--- a/src/node/supervisor.ts
+++ b/src/node/supervisor.ts
@@ -40,7 +40,7 @@
 const maxRestartDelayMs = 5_000;
 /** A child that ran for longer than this restarts with the first delay. */
 const stableAfterMs = 30_000;
-/** `stop` waits no longer than this for children that ignore the signal. */
+/** Default of the longest wait of `stop`, in milliseconds. */
 const stopTimeoutMs = 5_000;
 
 /**
@@ -105,13 +105,17 @@
     return child;
   }
 
-  /** Stops all children and waits for them, up to `stopTimeoutMs`. */
-  async stop(): Promise<void> {
+  /**
+   * Stops all children and waits for them.
+   *
+   * @param timeoutMs - longest wait for children that ignore the signal
+   */
+  async stop(timeoutMs = stopTimeoutMs): Promise<void> {
     this.abortController.abort();
     const timeoutController = new AbortController();
     await Promise.race([
       Promise.all(this.tasks.values()),
-      waitFor(stopTimeoutMs, timeoutController.signal),
+      waitFor(timeoutMs, timeoutController.signal),
     ]);
     timeoutController.abort();
     for (const child of this.tasks.keys()) {
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -51,6 +51,8 @@
 const drainListenMs = 2_800;
 /** Part of the grace period that is reserved for closing everything. */
 const exitMarginMs = 400;
+/** Part of that which its tasks may take to stop. */
+const taskStopTimeoutMs = 100;
 /** Interval at which a draining router checks for requests in flight. */
 const drainPollMs = 50;
 /** Interval at which state about servers that have left is removed. */
@@ -253,13 +255,12 @@
     const startedAtMs = performance.now();
     this.log.logInfo('stopped', {active: this.intake.active});
     this.intake.logInFlight();
-    await this.supervisor.stop();
+    this.intake.destroy();
+    this.control.close();
+    await this.supervisor.stop(taskStopTimeoutMs);
     this.log.logInfo('tasks stopped', {
-      active: this.intake.active,
       ms: Math.round(performance.now() - startedAtMs),
     });
-    this.intake.destroy();
-    this.control.close();
   }
 
   /** Applies seeds and retry budget; other settings need a restart. */
