Answer requests that a router can't finish before it stops

Callers saw their connections end without an answer at the end of the grace period of a leaving router, although no byte of an answer had been sent: requests at a silent server, held prompts, requests that wait for a turn or a server.

Cause: destroy closed all connections, and the forwarder was never told to give its requests up.

Change: before it closes, a router ends each request in flight: one that was never sent, or that servers have refused unrun, with 503 and the time to come back; one that may have run with 504. Only an answer that has begun is still broken off.

Ruled out: a request that a limited server refuses unrun; it was refused in time (this test passed before).

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -1,9 +1,13 @@
 /** One request of a caller and the answer to it. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Refusal} from '../protocol/refusal.js';
+import {Outcome} from '../protocol/outcome.js';
+import {Refusal, RefusalReason} from '../protocol/refusal.js';
 import type {CallerRequest, MessageCodec} from './messageCodec.js';
 import type {StreamEvent} from './eventSplitter.js';
 
+/** Retry delay for callers of a router that is stopping, in milliseconds. */
+export const stopRetryAfterMs = 300;
+
 /** What a request waits for. */
 export enum RequestState {
   ReadingBody = 'readingBody',
@@ -21,6 +25,10 @@
   readonly signal: AbortSignal;
   readonly startedAtMs = performance.now();
   readonly request: CallerRequest;
+  /** True if a backend server may have run the request. */
+  mayHaveRun = false;
+  /** True once the router has ended the request because it stops. */
+  isStopped = false;
   private streamHead: {status: number; headers: readonly string[]} | undefined;
   private readonly gone = new AbortController();
   private stage = RequestState.ReadingBody;
@@ -101,6 +109,36 @@
     this.response.destroy();
   }
 
+  /**
+   * Ends a request because the router stops, and cancels its attempt. One whose
+   * answer has not begun is refused; returns the refusal, or undefined if an
+   * answer was broken off.
+   *
+   * @example
+   * const refusal = exchange.stop();
+   * if (refusal) metrics.countRefusal(route, refusal.reason);
+   */
+  stop(): Refusal | undefined {
+    const refusal = this.isHeadSent ? undefined : this.buildStopRefusal();
+    if (refusal) this.refuse(refusal);
+    else this.abortStream();
+    this.isStopped = true;
+    this.gone.abort();
+    return refusal;
+  }
+
+  private buildStopRefusal(): Refusal {
+    if (!this.mayHaveRun) {
+      const reason = RefusalReason.ShuttingDown;
+      return new Refusal(reason, Outcome.NotRun, 'router is stopping', {
+        retryAfterMs: stopRetryAfterMs,
+      });
+    }
+    const reason = RefusalReason.DeadlineExceeded;
+    const message = 'router stops before the backend server has answered';
+    return new Refusal(reason, Outcome.MayHaveRun, message);
+  }
+
   /** Sends the router's own error answer. */
   refuse(refusal: Refusal): void {
     if (this.response.writableEnded || this.signal.aborted) return;
--- /dev/null
+++ b/src/router/crashSuspicion.ts
@@ -0,0 +1,40 @@
+/** Suspicion of a request whose connection to a backend server was lost. */
+import {computeCompactKey} from './compactKey.js';
+import type {CrashQuarantine} from './crashQuarantine.js';
+import type {ServerOutcomes} from './serverOutcomes.js';
+
+/**
+ * Time after a lost connection in which answers may arrive that the server had
+ * sent before, in milliseconds.
+ */
+const bufferedAnswerMs = 50;
+
+/** What may have crashed a server, as compact keys. */
+export interface CrashSuspects {
+  readonly request: number;
+  /** Parts of the prompt that other requests share. */
+  readonly parts: readonly number[];
+}
+
+/**
+ * Suspects a request and parts of its prompt, unless the server answers soon
+ * after.
+ *
+ * @example
+ * suspectCrash({quarantine, outcomes}, server.id, {request: key, parts: []});
+ */
+export function suspectCrash(
+  deps: {
+    readonly quarantine: CrashQuarantine;
+    readonly outcomes: ServerOutcomes;
+  },
+  serverId: string,
+  suspects: CrashSuspects,
+): void {
+  const {quarantine, outcomes} = deps;
+  const sinceMs = performance.now() + bufferedAnswerMs;
+  const lost = {...suspects, server: computeCompactKey(serverId)};
+  quarantine.suspectCrash(lost, () =>
+    outcomes.hasAnsweredSince(serverId, sinceMs),
+  );
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -16,6 +16,8 @@
 import {computeCompactKey} from './compactKey.js';
 import {chooseReusePolicy, isStaleConnection} from './connectionReuse.js';
 import {formatProcess, RouteKind} from './deployment.js';
+import {suspectCrash} from './crashSuspicion.js';
+import {describeBlock} from './describeBlock.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestForwarderOptions} from './forwarderOptions.js';
 import {computeLimitWaitMs} from './limitWait.js';
@@ -26,7 +28,7 @@
   recheckIntervalMs,
 } from './promptAdmission.js';
 import {RequestLog} from './requestLog.js';
-import {computeRequestKey, isRequestKey} from './requestKey.js';
+import {computeRequestKey} from './requestKey.js';
 import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause} from './routerMetrics.js';
 import type {LoadTicket} from './serverLoads.js';
@@ -46,12 +48,6 @@
 const finalFailureCostMs = 600;
 /** Answers with this status or a higher one count as server failures. */
 const minServerErrorStatus = 500;
-/**
- * Time after a lost connection in which answers may arrive that the server had
- * sent before, in milliseconds.
- */
-const bufferedAnswerMs = 50;
-
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
   constructor(private readonly options: RequestForwarderOptions) {}
@@ -119,16 +115,13 @@
     const {exchange} = this.request;
     for (;;) {
       if (exchange.signal.aborted) {
-        this.log.recordCallerGone();
+        if (!exchange.isStopped) this.log.recordCallerGone();
         return;
       }
       const verdict = this.checkQuarantine();
       if (verdict.kind === VerdictKind.Blocked) {
         const {suspect, crashes, retryAfterMs} = verdict;
-        const what = isRequestKey(suspect)
-          ? 'the request'
-          : 'a part of the prompt';
-        const message = `${what} crashed ${crashes} backend servers`;
+        const message = describeBlock(suspect, crashes);
         this.failUnsent(message, retryAfterMs);
         return;
       }
@@ -270,6 +263,7 @@
     this.options.limits.recordSend(computeLimitKey(server));
     this.log.recordSend();
     this.sentAtMs = performance.now();
+    exchange.mayHaveRun = true;
     if (this.log.sends === 1) {
       const waitMs = this.sentAtMs - exchange.startedAtMs;
       this.options.metrics.recordWait(route.name, waitMs);
@@ -363,7 +357,8 @@
         result.status < minServerErrorStatus);
     if (isInnocent) quarantine.recordAnswer(this.requestKey);
     if (exchange.signal.aborted) {
-      this.log.recordEvent('caller gone', selection);
+      const cause = exchange.isStopped ? 'router stops' : 'caller gone';
+      this.log.recordEvent(cause, selection);
       return true;
     }
     switch (result.kind) {
@@ -392,6 +387,7 @@
         this.log.recordAnswer(selection, 200);
         return true;
       case AttemptKind.NotRun:
+        exchange.mayHaveRun = this.runs > 0;
         if (result.load) outcomes.recordSlowness(id, result.load.slowness);
         if (result.isOtherProcess) {
           directory.removeProcess(
@@ -409,6 +405,7 @@
         this.failWithoutServer();
         return true;
       case AttemptKind.Unreachable:
+        exchange.mayHaveRun = this.runs > 0;
         outcomes.recordUnreachable(id);
         this.excluded.add(id);
         metrics.countRetry(service, RetryCause.Unreachable);
@@ -436,7 +433,10 @@
           outcomes.recordFailure(id);
         }
         if (!(result.error instanceof DeadlineError)) {
-          this.suspectCrash(id, result.isConnectionLost);
+          const {requestKey: request, sharedParts} = this;
+          const isAnswerLost = result.isConnectionLost && !this.hasEvents;
+          const parts = isAnswerLost ? sharedParts : [];
+          suspectCrash(this.options, id, {request, parts});
         }
         if (this.retry(selection, result.error.message)) return false;
         this.fail(selection, result.error);
@@ -446,19 +446,6 @@
     }
   }
 
-  private suspectCrash(serverId: string, isConnectionLost: boolean): void {
-    const {outcomes, quarantine} = this.options;
-    const sinceMs = performance.now() + bufferedAnswerMs;
-    const lost = {
-      parts: isConnectionLost && !this.hasEvents ? this.sharedParts : [],
-      request: this.requestKey,
-      server: computeCompactKey(serverId),
-    };
-    quarantine.suspectCrash(lost, () =>
-      outcomes.hasAnsweredSince(serverId, sinceMs),
-    );
-  }
-
   private retry(selection: Selection, cause: string): boolean {
     if (!this.canRetry()) {
       this.runs += 1;
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -10,7 +10,11 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {CallerExchange, RequestState} from './callerExchange.js';
+import {
+  CallerExchange,
+  RequestState,
+  stopRetryAfterMs,
+} from './callerExchange.js';
 import type {Route} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {MessageCodec} from './messageCodec.js';
@@ -29,8 +33,10 @@
 const connectionCheckIntervalMs = 1_000;
 /** Length of the queue of connections that wait to be accepted. */
 const backlog = 1_024;
-/** Retry delay for callers of a router that is stopping. */
-const stopRetryAfterMs = 300;
+/** Longest time in which the last answers are written, in milliseconds. */
+const flushTimeoutMs = 200;
+/** Interval of the check whether they have been written, in milliseconds. */
+const flushPollMs = 5;
 /**
  * Ratio of a route's target that a request may wait for processor time. The
  * rest of the target is left to the backend server.
@@ -127,6 +133,26 @@
     }
   }
 
+  /**
+   * Ends the requests in flight, those whose answer has not begun with a
+   * refusal, and waits until these have been written.
+   */
+  async endRequests(): Promise<void> {
+    this.refusesAtMs = -Infinity;
+    await waitForPoll();
+    for (const exchange of [...this.inFlight]) {
+      if (exchange.state === RequestState.WritingAnswer) continue;
+      if (exchange.isHeadSent) this.recordUnanswered(exchange);
+      const refusal = exchange.stop();
+      if (refusal) this.recordRefusal(exchange, refusal);
+      else this.inFlight.delete(exchange);
+    }
+    const endsAtMs = performance.now() + flushTimeoutMs;
+    while (this.active > 0 && performance.now() < endsAtMs) {
+      await waitFor(flushPollMs);
+    }
+  }
+
   /** Closes all connections at once, also those with requests in flight. */
   destroy(): void {
     void stopListening(this.server);
@@ -292,6 +318,7 @@
         return false;
       }
       case Turn.Abandoned:
+        if (exchange.isStopped) return false;
         this.options.log.logInfo('caller gone, not sent', {
           requestId: exchange.request.attemptId,
           route: route.name,
@@ -387,6 +414,14 @@
     routeName = '',
   ): void {
     exchange.refuse(refusal);
+    this.recordRefusal(exchange, refusal, routeName);
+  }
+
+  private recordRefusal(
+    exchange: CallerExchange,
+    refusal: Refusal,
+    routeName = '',
+  ): void {
     this.options.metrics.countRefusal(routeName, refusal.reason);
     this.options.log.logInfo('refused', {
       requestId: exchange.request.attemptId,
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -250,11 +250,15 @@
     await this.stopNow();
   }
 
-  /** Stops without waiting for requests in flight. */
+  /**
+   * Stops without waiting for requests in flight; those whose answer has not
+   * begun are refused.
+   */
   async stopNow(): Promise<void> {
     const startedAtMs = performance.now();
     this.log.logInfo('stopped', {active: this.intake.active});
     this.intake.logInFlight();
+    await this.intake.endRequests();
     this.intake.destroy();
     this.control.close();
     await this.supervisor.stop(taskStopTimeoutMs);
