Read the rest of a refused request before its connection closes

Callers of a leaving router that write a whole body before they read saw EPIPE instead of the refusal.

Cause: an answer with 'Connection: close' destroys the socket once the kernel has it, and the rest of the body is answered with a reset, which may take the answer with it.

Change: the refusal is sent at once; the connection is ended when the body has been read, after 1 s at the latest.

Ruled out: an answer of 12 MB to a caller that reads nothing for 3.6 s; the router waits for it within the grace period (this test passed before).

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -8,6 +8,12 @@
 /** Retry delay for callers of a router that is stopping, in milliseconds. */
 export const stopRetryAfterMs = 300;
 
+/**
+ * Longest wait for the rest of the body of a refused request, in milliseconds;
+ * far above the time that a body takes on the slowest link of a VM.
+ */
+const maxBodyWaitMs = 1_000;
+
 /** What a request waits for. */
 export enum RequestState {
   ReadingBody = 'readingBody',
@@ -141,12 +147,34 @@
 
   /** Sends the router's own error answer. */
   refuse(refusal: Refusal): void {
-    if (this.response.writableEnded || this.signal.aborted) return;
+    if (this.isHeadSent || this.signal.aborted) return;
     const {status, retryAfterMs} = refusal;
     const {attemptId} = this.request;
     const body = Buffer.from(JSON.stringify(refusal.toBody(attemptId ?? '')));
     const headers = this.codec.encodeRefusal(attemptId, retryAfterMs);
     const type = ['Content-Type', 'application/json'];
-    this.sendAnswer(status, [...headers, ...type], body);
+    const length = ['Content-Length', String(body.length)];
+    this.response.writeHead(status, [...headers, ...type, ...length]);
+    this.response.write(body);
+    this.endAfterRequestBody();
+  }
+
+  /**
+   * Ends an answer once the rest of the request's body has been read. A
+   * connection that is closed before is reset by the bytes that still arrive,
+   * and the caller may lose the answer.
+   */
+  private endAfterRequestBody(): void {
+    const {incoming, response} = this;
+    if (incoming.complete || response.shouldKeepAlive) {
+      response.end();
+      return;
+    }
+    const end = () => {
+      clearTimeout(timer);
+      if (!response.writableEnded) response.end();
+    };
+    const timer = setTimeout(end, maxBodyWaitMs);
+    incoming.once('close', end).once('end', end).resume();
   }
 }
