--- a/tests/router/unusualAnswers.test.ts
+++ b/tests/platform/unusualAnswers.test.ts
@@ -1,7 +1,7 @@
 import net from 'node:net';
 import {expect} from 'chai';
 import {HeaderCodec} from '../../platform/headerCodec.js';
-import {host, RouterFixture} from './routerFixture.js';
+import {host, RouterFixture} from '../router/routerFixture.js';
 
 const attemptId = 'a1';
 
