--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -28,13 +28,29 @@
 /** Delay after which the platform restarts a process that has ended. */
 const restartDelayMs = 150;
 
+/** Length of the period in which a limited process gets its share. */
+const cpuPeriodMs = 100;
+
+export interface SoakRouterOptions {
+  readonly graceSeconds?: number;
+  /** Share of a core that the process gets, by SIGSTOP and SIGCONT. */
+  readonly cpuRatio?: number;
+  /** File to which the log is appended, at level "debug". */
+  readonly logFile?: string;
+}
+
 /** One router process, restarted if an early SIGHUP ends it. */
 export class SoakRouter {
   readonly address: string;
   private child: ChildProcess | undefined;
   private readonly settingsFile: string;
 
-  constructor(number: number, folder: string, store: string) {
+  constructor(
+    number: number,
+    folder: string,
+    store: string,
+    private readonly options: SoakRouterOptions = {},
+  ) {
     // Parallel soak runs must not use the same addresses.
     this.address = `127.${1 + (process.pid % 200)}.0.${10 + number}`;
     this.settingsFile = path.join(folder, `router-${number}.json`);
@@ -55,7 +71,8 @@
       },
       seeds: [`${seed}:${ports.peers}`],
       store,
-      shutdown: {graceSeconds: 5},
+      shutdown: {graceSeconds: options.graceSeconds ?? 5},
+      logLevel: options.logFile ? 'debug' : 'info',
       retries: {ratio: 0.2, slack: 60, windowSeconds: 10},
     };
     fs.writeFileSync(this.settingsFile, JSON.stringify(settings));
@@ -64,10 +81,14 @@
   start(): void {
     const args = [routerFile, '--settings', this.settingsFile];
     const startedAtMs = performance.now();
+    const {logFile} = this.options;
+    const log = logFile ? fs.openSync(logFile, 'a') : 'ignore';
     const child = spawn(process.execPath, args, {
-      stdio: ['ignore', 'ignore', 'inherit'],
+      stdio: ['ignore', log, 'inherit'],
     });
+    if (typeof log === 'number') fs.closeSync(log);
     this.child = child;
+    this.scheduleCpuShare(child);
     child.once('exit', (_code, signal) => {
       const ageMs = performance.now() - startedAtMs;
       if (signal !== 'SIGHUP' || ageMs > maxRuntimeStartMs) return;
@@ -75,6 +96,17 @@
     });
   }
 
+  /** Stops and continues a process so that it gets its share of a core. */
+  private scheduleCpuShare(child: ChildProcess): void {
+    const {cpuRatio} = this.options;
+    if (cpuRatio === undefined) return;
+    const timer = setInterval(() => {
+      child.kill('SIGCONT');
+      setTimeout(() => child.kill('SIGSTOP'), cpuPeriodMs * cpuRatio);
+    }, cpuPeriodMs);
+    child.once('exit', () => clearInterval(timer));
+  }
+
   /** Sends a signal to the process. */
   signal(name: NodeJS.Signals): void {
     this.child?.kill(name);
