--- a/tests/router/callerConnections.test.ts
+++ b/tests/platform/callerConnections.test.ts
@@ -7,7 +7,7 @@
   RouterFixture,
   sampleDeployment,
   type RunningRouter,
-} from './routerFixture.js';
+} from '../router/routerFixture.js';
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
