--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -357,8 +357,8 @@
         result.status < minServerErrorStatus);
     if (isInnocent) quarantine.recordAnswer(this.requestKey);
     if (exchange.signal.aborted) {
-      const cause = exchange.isStopped ? 'router stops' : 'caller gone';
-      this.log.recordEvent(cause, selection);
+      const event = exchange.isStopped ? 'cancelled at the end' : 'caller gone';
+      this.log.recordEvent(event, selection);
       return true;
     }
     switch (result.kind) {
