Keep written refusals at the end, and answer what an exception ends

A refusal whose request was still arriving was cut at the end of a router, and counted as a request without an answer; each piece of invalid bytes behind a request added a listener; an exception in the intake closed the connection although an answer was still possible; a request that is read on an ended connection left no trace; a refusal at the end invited the caller to keep the connection.

Change: an exchange knows that its refusal was written; one listener a connection; exceptions and the end of a router give a request up in the same way (503 if it was never sent, 504 if it may have run, with 'Connection: close'); a log line.

The test of the log waits for the caller's first bytes instead of 100 ms.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -21,7 +21,7 @@
   /** Held back, or waiting for a backend server that may take it. */
   ChoosingServer = 'choosingServer',
   AtServer = 'atServer',
-  /** The answer is complete, but not yet written to the connection. */
+  /** The answer is complete; it or the request's body is still on its way. */
   WritingAnswer = 'writingAnswer',
 }
 
@@ -33,11 +33,13 @@
   readonly request: CallerRequest;
   /** True if a backend server may have run the request. */
   mayHaveRun = false;
-  /** True once the router has ended the request because it stops. */
-  isStopped = false;
+  /** True once the router has given the request up. */
+  isGivenUp = false;
   private streamHead: {status: number; headers: readonly string[]} | undefined;
   private readonly gone = new AbortController();
   private stage = RequestState.ReadingBody;
+  /** True once a refusal has been written. */
+  private isAnswered = false;
 
   constructor(
     readonly incoming: IncomingMessage,
@@ -54,7 +56,7 @@
 
   /** What the request waits for now. */
   get state(): RequestState {
-    return this.response.writableEnded
+    return this.isAnswered || this.response.writableEnded
       ? RequestState.WritingAnswer
       : this.stage;
   }
@@ -116,33 +118,40 @@
   }
 
   /**
-   * Ends a request because the router stops, and cancels its attempt. One whose
-   * answer has not begun is refused; returns the refusal, or undefined if an
-   * answer was broken off.
+   * Ends a request that the router can't finish, and cancels its attempt. One
+   * whose answer has not begun is refused; returns the refusal, or undefined if
+   * an answer was broken off.
    *
+   * @param reason - of the refusal if no backend server has run the request
    * @example
-   * const refusal = exchange.stop();
-   * if (refusal) metrics.countRefusal(route, refusal.reason);
+   * exchange.giveUp(RefusalReason.ShuttingDown, 'router is stopping');
    */
-  stop(): Refusal | undefined {
-    const refusal = this.isHeadSent ? undefined : this.buildStopRefusal();
-    if (refusal) this.refuse(refusal);
-    else this.abortStream();
-    this.isStopped = true;
+  giveUp(reason: RefusalReason, cause: string): Refusal | undefined {
+    const refusal = this.isHeadSent
+      ? undefined
+      : this.buildFinalRefusal(reason, cause);
+    if (refusal) {
+      this.response.shouldKeepAlive = false;
+      this.refuse(refusal);
+    } else {
+      this.abortStream();
+    }
+    this.isGivenUp = true;
     this.gone.abort();
     return refusal;
   }
 
-  private buildStopRefusal(): Refusal {
+  private buildFinalRefusal(reason: RefusalReason, cause: string): Refusal {
     if (!this.mayHaveRun) {
-      const reason = RefusalReason.ShuttingDown;
-      return new Refusal(reason, Outcome.NotRun, 'router is stopping', {
-        retryAfterMs: stopRetryAfterMs,
-      });
+      const retryAfterMs = stopRetryAfterMs;
+      return new Refusal(reason, Outcome.NotRun, cause, {retryAfterMs});
     }
-    const reason = RefusalReason.DeadlineExceeded;
-    const message = 'router stops before the backend server has answered';
-    return new Refusal(reason, Outcome.MayHaveRun, message);
+    const message = `${cause}, and no backend server has answered`;
+    return new Refusal(
+      RefusalReason.DeadlineExceeded,
+      Outcome.MayHaveRun,
+      message,
+    );
   }
 
   /** Sends the router's own error answer. */
@@ -156,6 +165,7 @@
     const length = ['Content-Length', String(body.length)];
     this.response.writeHead(status, [...headers, ...type, ...length]);
     this.response.write(body);
+    this.isAnswered = true;
     this.endAfterRequestBody();
   }
 
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -115,7 +115,7 @@
     const {exchange} = this.request;
     for (;;) {
       if (exchange.signal.aborted) {
-        if (!exchange.isStopped) this.log.recordCallerGone();
+        if (!exchange.isGivenUp) this.log.recordCallerGone();
         return;
       }
       const verdict = this.checkQuarantine();
@@ -357,7 +357,7 @@
         result.status < minServerErrorStatus);
     if (isInnocent) quarantine.recordAnswer(this.requestKey);
     if (exchange.signal.aborted) {
-      const event = exchange.isStopped ? 'cancelled at the end' : 'caller gone';
+      const event = exchange.isGivenUp ? 'given up' : 'caller gone';
       this.log.recordEvent(event, selection);
       return true;
     }
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -68,6 +68,8 @@
   private acceptedCount = 0;
   /** Response to the latest request of each connection. */
   private readonly responses = new WeakMap<Socket, ServerResponse>();
+  /** Connections that have received invalid bytes. */
+  private readonly endingSockets = new WeakSet<Socket>();
   private readonly turns = new TurnQueue();
   private readonly inFlight = new Set<CallerExchange>();
   private readonly createdAtMs = performance.now();
@@ -143,7 +145,8 @@
     for (const exchange of [...this.inFlight]) {
       if (exchange.state === RequestState.WritingAnswer) continue;
       if (exchange.isHeadSent) this.recordUnanswered(exchange);
-      const refusal = exchange.stop();
+      const cause = 'router is stopping';
+      const refusal = exchange.giveUp(RefusalReason.ShuttingDown, cause);
       if (refusal) this.recordRefusal(exchange, refusal);
       else this.inFlight.delete(exchange);
     }
@@ -151,6 +154,7 @@
     while (this.active > 0 && performance.now() < endsAtMs) {
       await waitFor(flushPollMs);
     }
+    await waitForPoll();
   }
 
   /** Closes all connections at once, also those with requests in flight. */
@@ -195,11 +199,9 @@
       const end = () => endConnection(socket, '400 Bad Request');
       const response = this.responses.get(socket);
       // The invalid bytes follow a request that is still to be answered.
-      if (response?.req.complete && !response.closed) {
-        response.once('close', end);
-      } else {
-        end();
-      }
+      if (!response?.req.complete || response.closed) end();
+      else if (!this.endingSockets.has(socket)) response.once('close', end);
+      this.endingSockets.add(socket);
       return;
     }
     // After a delay of the event loop, the timeout is checked before the bytes
@@ -215,7 +217,13 @@
     response: ServerResponse,
   ): Promise<void> {
     // No answer can be sent after the end of the connection.
-    if (!incoming.socket.writable) return;
+    if (!incoming.socket.writable) {
+      const {attemptId: requestId} = this.options.codec.decodeRequest(
+        incoming.rawHeaders,
+      );
+      this.options.log.warn('read on an ended connection', {requestId});
+      return;
+    }
     const exchange = new CallerExchange(incoming, response, this.options.codec);
     this.inFlight.add(exchange);
     this.idleSockets.delete(incoming.socket);
@@ -229,7 +237,9 @@
         requestId: exchange.request.attemptId,
         error: String(error),
       });
-      response.destroy();
+      const cause = 'the router failed';
+      const refusal = exchange.giveUp(RefusalReason.NoBackendServer, cause);
+      if (refusal) this.recordRefusal(exchange, refusal);
     }
   }
 
@@ -318,7 +328,7 @@
         return false;
       }
       case Turn.Abandoned:
-        if (exchange.isStopped) return false;
+        if (exchange.isGivenUp) return false;
         this.options.log.logInfo('caller gone, not sent', {
           requestId: exchange.request.attemptId,
           route: route.name,
--- a/tests/router/requestLog.test.ts
+++ b/tests/router/requestLog.test.ts
@@ -2,10 +2,12 @@
 import {expect} from 'chai';
 import loglevel from 'loglevel';
 import type {ConnectionScript} from '../gateway/rawServer.js';
+import {RawCaller} from '../support/rawCaller.js';
 import {
   formatBackendAnswer,
   formatChunk,
   formatStreamHead,
+  host,
   RouterFixture,
   sampleDeployment,
 } from './routerFixture.js';
@@ -60,8 +62,15 @@
     expect(find('event loop delayed')?.lagMs).to.be.at.least(200);
   });
 
-  /** Stops a router at once while a backend server has its request. */
-  async function stopDuring(path: string, script: ConnectionScript) {
+  /**
+   * Stops a router at once while a backend server has its request and this many
+   * answers have begun. Returns the request's id and the caller.
+   */
+  async function stopDuring(
+    path: string,
+    answers: number,
+    script: ConnectionScript,
+  ) {
     let isReceived = false;
     await fixture.addBackend((socket, request) => {
       isReceived = true;
@@ -69,20 +78,23 @@
     });
     const router = await fixture.addRouter();
     await fixture.waitReady(router);
-    const call = fixture.call(router, path).catch(() => undefined);
+    const requestId = 'r1';
+    const caller = await RawCaller.open(router.callers);
+    caller.send(
+      `GET ${path} HTTP/1.1\r\nhost: ${host}\r\n` +
+        `x-key: k1\r\nx-attempt: ${requestId}\r\n\r\n`,
+    );
     await fixture.waitUntil(() => isReceived, 'request at the server');
-    await new Promise(resolve => setTimeout(resolve, 100));
+    await caller.waitAnswers(answers);
     await router.daemon.stopNow();
-    await call;
-    const requestId = find('in flight')?.requestId;
-    expect(requestId).to.be.a('string');
-    return requestId;
+    await caller.ended;
+    return {requestId, caller};
   }
 
   // Guards against incidents in which a request was read and nobody can tell
   // why its connection ended without a complete answer.
   it('should name a request whose connection the router closes', async () => {
-    const requestId = await stopDuring('/ask/1', (socket, request) => {
+    const {requestId} = await stopDuring('/ask/1', 1, (socket, request) => {
       socket.write(formatStreamHead(request));
       socket.write(formatChunk('id: 1\ndata: 1\n\n'));
     });
@@ -93,10 +105,15 @@
 
   // Guards against the same for a request that is refused at the end.
   it('should name a request that the router refuses at its end', async () => {
-    const requestId = await stopDuring('/orders/1', () => undefined);
+    const {requestId, caller} = await stopDuring(
+      '/orders/1',
+      0,
+      () => undefined,
+    );
     const fields = {requestId, state: 'atServer', isHeadSent: false};
     expect(find('in flight')).to.include(fields);
     expect(find('refused')).to.include({requestId, outcome: 'mayHaveRun'});
+    expect(caller.statuses).to.deep.equal([504]);
     expect(find('closed without an answer')).to.equal(undefined);
   });
 
--- a/tests/router/unansweredAtExit.test.ts
+++ b/tests/router/unansweredAtExit.test.ts
@@ -2,6 +2,7 @@
 import {RawCaller} from '../support/rawCaller.js';
 import {
   buildRoute,
+  formatBackendAnswer,
   host,
   RouterFixture,
   sampleDeployment,
@@ -64,6 +65,56 @@
     expect(caller.statuses, seen).to.deep.equal([503]);
   });
 
+  // Guards against closing the channel of requests that wait in the router, and
+  // against sending them later although their callers were told otherwise.
+  it('should refuse requests that wait for a limited server', async () => {
+    const backend = await fixture.addBackend((socket, request) =>
+      socket.write(formatBackendAnswer(request, 'ok', 'x-limit: 0.25\r\n')),
+    );
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const callers: RawCaller[] = [];
+    for (let i = 0; i < 4; i++) {
+      const caller = await RawCaller.open(router.callers);
+      callers.push(caller);
+      caller.send(
+        `GET /orders/${i} HTTP/1.1\r\nhost: ${host}\r\n` +
+          `x-key: k1\r\nx-attempt: r${i}\r\n\r\n`,
+      );
+      await new Promise(resolve => setTimeout(resolve, 100));
+    }
+    const sent = backend.requests.length;
+    expect(sent).to.be.lessThan(callers.length);
+    await router.daemon.stopNow();
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const statuses = callers.map(caller => caller.statuses);
+    const refused = callers.filter(({text}) => text.includes('shuttingDown'));
+    expect(refused, String(statuses)).to.have.length(callers.length - sent);
+    for (const caller of refused) {
+      expect(caller.statuses).to.deep.equal([503]);
+      expect(caller.text).to.match(/connection: close/i);
+    }
+    expect(backend.requests).to.have.length(sent);
+  });
+
+  // Guards against cutting off a refusal whose request is still arriving.
+  it('should not break off a refusal that has been written', async () => {
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const caller = await RawCaller.open(router.callers);
+    const stopped = router.daemon.stop();
+    caller.send(
+      `POST /orders/1 HTTP/1.1\r\nhost: ${host}\r\nx-key: unknown\r\n` +
+        'x-attempt: r1\r\ncontent-length: 100\r\n\r\n',
+    );
+    await caller.waitAnswers(1);
+    const stoppedNow = router.daemon.stopNow();
+    caller.send('x'.repeat(100));
+    await Promise.all([stopped, stoppedNow, caller.ended]);
+    expect(caller.statuses).to.deep.equal([401]);
+    expect(caller.errorCode).to.equal(undefined);
+  });
+
   // Guards against closing the channel of a request whose server is silent
   // instead of stating that the request may have run.
   for (const path of ['/orders/1', '/status/1']) {
