Stop routers with over a hundred requests in flight in the shutdown soak

Runs without it draw the same numbers as before.

What callers and servers saw, and its judgement, moved to its own file.

--- a/tests/soak/slowShutdown.ts
+++ b/tests/soak/slowShutdown.ts
@@ -15,12 +15,25 @@
   sampleDeployment,
   sampleServer,
 } from '../router/routerFixture.js';
+import {FaultProxy, LinkFault} from './faultProxy.js';
 import {PublishedStateServer} from './httpPublishedState.js';
+import {
+  graceSeconds,
+  Load,
+  routerCount,
+  ShutdownRecord,
+  Work,
+  type ObservedRequest,
+  type Shutdown,
+  type SlowShutdownReport,
+} from './shutdownRecord.js';
+import {SlottedEngine} from './slottedEngine.js';
 import {SoakRouter} from './soakFleet.js';
 
-export const graceSeconds = 8;
-const cpuRatio = Number(process.env.SLOW_CPU_RATIO ?? 0.227);
-const routerCount = 4;
+/** Shares of a core that VMs have. */
+const minCpuRatio = 0.227;
+const maxCpuRatio = 0.675;
+const fixedCpuRatio = Number(process.env.SLOW_CPU_RATIO ?? minCpuRatio);
 const backendCount = 3;
 const deadlineMs = 12_000;
 const orderDeadlineMs = 1_500;
@@ -35,77 +48,61 @@
 /** The first numbers of generators with small seeds are close to each other. */
 const skippedDraws = 20;
 const maxRequestsPerConnection = 6;
-/** A request may be cut if its server works in the last part of the grace. */
-const lateWorkMs = (graceSeconds * 1_000 * 5) / 6;
-/** Requests that are sent later than this must not be passed on and then cut. */
-const latestCutRequestMs = 3_000;
-/** Slack for a request that is read while its connection is being closed. */
-const lossSlackMs = 200;
+/** Routers with most of the requests under `Load.Bursts`, and their share. */
+const busyRouterCount = 2;
+const busyRouterRatio = 0.85;
+/** Requests that a server works on at a time under `Load.Bursts`. */
+const engineSlots = 48;
+const shortStreamDeadlineMs = 4_000;
+/** Limit that servers of some runs with `Load.Bursts` state, per second. */
+const statedLimit = 20;
 
-/** How the backend server of a request behaves. */
-enum Work {
-  Plain = 'plain',
-  Stream = 'stream',
-  /** No answer. */
-  Silent = 'silent',
-}
+/** Time in which the requests of `Load.Bursts` accumulate. */
+const burstRampMs = 4_000;
 
-/** A request as its caller and its server saw it, on the steady clock. */
-interface ObservedRequest {
-  readonly id: string;
-  readonly router: string;
-  readonly path: string;
-  readonly work: Work;
-  readonly workMs: number;
-  readonly startedAtMs: number;
-  /** Time after which the router may end the request. */
-  readonly limitMs: number;
-  sentAtMs?: number;
-  reachedServerAtMs?: number;
-  endedAtMs?: number;
-  status: number;
-  isComplete: boolean;
-  hasExpired: boolean;
-}
-
-/** One shutdown of a router process. */
-interface Shutdown {
-  readonly router: string;
-  readonly signalledAtMs: number;
-  /** Undefined when the process was killed at the end of its grace. */
-  endedAfterMs?: number;
-}
-
-export interface SlowShutdownReport {
-  readonly seed: number;
-  readonly requests: number;
-  readonly complete: number;
-  readonly statuses: Record<string, number>;
-  readonly shutdowns: readonly Shutdown[];
-  readonly killed: readonly Shutdown[];
-  readonly lost: readonly object[];
-  /** Requests that were at a server and cut at the end of the grace time. */
-  readonly allowedCuts: number;
-  /** Requests sent over 3 s after SIGTERM that reached a server. */
-  readonly lateRequests: number;
-  readonly folder: string;
-}
+const burstRoutes = [
+  buildRoute({
+    name: 'chat',
+    pathPrefix: '/chat/',
+    kind: RouteKind.Stream,
+    timeoutMs: shortStreamDeadlineMs,
+  }),
+  buildRoute({
+    name: 'imports',
+    pathPrefix: '/imports/',
+    timeoutMs: deadlineMs,
+    targetMs: deadlineMs,
+  }),
+];
 
 /** Plays one seeded run. */
 export class SlowShutdownRun {
   private readonly folder: string;
   private readonly routers: SoakRouter[] = [];
-  private readonly requests = new Map<string, ObservedRequest>();
-  private readonly shutdowns: Shutdown[] = [];
+  private readonly record = new ShutdownRecord();
   private readonly restarting = new Set<SoakRouter>();
   private readonly servers: http.Server[] = [];
   private readonly random: SeededRandom;
   private leavingServer: number | undefined;
   private isEnding = false;
   private platform!: PublishedStateServer;
+  private storeLink: FaultProxy | undefined;
+  private readonly cpuRatio: number;
+  private readonly isLimited: boolean;
+  private readonly engines = new Map<http.Server, SlottedEngine>();
+  private maxLagMs = 0;
 
-  constructor(private readonly seed: number) {
+  constructor(
+    private readonly seed: number,
+    private readonly load = Load.Light,
+  ) {
     this.random = new SeededRandom(seed);
+    if (load === Load.Bursts) {
+      for (let i = 0; i < skippedDraws; i++) this.random.draw();
+    }
+    const isSmallVm = load === Load.Light || this.random.draw() < 0.6;
+    this.cpuRatio = isSmallVm ? fixedCpuRatio : maxCpuRatio;
+    this.isLimited = load === Load.Bursts && this.random.draw() < 0.3;
     const prefix = path.join(os.tmpdir(), `slow-shutdown-${seed}-`);
     this.folder = fs.mkdtempSync(prefix);
   }
@@ -114,9 +111,15 @@
   async run(durationMs: number): Promise<SlowShutdownReport> {
     await this.start();
     try {
-      const callers = Array.from({length: this.drawInteger(20, 60)}, () =>
+      const callerCount =
+        this.load === Load.Light
+          ? this.drawInteger(20, 60)
+          : this.drawInteger(250, 400);
+      const callers = Array.from({length: callerCount}, () =>
         this.runCaller(this.openRandom()),
       );
+      void this.measureLag();
+      if (this.load === Load.Bursts) await wait(burstRampMs);
       const endsAtMs = performance.now() + durationMs;
       const steps: Array<Promise<void>> = [];
       while (performance.now() < endsAtMs) {
@@ -129,7 +132,12 @@
     } finally {
       await this.stop();
     }
-    return this.report();
+    return this.record.report(this.folder, {
+      seed: this.seed,
+      load: this.load,
+      cpuRatio: this.cpuRatio,
+      maxLagMs: this.maxLagMs,
+    });
   }
 
   private async start(): Promise<void> {
@@ -153,12 +161,16 @@
           kind: RouteKind.Stream,
           timeoutMs: deadlineMs,
         }),
+        ...(this.load === Load.Bursts ? burstRoutes : []),
       ],
     });
-    const store = `127.0.0.1:${this.platform.port}`;
+    if (this.load === Load.Bursts) {
+      this.storeLink = await FaultProxy.start(this.platform.port);
+    }
+    const store = `127.0.0.1:${this.storeLink?.port ?? this.platform.port}`;
     for (let i = 0; i < routerCount; i++) {
       const logFile = path.join(this.folder, `router-${i}.log`);
-      const options = {graceSeconds, cpuRatio, logFile};
+      const options = {graceSeconds, cpuRatio: this.cpuRatio, logFile};
       const router = new SoakRouter(i, this.folder, store, options);
       this.routers.push(router);
       router.start();
@@ -173,9 +185,19 @@
       server.close();
       server.closeAllConnections();
     }
+    this.storeLink?.stop();
     this.platform.stop();
   }
 
+  private async measureLag(): Promise<void> {
+    while (!this.isEnding) {
+      const startedAtMs = performance.now();
+      await wait(50);
+      const lagMs = performance.now() - startedAtMs - 50;
+      this.maxLagMs = Math.max(this.maxLagMs, Math.round(lagMs));
+    }
+  }
+
   private async waitReady(router: SoakRouter): Promise<void> {
     const endsAtMs = performance.now() + maxStartMs;
     while (!(await router.isReady())) {
@@ -191,7 +213,8 @@
     if (draw < 0.25) return this.drainServer();
     const count = draw < 0.75 ? 1 : routerCount - 1;
     const free = this.routers.filter(router => !this.restarting.has(router));
-    const first = this.drawInteger(0, free.length);
+    const first =
+      this.load === Load.Light ? this.drawInteger(0, free.length) : 0;
     const order = [...free.slice(first), ...free.slice(0, first)];
     const chosen = order.slice(0, Math.min(count, free.length - 1));
     await Promise.all(chosen.map(router => this.restart(router)));
@@ -200,9 +223,18 @@
   private async restart(router: SoakRouter): Promise<void> {
     this.restarting.add(router);
     const signalledAtMs = performance.now();
-    const shutdown: Shutdown = {router: router.callers, signalledAtMs};
-    this.shutdowns.push(shutdown);
+    const inFlight = [...this.record.requests.values()].filter(
+      ({router: address, sentAtMs, endedAtMs}) =>
+        address === router.callers && sentAtMs && !endedAtMs,
+    ).length;
+    const shutdown: Shutdown = {
+      router: router.callers,
+      signalledAtMs,
+      inFlight,
+    };
+    this.record.shutdowns.push(shutdown);
     router.signal('SIGTERM');
+    if (this.load === Load.Bursts) void this.disturbStop(router);
     const exited = router.waitForExit().then(() => true);
     if (await Promise.race([exited, wait(graceSeconds * 1_000)])) {
       shutdown.endedAfterMs = performance.now() - signalledAtMs;
@@ -213,6 +245,25 @@
     this.restarting.delete(router);
   }
 
+  /** Does other planned work, and harms the store, while a router stops. */
+  private async disturbStop(router: SoakRouter): Promise<void> {
+    const draw = this.random.draw();
+    await wait(this.drawInteger(0, 7_000));
+    if (draw < 0.2) router.signal('SIGTERM');
+    else if (draw < 0.4) router.signal('SIGHUP');
+    else if (draw < 0.6) {
+      const {state} = this.platform;
+      const {deployment} = state;
+      const version = deployment!.version + 1;
+      state.publishDeployment({...deployment!, version});
+    } else if (draw < 0.8) {
+      const fault = draw < 0.7 ? LinkFault.Reset : LinkFault.Silence;
+      this.storeLink!.inject(fault);
+      await wait(3_000);
+      this.storeLink!.inject(LinkFault.None);
+    }
+  }
+
   private async drainServer(): Promise<void> {
     if (this.leavingServer !== undefined) return;
     this.leavingServer = this.drawInteger(0, backendCount);
@@ -237,19 +288,38 @@
 
   private async addServer(): Promise<void> {
     const server = http.createServer((incoming, response) =>
-      this.answer(incoming, response),
+      this.handle(server, incoming, response),
     );
+    this.engines.set(server, new SlottedEngine(engineSlots));
     await new Promise<void>(resolve =>
       server.listen(0, '127.0.0.1', () => resolve()),
     );
     this.servers.push(server);
   }
 
+  private handle(
+    server: http.Server,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const id = String(incoming.headers['x-attempt']);
+    const request = this.record.requests.get(id);
+    if (this.load === Load.Light || !request) {
+      this.answer(incoming, response);
+      return;
+    }
+    request.reachedServerAtMs ??= performance.now();
+    if (this.isLimited) response.setHeader('x-limit', statedLimit);
+    this.engines.get(server)!.run(response, () => {
+      this.answer(incoming, response);
+    });
+  }
+
   private answer(incoming: IncomingMessage, response: ServerResponse): void {
     incoming.resume();
     incoming.on('error', () => undefined);
     const id = String(incoming.headers['x-attempt']);
-    const request = this.requests.get(id);
+    const request = this.record.requests.get(id);
     if (!request) {
       response.setHeader('x-stamp', 's');
       response.end('healthy');
@@ -260,7 +330,10 @@
     response.setHeader('x-stamp', 's');
     switch (request.work) {
       case Work.Plain:
-        setTimeout(() => response.end(`answer to ${id}`), request.workMs);
+        setTimeout(() => {
+          request.servedAtMs = performance.now();
+          response.end(`answer to ${id}`);
+        }, request.workMs);
         return;
       case Work.Silent:
         return;
@@ -272,6 +345,7 @@
           response.write(`id: ${event}\ndata: ${event}\n\n`);
           if (performance.now() < endsAtMs) return;
           clearInterval(timer);
+          request.servedAtMs = performance.now();
           response.end();
         }, eventIntervalMs);
         response.on('close', () => clearInterval(timer));
@@ -283,7 +357,10 @@
   private async runCaller(random: SeededRandom): Promise<void> {
     const drawUpTo = (max: number) => Math.floor(random.draw() * max);
     while (!this.isEnding) {
-      const router = this.routers[drawUpTo(routerCount)];
+      const isAtBusy =
+        this.load === Load.Bursts && random.draw() < busyRouterRatio;
+      const router =
+        this.routers[drawUpTo(isAtBusy ? busyRouterCount : routerCount)];
       const agent = new http.Agent({keepAlive: true, maxSockets: 1});
       for (let i = 0; i < maxRequestsPerConnection && !this.isEnding; i++) {
         const request = await this.send(router, random, agent);
@@ -301,10 +378,11 @@
     random: SeededRandom,
     agent: http.Agent,
   ): Promise<ObservedRequest> {
+    if (this.load === Load.Bursts) return this.sendBurst(router, random, agent);
     const kind = random.draw();
     const isStream = kind < 0.5;
     const isSilent = random.draw() < 0.05;
-    const id = `r${this.requests.size + 1}`;
+    const id = `r${this.record.requests.size + 1}`;
     const request: ObservedRequest = {
       id,
       router: router.callers,
@@ -319,7 +397,7 @@
       isComplete: false,
       hasExpired: false,
     };
-    this.requests.set(id, request);
+    this.record.requests.set(id, request);
     const pieces =
       request.path === '/status/'
         ? 0
@@ -328,6 +406,46 @@
     return request;
   }
 
+  /** Sends a request that lasts for seconds, or a quick order. */
+  private async sendBurst(
+    router: SoakRouter,
+    random: SeededRandom,
+    agent: http.Agent,
+  ): Promise<ObservedRequest> {
+    const kind = random.draw();
+    const work = random.draw() < 0.02 ? Work.Silent : undefined;
+    const [pathPrefix, limitMs, drawnWork, minMs, maxMs] =
+      kind < 0.4
+        ? (['/ask/', deadlineMs, Work.Stream, 3_500, 11_500] as const)
+        : kind < 0.7
+          ? ([
+              '/chat/',
+              shortStreamDeadlineMs,
+              Work.Stream,
+              2_000,
+              3_900,
+            ] as const)
+          : kind < 0.85
+            ? (['/imports/', deadlineMs, Work.Plain, 500, 9_000] as const)
+            : (['/orders/', orderDeadlineMs, Work.Plain, 10, 1_000] as const);
+    const request: ObservedRequest = {
+      id: `r${this.record.requests.size + 1}`,
+      router: router.callers,
+      path: pathPrefix,
+      work: work ?? drawnWork,
+      workMs: minMs + (maxMs - minMs) * random.draw(),
+      startedAtMs: performance.now(),
+      limitMs,
+      status: 0,
+      isComplete: false,
+      hasExpired: false,
+    };
+    this.record.requests.set(request.id, request);
+    const pieces = 1 + Math.floor(random.draw() * maxBodyPieces);
+    await this.sendRequest(request, pieces, agent);
+    return request;
+  }
+
   /** Sends the body in pieces, and resolves when the answer has ended. */
   private sendRequest(
     request: ObservedRequest,
@@ -376,124 +494,6 @@
     });
   }
 
-  private report(): SlowShutdownReport {
-    const requests = [...this.requests.values()];
-    const logs = this.readLogs();
-    const statuses: Record<string, number> = {};
-    for (const {status, isComplete} of requests) {
-      const key = isComplete ? String(status) : `${status} cut`;
-      statuses[key] = (statuses[key] ?? 0) + 1;
-    }
-    const report = {
-      seed: this.seed,
-      requests: requests.length,
-      complete: requests.filter(({isComplete}) => isComplete).length,
-      statuses,
-      shutdowns: this.shutdowns,
-      killed: this.shutdowns.filter(({endedAfterMs}) => !endedAfterMs),
-      lost: requests
-        .filter(request => this.isLost(request, logs))
-        .map(request => this.describe(request, logs)),
-      lateRequests: requests.filter(request => this.isSentLate(request)).length,
-      allowedCuts: requests.filter(request => this.isAllowedCut(request))
-        .length,
-      folder: this.folder,
-    };
-    const file = path.join(this.folder, 'report.json');
-    fs.writeFileSync(file, JSON.stringify(report, undefined, 1));
-    return report;
-  }
-
-  /**
-   * True for a request that was sent whole and read, and has no complete answer,
-   * unless its time limit has passed or it may be cut at the end of the grace
-   * time.
-   */
-  private isLost(request: ObservedRequest, logs: Map<string, string[]>) {
-    const {sentAtMs, endedAtMs, reachedServerAtMs, id} = request;
-    if (request.isComplete || request.hasExpired) return false;
-    if (sentAtMs === undefined || endedAtMs === undefined) return false;
-    const isLate = endedAtMs - sentAtMs > lossSlackMs && logs.has(id);
-    if (reachedServerAtMs === undefined && !isLate) return false;
-    if (endedAtMs - request.startedAtMs >= request.limitMs) return false;
-    return !this.isAllowedCut(request);
-  }
-
-  /** True if the server still worked in the last part of the grace time. */
-  private isAllowedCut(request: ObservedRequest): boolean {
-    const {sentAtMs, endedAtMs, reachedServerAtMs} = request;
-    if (request.isComplete || request.hasExpired) return false;
-    if (sentAtMs === undefined || endedAtMs === undefined) return false;
-    const shutdown = this.findShutdown(request);
-    const sentAfterMs = sentAtMs - (shutdown?.signalledAtMs ?? Infinity);
-    const endedAfterMs = endedAtMs - (shutdown?.signalledAtMs ?? Infinity);
-    return (
-      reachedServerAtMs !== undefined &&
-      sentAfterMs <= latestCutRequestMs &&
-      endedAfterMs >= lateWorkMs
-    );
-  }
-
-  /** True for a request that a router passed on late in its shutdown. */
-  private isSentLate({
-    router,
-    sentAtMs = 0,
-    reachedServerAtMs,
-  }: ObservedRequest) {
-    return this.shutdowns.some(shutdown => {
-      const sentAfterMs = sentAtMs - shutdown.signalledAtMs;
-      const endedAfterMs = shutdown.endedAfterMs ?? graceSeconds * 1_000;
-      return (
-        shutdown.router === router &&
-        reachedServerAtMs !== undefined &&
-        sentAfterMs > latestCutRequestMs &&
-        sentAfterMs < endedAfterMs
-      );
-    });
-  }
-
-  /** Finds the last shutdown of a request's router before the request ended. */
-  private findShutdown(request: ObservedRequest): Shutdown | undefined {
-    return this.shutdowns.findLast(
-      ({router, signalledAtMs}) =>
-        router === request.router && signalledAtMs < request.endedAtMs!,
-    );
-  }
-
-  private describe(
-    request: ObservedRequest,
-    logs: Map<string, string[]>,
-  ): object {
-    const fromMs = this.findShutdown(request)?.signalledAtMs;
-    const measure = (atMs: number | undefined) =>
-      atMs === undefined || fromMs === undefined
-        ? undefined
-        : Math.round(atMs - fromMs);
-    return {
-      ...request,
-      sinceSigterm: {
-        startedMs: measure(request.startedAtMs),
-        sentMs: measure(request.sentAtMs),
-        reachedServerMs: measure(request.reachedServerAtMs),
-        endedMs: measure(request.endedAtMs),
-      },
-      log: logs.get(request.id),
-    };
-  }
-
-  /** Reads the routers' log lines by the id of the request. */
-  private readLogs(): Map<string, string[]> {
-    const lines = new Map<string, string[]>();
-    for (let i = 0; i < routerCount; i++) {
-      const file = path.join(this.folder, `router-${i}.log`);
-      for (const line of fs.readFileSync(file, 'utf8').split('\n')) {
-        const id = /"requestId":"([^"]+)"/.exec(line)?.[1];
-        if (id) lines.set(id, [...(lines.get(id) ?? []), line]);
-      }
-    }
-    return lines;
-  }
-
   /** Opens a generator whose first numbers don't resemble those of others. */
   private openRandom(): SeededRandom {
     const random = new SeededRandom(this.drawInteger(1, 2 ** 30));
