Ignore a SIGTERM to a router that already stops

Callers saw their requests end within milliseconds, with 504 or a broken stream, when the platform signalled a VM twice, as overlapping planned work may: a second signal stopped the router at once. The platform ends a process in a hurry by SIGKILL, so a repeated SIGTERM carries no such order. A second SIGINT, as from a terminal, still stops at once, and the gateway and the dispatcher keep their behaviour.

--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -24,11 +24,17 @@
   readonly version: string;
   readonly readSettings: (file: string) => Result<S, ValidationError>;
   readonly start: (settings: S) => Promise<Daemon<S>>;
+  /**
+   * True where the platform may send SIGTERM again while the daemon stops, and
+   * doesn't mean that it should hurry.
+   */
+  readonly ignoresRepeatedSigterm?: boolean;
 }
 
 /**
  * Reads the settings, starts a daemon and stops it gracefully on SIGTERM or
- * SIGINT. A second signal stops it at once. SIGHUP reloads the settings.
+ * SIGINT. A second signal stops it at once; see `ignoresRepeatedSigterm` for the
+ * exception. SIGHUP reloads the settings.
  *
  * @example
  * runDaemon({
@@ -43,6 +49,7 @@
   version,
   readSettings,
   start,
+  ignoresRepeatedSigterm = false,
 }: DaemonOptions<S>): void {
   const reloadSignals = new ReloadSignalHandler();
   sade(name, true)
@@ -66,6 +73,7 @@
           reloadSignals.setHandler(() =>
             reload(daemon, () => readSettings(options.settings)),
           ),
+        ignoresRepeatedSigterm,
       );
     })
     .parse(process.argv);
@@ -119,12 +127,14 @@
 async function runUntilSignal<S>(
   start: () => Promise<Daemon<S>>,
   handleStarted: (daemon: Daemon<S>) => void,
+  ignoresRepeatedSigterm: boolean,
 ): Promise<void> {
   try {
     const running = await start();
     handleStarted(running);
     let isStopping = false;
-    const handleSignal = () => {
+    const handleSignal = (signal: NodeJS.Signals) => {
+      if (isStopping && signal === 'SIGTERM' && ignoresRepeatedSigterm) return;
       const stopped = isStopping
         ? (running.stopNow?.() ?? Promise.resolve())
         : running.stop();
--- a/tests/soak/soakRouter.ts
+++ b/tests/soak/soakRouter.ts
@@ -16,6 +16,7 @@
   name: 'soak-router',
   version: 'soak',
   readSettings: file => readSettingsFile(file, routerSettingsSchema),
+  ignoresRepeatedSigterm: true,
   start: settings => {
     openLogSink();
     return RouterDaemon.start(settings, {
