Count a router's shutdown from the signal, not from its handling

Callers saw streams cut at the end of the grace period that they had sent over 3 s after SIGTERM, and routers with over a hundred requests in flight were killed 8 s after SIGTERM. A busy event loop handles the signal late, and all times counted from then on.

The process can't tell when the signal was sent, but it was sent after the last poll for events but one. Marks that are set after polls, 50 ms apart, bound that moment from below. The last steps also begin earlier by as much as timers fire late, as each of them may wait as long again, but never before the last sixth of the grace period after the handling: before it, a cut isn't excused. The time for which requests are accepted is at most 100 ms shorter on an idle processor.

--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -2,6 +2,7 @@
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
 import type {LogSinkCounts} from '../node/logSink.js';
+import {SignalAge} from '../node/signalAge.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
 import {listAddresses} from './callerAddresses.js';
@@ -39,22 +40,11 @@
 import {ServerOutcomes} from './serverOutcomes.js';
 import {ServerReporter} from './serverReporter.js';
 import {computeLimitKey, ServerSelector} from './serverSelector.js';
+import {ShutdownSchedule} from './shutdownSchedule.js';
 import {SharedNotices} from './sharedNotices.js';
 import {StateFollower} from './stateFollower.js';
 
-/**
- * Callers keep using a router's address for seconds after its shutdown began.
- * The router goes on accepting requests for this long. The platform excuses it
- * for cutting those that are sent up to 3 s after the signal, which may be
- * handled late.
- */
-const drainListenMs = 2_800;
-/**
- * Part of the grace period that is reserved for closing everything, which takes
- * up to 500 ms on a VM with 0.23 of a core.
- */
-const exitMarginMs = 600;
-/** Part of that which its tasks may take to stop. */
+/** Longest time that the tasks may take to stop. */
 const taskStopTimeoutMs = 100;
 /** Interval at which a draining router checks for requests in flight. */
 const drainPollMs = 50;
@@ -115,6 +105,7 @@
   private readonly control: ControlServers;
   /** Processes of the usable servers, by server id; see `formatProcess`. */
   private readonly serverProcesses = new Map<string, string>();
+  private readonly signalAge = new SignalAge();
   private isLeaving = false;
   /** False while callers are given only the addresses of other routers. */
   private isOffered = true;
@@ -234,21 +225,26 @@
    */
   async stop(): Promise<void> {
     if (this.isLeaving) return;
-    const startedAtMs = performance.now();
+    const signalAgeMs = this.signalAge.computeMaxMs();
+    const graceMs = this.settings.shutdown.graceSeconds * 1_000;
+    const schedule = new ShutdownSchedule(graceMs, signalAgeMs);
     this.isLeaving = true;
-    this.log.logInfo('leaving', {active: this.intake.active});
-    this.intake.drain(drainListenMs);
+    this.log.logInfo('leaving', {
+      active: this.intake.active,
+      signalAgeMs: Math.round(signalAgeMs),
+    });
+    this.intake.drain(schedule.acceptMs);
     this.exchange.announce();
-    await waitFor(drainListenMs);
+    await waitFor(schedule.acceptMs);
     await this.intake.close();
     this.log.logInfo('closed to new requests', {
       active: this.intake.active,
-      ms: Math.round(performance.now() - startedAtMs),
+      ms: Math.round(performance.now() - schedule.startedAtMs),
     });
-    const graceMs = this.settings.shutdown.graceSeconds * 1_000;
-    const endsAtMs = startedAtMs + graceMs - exitMarginMs;
-    while (this.intake.active > 0 && performance.now() < endsAtMs) {
+    while (this.intake.active > 0 && !schedule.isOver()) {
+      const polledAtMs = performance.now();
       await waitFor(drainPollMs);
+      schedule.recordLag(performance.now() - polledAtMs - drainPollMs);
     }
     await this.stopNow();
   }
@@ -261,6 +257,7 @@
     const startedAtMs = performance.now();
     this.log.logInfo('stopped', {active: this.intake.active});
     this.intake.logInFlight();
+    this.signalAge.stop();
     await this.intake.refuseUnanswered();
     this.control.close();
     await this.supervisor.stop(taskStopTimeoutMs);
@@ -359,6 +356,7 @@
     const [host, port] = listen.callers.split(':');
     await this.intake.listen(host, Number(port));
     this.log.logInfo('started', {callers: listen.callers});
+    this.signalAge.start();
     this.spawnTasks();
   }
 
--- a/tests/router/leavingLate.test.ts
+++ b/tests/router/leavingLate.test.ts
@@ -50,4 +50,29 @@
     expect(backend.requests, end).to.have.length(0);
     expect(caller.statuses[1], end).to.equal(503);
   });
+
+  // Guards against counting the callers' time to leave from the moment at which
+  // a busy event loop handles the signal: a request that is sent too late after
+  // the signal is then forwarded and cut.
+  it('should count the time from the signal, not from its handling', async () => {
+    const backend = await fixture.addBackend((socket, request) =>
+      socket.write(formatStreamHead(request)),
+    );
+    const router = await fixture.addRouter({graceSeconds});
+    await fixture.waitReady(router);
+    const caller = await RawCaller.open(router.callers);
+    caller.send('GET /nothing HTTP/1.1\r\nhost: none\r\n\r\n');
+    await caller.waitAnswers(1);
+    const signalledAtMs = performance.now();
+    pauseEventLoop(500);
+    const stopped = router.daemon.stop();
+    await waitFor(signalledAtMs + excusedSendMs + 50 - performance.now());
+    caller.send(formatRequest('/ask/1', 'late'));
+    const sentAfterMs = Math.round(performance.now() - signalledAtMs);
+    await caller.ended;
+    await stopped;
+    // The connection may have been closed before the request, which is then
+    // never read.
+    expect(backend.requests, `sent at ${sentAfterMs} ms`).to.have.length(0);
+  });
 });
