Refuse a request whose body is complete too late in a shutdown

Callers saw streams cut that they had sent whole over 3 s after SIGTERM: whether a request came in time was checked at its head only, and its body may arrive much later.

It is checked once more when the body has been read.

Test: a head at 2,500 ms and its body at 3,050 ms: forwarded before, 503 now.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -113,7 +113,7 @@
 
   /**
    * Sends `Connection: close` with each further answer, and refuses requests
-   * that are read later than this many milliseconds from now.
+   * whose last byte is read later than this many milliseconds from now.
    */
   drain(acceptMs: number): void {
     this.refusesAtMs = performance.now() + acceptMs;
@@ -286,6 +286,10 @@
     const {limits} = table.deployment;
     const body = await this.readBody(exchange, limits.maxBodyBytes);
     if (body === undefined) return;
+    if (performance.now() >= this.refusesAtMs) {
+      this.refuse(exchange, buildStopRefusal());
+      return;
+    }
     exchange.state = RequestState.WaitingForTurn;
     if (!(await this.waitForTurn(exchange, admission))) return;
     exchange.state = RequestState.ChoosingServer;
@@ -354,18 +358,16 @@
     request,
   }: CallerExchange): AdmittedRequest | Refusal {
     const {table} = this.options.deployments;
-    if (!table || performance.now() >= this.refusesAtMs) {
-      const reason = table
-        ? RefusalReason.ShuttingDown
-        : RefusalReason.NotReady;
-      const message = table ? 'router is stopping' : 'no deployment yet';
-      return new Refusal(reason, Outcome.NotRun, message, {
-        retryAfterMs: table
-          ? stopRetryAfterMs
-          : estimateStartRetryAfterMs(
-              performance.now() - this.createdAtMs,
-              Math.random,
-            ),
+    if (table && performance.now() >= this.refusesAtMs) {
+      return buildStopRefusal();
+    }
+    if (!table) {
+      const message = 'no deployment yet';
+      return new Refusal(RefusalReason.NotReady, Outcome.NotRun, message, {
+        retryAfterMs: estimateStartRetryAfterMs(
+          performance.now() - this.createdAtMs,
+          Math.random,
+        ),
       });
     }
     const {limits} = table.deployment;
@@ -460,6 +462,16 @@
   return new Promise(resolve => setImmediate(resolve));
 }
 
+/** Builds the refusal of a request that came too late to be finished. */
+function buildStopRefusal(): Refusal {
+  return new Refusal(
+    RefusalReason.ShuttingDown,
+    Outcome.NotRun,
+    'router is stopping',
+    {retryAfterMs: stopRetryAfterMs},
+  );
+}
+
 /** Ends a connection with an answer to a request that wasn't received. */
 function endConnection(socket: Socket, status: string): void {
   if (!socket.writable) return;
--- a/tests/router/leavingLate.test.ts
+++ b/tests/router/leavingLate.test.ts
@@ -51,6 +51,30 @@
     expect(caller.statuses[1], end).to.equal(503);
   });
 
+  // Guards against forwarding a request that is complete only after the callers'
+  // time to leave, because its head came before, and cutting it later.
+  it('should not forward a request whose body came too late', async () => {
+    const backend = await fixture.addBackend((socket, request) =>
+      socket.write(formatStreamHead(request)),
+    );
+    const router = await fixture.addRouter({graceSeconds});
+    await fixture.waitReady(router);
+    const caller = await RawCaller.open(router.callers);
+    const startedAtMs = performance.now();
+    const stopped = router.daemon.stop();
+    await waitFor(excusedSendMs - 500);
+    const head = formatRequest('/ask/1', 'late').replace('GET', 'POST');
+    caller.send(head.replace('\r\n\r\n', '\r\ncontent-length: 4\r\n\r\n'));
+    await waitFor(startedAtMs + excusedSendMs + 50 - performance.now());
+    caller.send('body');
+    const sentAfterMs = Math.round(performance.now() - startedAtMs);
+    await caller.ended;
+    await stopped;
+    const end = `sent at ${sentAfterMs} ms`;
+    expect(backend.requests, end).to.have.length(0);
+    expect(caller.statuses, end).to.deep.equal([503]);
+  });
+
   // Guards against counting the callers' time to leave from the moment at which
   // a busy event loop handles the signal: a request that is sent too late after
   // the signal is then forwarded and cut.
