Ask callers with a request in flight to close when a router stops

Callers kept the connections of requests that were accepted before SIGTERM, as their answers didn't say `Connection: close`, and had their next request refused there. No request was lost by it. The header was set only for requests read after the shutdown had begun; now it is set for all whose head hasn't been sent.

Test: an order in flight at SIGTERM: `keep-alive` before, `close` now.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -69,6 +69,11 @@
     return this.response.headersSent;
   }
 
+  /** Ends the connection after the answer, unless its head has been sent. */
+  closeAfterAnswer(): void {
+    this.response.shouldKeepAlive = false;
+  }
+
   /** Sends a complete answer. */
   sendAnswer(status: number, headers: readonly string[], body: Buffer): void {
     if (this.response.writableEnded || this.signal.aborted) return;
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -112,11 +112,12 @@
   }
 
   /**
-   * Sends `Connection: close` with each further answer, and refuses requests
+   * Sends `Connection: close` with each answer that begins, and refuses requests
    * whose last byte is read later than this many milliseconds from now.
    */
   drain(acceptMs: number): void {
     this.refusesAtMs = performance.now() + acceptMs;
+    for (const exchange of this.inFlight) exchange.closeAfterAnswer();
   }
 
   /**
@@ -237,7 +238,7 @@
     this.idleSockets.delete(incoming.socket);
     this.responses.set(incoming.socket, response);
     response.once('close', () => this.finish(exchange, response));
-    if (this.refusesAtMs < Infinity) response.shouldKeepAlive = false;
+    if (this.refusesAtMs < Infinity) exchange.closeAfterAnswer();
     try {
       await this.serve(exchange);
     } catch (error) {
--- a/tests/router/leaving.test.ts
+++ b/tests/router/leaving.test.ts
@@ -45,6 +45,25 @@
     await stopped;
   });
 
+  // Guards against keeping the connections of requests that were accepted before
+  // the shutdown: their callers send the next request there and are refused.
+  it('should ask callers with a request in flight to close', async () => {
+    await fixture.addBackend((socket, request) => {
+      setTimeout(() => socket.write(formatBackendAnswer(request, 'ok')), 500);
+    });
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const agent = new http.Agent({keepAlive: true});
+    const call = fixture.call(router, '/status/1', {agent});
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const stopped = router.daemon.stop();
+    const {status, headers} = await call;
+    await stopped;
+    agent.destroy();
+    expect(status).to.equal(200);
+    expect(headers.connection).to.equal('close');
+  });
+
   it('should not be ready, yet serve callers that still have its address', async () => {
     await fixture.addBackend((socket, request) =>
       socket.write(formatBackendAnswer(request, 'ok')),
