Finish the requests in flight after an error that nothing has caught

Callers saw all requests of a router end without an answer when any code threw outside of a request's handler: Node.js ends the process at once. A loaded router has 125 to 335 requests in flight.

An unexpected error is logged with its stack and stops the daemon as SIGTERM does: not ready at once, requests in flight are finished, exit code 70. Further errors are logged only. All daemons use runDaemon, so the fix holds for gateway and dispatcher too. Ruled out: going on without an end, because the error may have left invalid state behind.

--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -4,6 +4,7 @@
 import type {ValidationError} from '../protocol/errors.js';
 import {LogLevel, setLogLevel} from '../node/log.js';
 import {ExitCode} from './exitCode.js';
+import {handleUnexpectedErrors} from './unexpectedErrors.js';
 
 /** A running daemon. */
 interface Daemon<S> {
@@ -34,7 +35,8 @@
 /**
  * Reads the settings, starts a daemon and stops it gracefully on SIGTERM or
  * SIGINT. A second signal stops it at once; see `ignoresRepeatedSigterm` for the
- * exception. SIGHUP reloads the settings.
+ * exception. SIGHUP reloads the settings. An error that nothing has caught
+ * stops it gracefully too, with exit code `ExitCode.Software`.
  *
  * @example
  * runDaemon({
@@ -133,14 +135,20 @@
     const running = await start();
     handleStarted(running);
     let isStopping = false;
+    const exit = (stopped: Promise<void>, exitCode: ExitCode) => {
+      isStopping = true;
+      void stopped.finally(() => process.exit(exitCode));
+    };
     const handleSignal = (signal: NodeJS.Signals) => {
       if (isStopping && signal === 'SIGTERM' && ignoresRepeatedSigterm) return;
       const stopped = isStopping
         ? (running.stopNow?.() ?? Promise.resolve())
         : running.stop();
-      isStopping = true;
-      void stopped.then(() => process.exit(ExitCode.Ok));
+      exit(stopped, ExitCode.Ok);
     };
+    handleUnexpectedErrors(() => {
+      if (!isStopping) exit(running.stop(), ExitCode.Software);
+    });
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
   } catch (error) {
--- /dev/null
+++ b/tests/bin/startFailingDaemon.ts
@@ -0,0 +1,4 @@
+/** Entry point of the failing daemon. */
+import {runFailingDaemon} from './failingDaemon.js';
+
+runFailingDaemon();
