Count the requests of a resting member at one relay only

A router that rests while its last requests run, and that reports to another relay from then on, was counted in the sums of both relays until its former relay removed it after 4 s of silence, so that servers looked busier than they were.

Cause: recordOtherRelay skipped resting members, on the assumption that they have no load. Their requests in flight are load.

The former relay now removes the load of such a member from its sums at once, but keeps it as a member: it reports every 1.2 s only, so its silence doesn't show yet that it has moved. If it hasn't, its next full report restores its load.

The new test fails on the code before ("expected [ { key: 1, requests: 3 } ] to deeply equal []").

--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -70,6 +70,11 @@
     return [...this.members.keys()];
   }
 
+  /** Zones of the members; several while other zones use this relay. */
+  listZones(): Set<string> {
+    return new Set([...this.members.values()].map(({member}) => member.zone));
+  }
+
   /** True for a member that joined or changed status since the last report. */
   isNew(host: string): boolean {
     return this.members.get(host)?.isNew ?? false;
@@ -134,11 +139,12 @@
     const sinceMs = performance.now() - movedMemberTimeoutMs;
     const keys = new Set(sequences.map(([key]) => key));
     for (const [member, {heardAtMs}] of this.members) {
-      // A resting member has no load that could be counted twice.
-      if (this.isResting(member)) continue;
       if (heardAtMs >= sinceMs || !keys.has(computeCompactKey(member)))
         continue;
-      this.removeMember(member);
+      // A resting member reports less often than that, so that it may still be
+      // a member here. Its next full report then counts its requests again.
+      if (this.isResting(member)) this.sums.remove(member);
+      else this.removeMember(member);
     }
   }
 
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -217,6 +217,26 @@
     expect(servers.map(server => server.requests)).to.deep.equal([2]);
   });
 
+  // Guards against requests that are counted twice for up to 4 s: a router that
+  // rests, and finishes its last requests, was kept in the sums of its former
+  // relay.
+  it('should not count the requests of a resting member that reports elsewhere', () => {
+    const aggregator = new RelayAggregator();
+    const successor = new RelayAggregator();
+    const resting = {status: RouterStatus.Resting};
+    const report = buildReport(otherHost, 3, resting);
+    recordMemberAt(aggregator, otherHost, report);
+    clock.tick(500);
+    recordMemberAt(successor, otherHost, report);
+    const relayed = successor.build(buildSelf(0), true);
+    aggregator.recordOtherRelay('10.0.0.9', new Uint8Array(), relayed);
+    expect(aggregator.build(buildSelf(0), true).servers).to.deep.equal([]);
+    // It may not have moved: its next report, a full one, is counted.
+    recordMemberAt(aggregator, otherHost, report);
+    const {servers} = aggregator.build(buildSelf(0), true);
+    expect(servers.map(server => server.requests)).to.deep.equal([3]);
+  });
+
   it('should send members the routers that they have not heard from', () => {
     const aggregator = new RelayAggregator();
     recordMemberAt(aggregator, otherHost, buildReport(otherHost, 3));
