Use the relay of another zone while a zone has no fast link

Planned restarts stop both routers of a zone that have fast links within seconds. A router with a link of 7 Mbit/s then became the zone's relay and sent bundles to some 33 members every 90 ms. Callers saw requests that reached servers 2 s late and ran on after the callers had left, and answers by a deployment 3.4 s old.

Cause: the relay was always chosen within the zone, so that the size of its duty followed the fleet and not its link. In the simulated fleet of the new test (four zones of 2 fast and 33 slow routers), a slow relay sent 2.6 times what its link bears.

A zone without a serving router whose link is fast, compared with the fleet's fastest serving router, now uses the relay of another zone, chosen by rendezvous hashing over the zones that have one. That relay is the one that its own zone chooses, so it answers as such, and its heartbeats list the resting routers of all zones that report to it. After two silent relays in other zones within 3 s, members choose in their own zone, because it is probably cut off.

Resting members were told the addresses and statuses of the routers that take requests only when the list of hosts changed, not when one of them began to leave. They stayed with a leaving relay until it had ended and been silent for 1.5 s: two zones that lost their fast routers together were missing from all sums for 0.6 s (70 of 136 routers counted 3 s after the leave). Heartbeats are now also sent in full when a status changes.

The exchange takes its socket as an option, so that tests can simulate the network.

Before, three of the four new tests fail: no version reaches all routers within 3 s, a router uses 2.6 of its link, and members are lost. With the change all four pass: no router uses a fourth of its link in any second, no member is lost, versions take at most 100 ms longer than usual, and each router is counted once after the fast ones are back.

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -1,5 +1,4 @@
 /** Exchange of reports with the other routers over UDP. */
-import dgram from 'node:dgram';
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
@@ -14,6 +13,7 @@
   type PeerReport,
   type RouterEndpoints,
 } from './peerReport.js';
+import {UdpPeerSocket, type PeerSocket} from './peerSocket.js';
 import {PeerStateReader} from './peerStateReader.js';
 import type {CrashQuarantine} from './crashQuarantine.js';
 import type {PublishedStateReader} from './publishedState.js';
@@ -79,11 +79,13 @@
   /** Records where another router has placed a prompt part, by compact keys. */
   readonly recordPlacement: (part: number, server: number) => void;
   readonly endpoints: RouterEndpoints;
+  /** A UDP socket unless given. */
+  readonly socket?: PeerSocket;
 }
 
 /** Sends the own reports and processes those of other routers. */
 export class PeerExchange {
-  private readonly socket = dgram.createSocket('udp4');
+  private readonly socket: PeerSocket;
   /** Totals since the start, for logs. */
   readonly counts = {sent: 0, sentBytes: 0};
   private hasChanges = true;
@@ -99,11 +101,15 @@
   private readonly discovery: PeerDiscovery;
   private heartbeatSentAtMs = -Infinity;
   private fullHeartbeatSentAtMs = -Infinity;
-  /** Hosts of the active routers in the last heartbeat. */
-  private heartbeatHosts = '';
+  /**
+   * Hosts and statuses of the active routers in the last heartbeat. Resting
+   * members need both to select another relay before theirs has left.
+   */
+  private heartbeatStatuses = '';
 
   constructor(private readonly options: PeerExchangeOptions) {
     const {address, endpoints, fleet, reports} = options;
+    this.socket = options.socket ?? new UdpPeerSocket(options);
     this.reads = new PeerStateReader({
       ...options,
       announce: () => this.announce(),
@@ -144,17 +150,10 @@
 
   /** Opens the socket; receives datagrams until the signal aborts. */
   async listen(signal: AbortSignal): Promise<void> {
-    const {address, port, log} = this.options;
-    this.socket.on('message', (bytes, sender) =>
-      this.receive(bytes, sender.address, signal),
-    );
-    this.socket.on('error', error =>
-      log.warn('UDP socket for peer reports failed', {error: error.message}),
+    await this.socket.listen(
+      (bytes, host) => this.receive(bytes, host, signal),
+      signal,
     );
-    await new Promise<void>(resolve =>
-      this.socket.bind(port, address, resolve),
-    );
-    signal.addEventListener('abort', () => this.socket.close(), {once: true});
   }
 
   /** Replaces the seeds. */
@@ -348,7 +347,8 @@
 
   /**
    * Tells resting members which routers take requests. New members, and at
-   * longer intervals all of them, also get the resting routers of the zone.
+   * longer intervals all of them, also get the resting routers of the members'
+   * zones.
    */
   private sendHeartbeat(self: RelaySelf): void {
     const {fleet, endpoints} = this.options;
@@ -359,12 +359,15 @@
     const isResting = ({status}: Peer) => status === RouterStatus.Resting;
     const alive = fleet.listAlive();
     const active = alive.filter(peer => !isResting(peer));
-    const restingInZone = alive.filter(
-      peer => isResting(peer) && peer.identity.zone === endpoints.zone,
+    const zones = this.aggregator.listZones().add(endpoints.zone);
+    const restingInZones = alive.filter(
+      peer => isResting(peer) && zones.has(peer.identity.zone),
     );
-    const activeHosts = active.map(({host}) => host).join();
-    const isChanged = activeHosts !== this.heartbeatHosts;
-    this.heartbeatHosts = activeHosts;
+    const statuses = [...active, self.member]
+      .map(({host, status}) => `${host} ${status}`)
+      .join();
+    const isChanged = statuses !== this.heartbeatStatuses;
+    this.heartbeatStatuses = statuses;
     const resting = this.aggregator.listResting();
     const needsFull = (host: string) => isFull || this.aggregator.isNew(host);
     const sendTo = (
@@ -382,7 +385,7 @@
       const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
       this.sendBundle(hosts, [[self.member.host, bytes]]);
     };
-    sendTo(resting.filter(needsFull), [...active, ...restingInZone], true);
+    sendTo(resting.filter(needsFull), [...active, ...restingInZones], true);
     const informed = resting.filter(host => !needsFull(host));
     sendTo(informed, active, isChanged);
     this.aggregator.markInformed(resting);
@@ -406,14 +409,10 @@
   private sendDatagram(host: string, bytes: Uint8Array): void {
     this.counts.sent += 1;
     this.counts.sentBytes += bytes.length;
-    this.socket.send(bytes, this.options.port, host, error => {
-      if (!error) return;
-      const {log} = this.options;
-      log.logDebug('sending a datagram failed', {host, error: error.message});
-    });
+    this.socket.send(host, bytes);
   }
 
-  private receive(bytes: Buffer, host: string, signal: AbortSignal): void {
+  private receive(bytes: Uint8Array, host: string, signal: AbortSignal): void {
     if (host === this.options.address) return;
     const decoded = decodeDatagram(bytes);
     if (decoded.isErr()) {
--- a/src/router/relaySelector.ts
+++ b/src/router/relaySelector.ts
@@ -1,13 +1,13 @@
 /**
  * Selection of the relay of a zone: the router that the others in the zone
- * report to. A relay sends all sums to each member, some hundred KB/s in a
- * large zone, so routers with slow links are selected only if there are no
- * others.
+ * report to. A relay sends all sums to each member, some MB/s in a large zone.
+ * A zone whose serving routers all have slow links therefore uses the relay of
+ * another zone; slow links are selected only if the fleet has no others.
  */
 import {pickByWeight} from '../node/rendezvous.js';
 import type {FleetView} from './fleetView.js';
 import {isServing, RouterStatus} from './peerReport.js';
-import {selectFastVms} from './vmLinks.js';
+import {findFastestMbps, isFastLink, selectFastVms} from './vmLinks.js';
 
 /**
  * A relay silent for longer than this is replaced, in milliseconds. Three times
@@ -23,6 +23,27 @@
 /** A silent relay isn't selected again for this long, in milliseconds. */
 const exclusionPeriodMs = 3_000;
 
+/**
+ * After this many silent relays in other zones within `exclusionPeriodMs`, the
+ * members of a zone select a relay of their own zone even with slow links: the
+ * zone is probably cut off from the others.
+ */
+const maxSilentOutsideRelays = 2;
+
+/** A router that can be selected. */
+interface Candidate {
+  readonly host: string;
+  readonly status: RouterStatus;
+  readonly zone: string;
+  readonly linkMbps: number;
+}
+
+/** A relay that isn't selected for some time because it was silent. */
+interface Exclusion {
+  readonly untilMs: number;
+  readonly isOutside: boolean;
+}
+
 export interface OwnRouter {
   /** IP address. */
   readonly host: string;
@@ -36,7 +57,7 @@
 export class RelaySelector {
   private selected: string;
   private selectedAtMs = -Infinity;
-  private readonly excludedUntilMs = new Map<string, number>();
+  private readonly exclusions = new Map<string, Exclusion>();
 
   constructor(
     private readonly fleet: FleetView,
@@ -51,7 +72,7 @@
     const nowMs = performance.now();
     let relay = this.selectForZone(zone) ?? host;
     if (relay === this.selected && relay !== host && nowMs > this.endsAtMs) {
-      this.excludedUntilMs.set(relay, nowMs + exclusionPeriodMs);
+      this.recordSilent(relay);
       relay = this.selectForZone(zone) ?? host;
     }
     if (relay !== this.selected) {
@@ -82,32 +103,88 @@
 
   /** Selects the relay of a zone; undefined if no router is known there. */
   selectForZone(zone: string): string | undefined {
+    const routers = this.listSelectable();
+    const candidates = this.listCandidates(routers, zone);
+    if (candidates.length === 0) return undefined;
+    const serving = routers.filter(({status}) => isServing(status));
+    const hostZone = this.isCutOff()
+      ? undefined
+      : this.selectHostZone(routers, zone, findFastestMbps(serving));
+    const hosts =
+      hostZone === undefined || hostZone === zone
+        ? candidates
+        : this.listCandidates(routers, hostZone);
+    return pickByWeight('relay', selectFastVms(hosts), ({host}) => host)?.host;
+  }
+
+  /**
+   * Selects the zone whose relay serves a zone: the zone itself if it has a
+   * router with a fast link, else one of the zones that have one, which spreads
+   * several such zones over the others. Undefined if there is none.
+   */
+  private selectHostZone(
+    routers: readonly Candidate[],
+    zone: string,
+    fastestMbps: number,
+  ): string | undefined {
+    const hasFast = (name: string) =>
+      this.listCandidates(routers, name).some(({linkMbps}) =>
+        isFastLink(linkMbps, fastestMbps),
+      );
+    if (hasFast(zone)) return zone;
+    const others = new Set(routers.map(router => router.zone));
+    others.delete(zone);
+    const hosts = [...others].filter(hasFast);
+    return pickByWeight(`relay zone ${zone}`, hosts, name => name);
+  }
+
+  private recordSilent(relay: string): void {
+    const nowMs = performance.now();
+    const {fleet, own} = this;
+    const peer = fleet.listKnown().find(({host}) => host === relay);
+    const isOutside = peer !== undefined && peer.identity.zone !== own.zone;
+    const untilMs = nowMs + exclusionPeriodMs;
+    this.exclusions.set(relay, {untilMs, isOutside});
+  }
+
+  private isCutOff(): boolean {
+    const nowMs = performance.now();
+    const outside = [...this.exclusions.values()].filter(
+      ({untilMs, isOutside}) => isOutside && untilMs > nowMs,
+    );
+    return outside.length >= maxSilentOutsideRelays;
+  }
+
+  /** Lists the live routers that aren't excluded, including this one. */
+  private listSelectable(): Candidate[] {
     const {fleet, own} = this;
     const nowMs = performance.now();
     const routers = fleet
       .listAliveAtLastReport()
-      .filter(({identity}) => identity.zone === zone)
-      .filter(({host}) => (this.excludedUntilMs.get(host) ?? 0) <= nowMs)
-      .map(({host, status, identity: {linkMbps}}) => ({
+      .filter(({host}) => (this.exclusions.get(host)?.untilMs ?? 0) <= nowMs)
+      .map(({host, status, identity: {zone, linkMbps}}) => ({
         host,
         status,
+        zone,
         linkMbps,
       }));
-    if (zone === own.zone) {
-      const {host, linkMbps} = own;
-      // A router that hears of no other gives callers its own address, as all
-      // members of the zone do then. They still have to agree on a relay.
-      const status = fleet.hasContact()
-        ? own.getStatus()
-        : RouterStatus.Resting;
-      routers.push({host, status, linkMbps});
-    }
+    // A router that hears of no other gives callers its own address, as all
+    // members of the zone do then. They still have to agree on a relay.
+    const status = fleet.hasContact() ? own.getStatus() : RouterStatus.Resting;
+    const {host, zone, linkMbps} = own;
+    return [...routers, {host, status, zone, linkMbps}];
+  }
+
+  /** Lists the routers of a zone that its own relay is selected from. */
+  private listCandidates(
+    all: readonly Candidate[],
+    zone: string,
+  ): readonly Candidate[] {
+    const routers = all.filter(router => router.zone === zone);
     const ready = routers.filter(({status}) => status === RouterStatus.Ready);
-    const hasOtherReady = ready.some(({host}) => host !== own.host);
+    const hasOtherReady = ready.some(({host}) => host !== this.own.host);
     const serving = routers.filter(({status}) => isServing(status));
     const fallback = serving.length > 0 ? serving : routers;
-    const candidates = hasOtherReady ? ready : fallback;
-    const fast = selectFastVms(candidates);
-    return pickByWeight('relay', fast, ({host}) => host)?.host;
+    return hasOtherReady ? ready : fallback;
   }
 }
--- a/src/router/vmLinks.ts
+++ b/src/router/vmLinks.ts
@@ -15,8 +15,20 @@
 export function selectFastVms<T extends {readonly linkMbps: number}>(
   vms: readonly T[],
 ): T[] {
-  const fastestMbps = Math.max(0, ...vms.map(({linkMbps}) => linkMbps));
-  return vms.filter(({linkMbps}) => linkMbps >= fastestMbps * minLinkRatio);
+  const fastestMbps = findFastestMbps(vms);
+  return vms.filter(({linkMbps}) => isFastLink(linkMbps, fastestMbps));
+}
+
+/** Returns the bandwidth of the fastest link in Mbit/s; 0 without VMs. */
+export function findFastestMbps(
+  vms: ReadonlyArray<{readonly linkMbps: number}>,
+): number {
+  return Math.max(0, ...vms.map(({linkMbps}) => linkMbps));
+}
+
+/** True for a fast link, compared with the fastest one. */
+export function isFastLink(linkMbps: number, fastestMbps: number): boolean {
+  return linkMbps >= fastestMbps * minLinkRatio;
 }
 
 /** Returns the total bandwidth of the VMs' links in Mbit/s. */
--- a/tests/router/relayLinks.test.ts
+++ b/tests/router/relayLinks.test.ts
@@ -28,6 +28,8 @@
 const betweenLeavesMs = 400;
 /** Time that a leaving router still sends reports, in milliseconds. */
 const leaveMs = 2_800;
+/** Time until ended routers are no longer known as alive, in milliseconds. */
+const afterLeaveMs = 3_000;
 
 function formatHost(zone: number, index: number): string {
   return `10.${zone}.0.${index + 1}`;
@@ -82,7 +84,7 @@
     }
   }
 
-  function returnFast(...zonesBack: number[]): void {
+  function startFast(...zonesBack: number[]): void {
     for (const zone of zonesBack) {
       for (let i = 0; i < fastPerZone; i++) startRouter(zone, i, fastMbps);
     }
@@ -201,13 +203,13 @@
     expectExactCounts();
     const usualMs = await measurePropagationMs();
     await leaveFast(1);
-    await advanceWithoutLoss(2_000);
+    await advanceWithoutLoss(afterLeaveMs);
     expect(listStatuses(1)).not.to.include(RouterStatus.Resting);
     expect(await measurePropagationMs()).to.be.at.most(usualMs + 100);
     expectLinksBelow(maxLinkShare);
     expect(listRelays().every(isFast)).to.equal(true);
     expectExactCounts();
-    returnFast(1);
+    startFast(1);
     await advanceWithoutLoss(4_000);
     expectExactCounts();
   });
@@ -217,11 +219,11 @@
   it('should be fast ones while two zones have none', async () => {
     await startFleet();
     await leaveFast(1, 2);
-    await advanceWithoutLoss(2_000);
+    await advanceWithoutLoss(afterLeaveMs);
     expectLinksBelow(maxLinkShare);
     expectExactCounts();
     expect(listRelays().every(isFast)).to.equal(true);
-    returnFast(1, 2);
+    startFast(1, 2);
     await advanceWithoutLoss(4_000);
     expectExactCounts();
     expect(listRelays()).to.have.length(zones.length);
@@ -233,7 +235,7 @@
   it('should keep all members when a fast router returns and leaves at once', async () => {
     await startFleet();
     await leaveFast(1);
-    await advanceWithoutLoss(1_000);
+    await advanceWithoutLoss(afterLeaveMs);
     startRouter(1, 0, fastMbps);
     await advanceWithoutLoss(600);
     network.leave(formatHost(1, 0));
--- a/tests/support/simulatedRouters.ts
+++ b/tests/support/simulatedRouters.ts
@@ -40,6 +40,25 @@
 /** Period over which sent bytes are summed up, in milliseconds. */
 const bandwidthPeriodMs = 100;
 
+/** Stands in for a directory whose contents follow the revision at once. */
+class SimulatedDirectory {
+  readonly digest = 1;
+
+  constructor(private readonly router: SimulatedRouter) {}
+
+  get position() {
+    return {epoch: 1, revision: this.router.revision};
+  }
+
+  measureAgeMs(): number {
+    return 0;
+  }
+
+  updateFreshnessFromPeer({revision}: {readonly revision: number}): void {
+    this.router.adopt(revision);
+  }
+}
+
 /** The exchange of one router, with its status, load and published state. */
 export class SimulatedRouter {
   readonly fleet: FleetView;
@@ -90,16 +109,6 @@
         serversAgeMs: 0,
       }),
     } as unknown as ConstructorParameters<typeof OwnReportBuilder>[0]);
-    const router = this;
-    const servers = {
-      digest: 1,
-      get position() {
-        return {epoch: 1, revision: router.revision};
-      },
-      measureAgeMs: () => 0,
-      updateFreshnessFromPeer: ({revision}: {revision: number}) =>
-        this.adopt(revision),
-    };
     this.exchange = new PeerExchange({
       address: host,
       port: 1,
@@ -114,7 +123,7 @@
       fleet: this.fleet,
       reports,
       deployments: {version: 1},
-      servers,
+      servers: new SimulatedDirectory(this),
       notices,
       quarantine,
       limits: nothing,
@@ -130,7 +139,7 @@
         send: (to: string, bytes: Uint8Array) => this.send(to, bytes),
       },
     } as unknown as PeerExchangeOptions);
-    this.changeLoad();
+    this.updateLoad();
   }
 
   get status(): RouterStatus {
@@ -163,7 +172,7 @@
   }
 
   /** As the daemon does at fixed intervals. */
-  sweep(): void {
+  updateIsOffered(): void {
     const {host, zone, linkMbps} = this.options;
     this.fleet.expireSilent();
     const isReady = isServing(this.status);
@@ -176,7 +185,7 @@
   }
 
   /** Changes the load at some servers if callers are sent to this router. */
-  changeLoad(): void {
+  updateLoad(): void {
     if (this.status !== RouterStatus.Ready) {
       this.loads = this.loads.slice(0, 1);
     } else {
@@ -226,7 +235,7 @@
     const {host, linkMbps} = this.options;
     const sendMs = (bytes.length * 8) / (linkMbps * 1_000);
     this.linkBusyUntilMs = Math.max(nowMs, this.linkBusyUntilMs) + sendMs;
-    this.network.deliver(host, to, bytes, this.linkBusyUntilMs - nowMs);
+    this.network.sendDatagram(host, to, bytes, this.linkBusyUntilMs - nowMs);
   }
 }
 
@@ -277,8 +286,8 @@
       this.tasks.push(
         setInterval(() => [...this.routers.values()].forEach(apply), ms),
       );
-    run(sweepIntervalMs, router => router.sweep());
-    run(loadChangeMs, router => router.changeLoad());
+    run(sweepIntervalMs, router => router.updateIsOffered());
+    run(loadChangeMs, router => router.updateLoad());
   }
 
   /** Starts a router, which knows the seeds only. */
@@ -309,7 +318,12 @@
   }
 
   /** Delivers a datagram that leaves its sender's link after `sendMs`. */
-  deliver(from: string, to: string, bytes: Uint8Array, sendMs: number): void {
+  sendDatagram(
+    from: string,
+    to: string,
+    bytes: Uint8Array,
+    sendMs: number,
+  ): void {
     const receiver = this.routers.get(to);
     const receive = () => receiver?.listener?.(bytes, from);
     setTimeout(receive, sendMs + oneWayLatencyMs);
