--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -5,16 +5,14 @@
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {superviseAttempt} from './attemptSupervisor.js';
 import {
   AttemptKind,
-  BackendAttempt,
   type AttemptResult,
   type StreamListener,
 } from './backendAttempt.js';
 import {VerdictKind, type Verdict} from './crashQuarantine.js';
 import {computeCompactKey} from './compactKey.js';
-import {chooseReusePolicy, isStaleConnection} from './connectionReuse.js';
+import {isStaleConnection} from './connectionReuse.js';
 import {formatProcess, RouteKind} from './deployment.js';
 import {suspectCrash} from './crashSuspicion.js';
 import {describeBlock} from './describeBlock.js';
@@ -31,12 +29,8 @@
 import {computeRequestKey} from './requestKey.js';
 import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause} from './routerMetrics.js';
-import type {LoadTicket} from './serverLoads.js';
-import {
-  computeLimitKey,
-  type Selection,
-  type SelectionRequest,
-} from './serverSelector.js';
+import {SentAttempt} from './sentAttempt.js';
+import type {Selection, SelectionRequest} from './serverSelector.js';
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
 const minRemainingMs = 40;
@@ -78,13 +72,8 @@
   private isProbe = false;
   /** Id of the last event that was sent to the caller. */
   private lastEventId: number | undefined;
-  /** Selection of the current attempt. */
-  private selection: Selection | undefined;
-  private ticket: LoadTicket | undefined;
-  private sentAtMs = 0;
-  /** Idle time of the connection before the attempt, in milliseconds. */
-  private connectionIdleMs = 0;
-  private hasEvents = false;
+  /** The attempt that was started last. */
+  private lastAttempt: SentAttempt | undefined;
   private readonly log: RequestLog;
 
   constructor(
@@ -147,8 +136,12 @@
         this.options.quarantine.recordProbe(verdict.suspect);
         this.log.recordEvent('probing a suspect', selection, verdict.suspect);
       }
-      const result = await this.send(selection);
-      if (this.settle(selection, result)) return;
+      const attempt = this.send(selection);
+      const result = await attempt.supervise({
+        canRetry: () => this.canRetry(),
+      });
+      this.log.recordSendEnd();
+      if (this.settle(attempt, result)) return;
     }
   }
 
@@ -168,9 +161,7 @@
     events: Parameters<StreamListener['receiveEvents']>[0],
     resume: () => void,
   ): boolean {
-    this.options.outcomes.recordEvent(this.selection!.server.id);
     this.log.progress.recordEvents();
-    if (!this.hasEvents) this.recordFirstEvent();
     const after = this.lastEventId ?? -Infinity;
     const newEvents = events.filter(({id}) => id === undefined || id > after);
     if (newEvents.length === 0) return true;
@@ -178,17 +169,6 @@
     return this.request.exchange.sendEvents(newEvents, resume);
   }
 
-  private recordFirstEvent(): void {
-    this.hasEvents = true;
-    this.options.quarantine.recordStart(this.sharedParts);
-    this.ticket?.finishPrefill();
-    this.options.selector.recordFirstEvent(
-      this.selection!,
-      this.request.service,
-      performance.now() - this.sentAtMs,
-    );
-  }
-
   private get remainingMs(): number {
     return this.deadlineAtMs - performance.now();
   }
@@ -204,7 +184,9 @@
       targetMs: route.targetMs,
       callerTimeoutMs: computeCallerTimeoutMs(route, this.deadlineMs),
     });
-    if (decision === AdmissionDecision.Hold && !this.hasEvents) return true;
+    if (decision === AdmissionDecision.Hold && !this.lastAttempt?.hasEvents) {
+      return true;
+    }
     this.log.admission = decision;
     return false;
   }
@@ -226,7 +208,8 @@
   private measureLimitWaitMs(): number | undefined {
     const {route} = this.request;
     const {limits} = this.options;
-    if (limits.isEmpty || !this.canSend || this.hasEvents) return undefined;
+    const hasEvents = this.lastAttempt?.hasEvents ?? false;
+    if (limits.isEmpty || !this.canSend || hasEvents) return undefined;
     const request = this.buildSelectionRequest();
     return computeLimitWaitMs({
       waitMs: this.options.selector.measureLimitWaitMs(request),
@@ -256,80 +239,32 @@
     };
   }
 
-  private async send(selection: Selection): Promise<AttemptResult> {
-    const {exchange, body, route, maxAnswerBytes} = this.request;
-    const {codec, connections, loads} = this.options;
-    const {server, prefillWork, fetchFrom} = selection;
-    this.selection = selection;
-    this.options.limits.recordSend(computeLimitKey(server));
+  private send(selection: Selection): SentAttempt {
+    const {exchange, route} = this.request;
     this.log.recordSend();
-    this.sentAtMs = performance.now();
     exchange.mayHaveRun = true;
-    if (this.log.sends === 1) {
-      const waitMs = this.sentAtMs - exchange.startedAtMs;
-      this.options.metrics.recordWait(route.name, waitMs);
-    }
-    this.hasEvents = false;
-    const isEngine = exchange.request.promptParts.length > 0;
-    this.ticket = loads.add(server.id, {
-      prefillWork,
-      rank: this.request.urgency,
-      pauseWeight: isEngine ? selection.pauseWeight : 0,
-    });
-    const withdrawPlacement = this.options.selector.recordPlacement(
-      selection,
-      exchange.request.promptParts,
-    );
-    const resumesAfter =
-      this.lastEventId === exchange.request.lastEventId
-        ? undefined
-        : this.lastEventId;
-    const connection = connections.take(
-      server,
-      chooseReusePolicy({
+    const {lastEventId} = this;
+    const attempt = new SentAttempt(
+      {
+        components: this.options,
+        request: this.request,
+        selection,
+        sharedParts: this.sharedParts,
         isRetryable: this.isRetryable,
-        isStream: route.kind === RouteKind.Stream,
-        canReuseIdle: this.options.idleReuse.canReuseIdle(server.service),
-      }),
-    );
-    this.connectionIdleMs = connection.idleMs;
-    const attempt = new BackendAttempt({
-      connection,
-      method: exchange.incoming.method ?? 'GET',
-      path: exchange.incoming.url ?? '/',
-      headers: codec.encodeRequest(exchange.incoming.rawHeaders, {
-        serverId: server.id,
-        deadlineMs: this.remainingMs,
-        customer: this.request.customer,
-        lastEventId: resumesAfter,
-        urgency: isEngine ? this.request.urgency : undefined,
-        fetchFrom,
-      }),
-      body,
-      attemptId: exchange.request.attemptId,
-      codec,
-      stream: route.kind === RouteKind.Stream ? this : undefined,
-      receiveAnswer: answer =>
-        this.options.answerNotices.record(server, answer, this.sentAtMs),
-      maxAnswerBytes,
-    });
-    try {
-      const result = await superviseAttempt(attempt, {
-        route,
-        signal: exchange.signal,
+        resumesAfter:
+          lastEventId === exchange.request.lastEventId
+            ? undefined
+            : lastEventId,
         remainingMs: this.remainingMs,
-        expectedMs: selection.expectedMs,
-        hasEvents: () => this.hasEvents,
-        isServerActive: () => this.options.outcomes.hasRecentEvent(server.id),
-        canRetry: () => this.canRetry(),
-      });
-      if (!this.hasEvents) withdrawPlacement();
-      return result;
-    } finally {
-      this.log.recordSendEnd();
-      connection.release();
-      this.ticket.release();
+      },
+      this,
+    );
+    this.lastAttempt = attempt;
+    if (this.log.sends === 1) {
+      const waitMs = attempt.sentAtMs - exchange.startedAtMs;
+      this.options.metrics.recordWait(route.name, waitMs);
     }
+    return attempt;
   }
 
   /** True when another server may run the request if this attempt fails. */
@@ -347,8 +282,9 @@
    * Handles the result of an attempt; true when the request is finished, false
    * when it needs another attempt.
    */
-  private settle(selection: Selection, result: AttemptResult): boolean {
+  private settle(attempt: SentAttempt, result: AttemptResult): boolean {
     const {exchange, service} = this.request;
+    const {selection} = attempt;
     const {outcomes, selector, directory, quarantine, metrics} = this.options;
     const {id} = selection.server;
     // A faulty server may answer with an error what crashes the others.
@@ -371,7 +307,7 @@
           outcomes.recordAnswer(id);
           selector.recordServiceTime(
             service,
-            performance.now() - this.sentAtMs,
+            performance.now() - attempt.sentAtMs,
           );
         } else {
           outcomes.recordFailure(id);
@@ -420,22 +356,22 @@
         if (
           isStaleConnection({
             isUnanswered: result.isUnanswered,
-            idleMs: this.connectionIdleMs,
-            elapsedMs: performance.now() - this.sentAtMs,
+            idleMs: attempt.connectionIdleMs,
+            elapsedMs: performance.now() - attempt.sentAtMs,
           })
         ) {
           this.options.idleReuse.record(service);
           this.log.recordEvent(
             'stale connection',
             selection,
-            this.connectionIdleMs,
+            attempt.connectionIdleMs,
           );
         } else {
           outcomes.recordFailure(id);
         }
         if (!(result.error instanceof DeadlineError)) {
           const {requestKey: request, sharedParts} = this;
-          const isAnswerLost = result.isConnectionLost && !this.hasEvents;
+          const isAnswerLost = result.isConnectionLost && !attempt.hasEvents;
           const parts = isAnswerLost ? sharedParts : [];
           suspectCrash(this.options, id, {request, parts});
         }
--- /dev/null
+++ b/src/router/sentAttempt.ts
@@ -0,0 +1,154 @@
+/** One attempt of a caller's request and what it holds until its end. */
+import {superviseAttempt, type AttemptBounds} from './attemptSupervisor.js';
+import {
+  BackendAttempt,
+  type AttemptResult,
+  type StreamListener,
+} from './backendAttempt.js';
+import type {BackendConnection} from './backendConnections.js';
+import {chooseReusePolicy} from './connectionReuse.js';
+import {RouteKind} from './deployment.js';
+import type {ForwardedRequest} from './forwardedRequest.js';
+import type {RequestForwarderOptions} from './forwarderOptions.js';
+import type {LoadTicket} from './serverLoads.js';
+import {computeLimitKey, type Selection} from './serverSelector.js';
+
+/** What an attempt needs to know about its request. */
+export interface SentAttemptOptions {
+  readonly components: RequestForwarderOptions;
+  readonly request: ForwardedRequest;
+  readonly selection: Selection;
+  /** Compact keys of the prompt's parts without the request's own, the last. */
+  readonly sharedParts: readonly number[];
+  readonly isRetryable: boolean;
+  /** Id of the event after which the server resumes the stream. */
+  readonly resumesAfter: number | undefined;
+  /** Time until the deadline of the request, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** Sends a request to the selected server and counts it towards its load. */
+export class SentAttempt implements StreamListener {
+  readonly selection: Selection;
+  readonly sentAtMs = performance.now();
+  /** Idle time of the connection before the attempt, in milliseconds. */
+  readonly connectionIdleMs: number;
+  private readonly connection: BackendConnection;
+  private readonly ticket: LoadTicket;
+  private readonly withdrawPlacement: () => void;
+  private readonly attempt: BackendAttempt;
+  private hasReceivedEvents = false;
+
+  /** @param listener - receives the parts of a stream */
+  constructor(
+    private readonly options: SentAttemptOptions,
+    private readonly listener: StreamListener,
+  ) {
+    const {components, request, selection, remainingMs} = options;
+    const {exchange, body, route, maxAnswerBytes} = request;
+    const {codec, connections, loads} = components;
+    const {server, prefillWork, fetchFrom} = selection;
+    this.selection = selection;
+    components.limits.recordSend(computeLimitKey(server));
+    const isEngine = exchange.request.promptParts.length > 0;
+    this.ticket = loads.add(server.id, {
+      prefillWork,
+      rank: request.urgency,
+      pauseWeight: isEngine ? selection.pauseWeight : 0,
+    });
+    this.withdrawPlacement = components.selector.recordPlacement(
+      selection,
+      exchange.request.promptParts,
+    );
+    const isStream = route.kind === RouteKind.Stream;
+    this.connection = connections.take(
+      server,
+      chooseReusePolicy({
+        isRetryable: options.isRetryable,
+        isStream,
+        canReuseIdle: components.idleReuse.canReuseIdle(server.service),
+      }),
+    );
+    this.connectionIdleMs = this.connection.idleMs;
+    this.attempt = new BackendAttempt({
+      connection: this.connection,
+      method: exchange.incoming.method ?? 'GET',
+      path: exchange.incoming.url ?? '/',
+      headers: codec.encodeRequest(exchange.incoming.rawHeaders, {
+        serverId: server.id,
+        deadlineMs: remainingMs,
+        customer: request.customer,
+        lastEventId: options.resumesAfter,
+        urgency: isEngine ? request.urgency : undefined,
+        fetchFrom,
+      }),
+      body,
+      attemptId: exchange.request.attemptId,
+      codec,
+      stream: isStream ? this : undefined,
+      receiveAnswer: answer =>
+        components.answerNotices.record(server, answer, this.sentAtMs),
+      maxAnswerBytes,
+    });
+  }
+
+  /** True once an event of this attempt has arrived. */
+  get hasEvents(): boolean {
+    return this.hasReceivedEvents;
+  }
+
+  /**
+   * Waits for the result; then releases the connection and the load.
+   *
+   * @example
+   * const result = await attempt.supervise({canRetry: () => false});
+   */
+  async supervise(
+    bounds: Pick<AttemptBounds, 'canRetry'>,
+  ): Promise<AttemptResult> {
+    const {components, request, selection, remainingMs} = this.options;
+    const {id} = selection.server;
+    try {
+      const result = await superviseAttempt(this.attempt, {
+        ...bounds,
+        route: request.route,
+        signal: request.exchange.signal,
+        remainingMs,
+        expectedMs: selection.expectedMs,
+        hasEvents: () => this.hasEvents,
+        isServerActive: () => components.outcomes.hasRecentEvent(id),
+      });
+      if (!this.hasEvents) this.withdrawPlacement();
+      return result;
+    } finally {
+      this.connection.release();
+      this.ticket.release();
+    }
+  }
+
+  receiveHead(status: number, headers: string[]): void {
+    this.listener.receiveHead(status, headers);
+  }
+
+  receiveEvents(
+    events: Parameters<StreamListener['receiveEvents']>[0],
+    resume: () => void,
+  ): boolean {
+    const {components, selection} = this.options;
+    components.outcomes.recordEvent(selection.server.id);
+    if (!this.hasReceivedEvents) this.recordFirstEvent();
+    return this.listener.receiveEvents(events, resume);
+  }
+
+  private recordFirstEvent(): void {
+    const {components, request, selection, sharedParts} = this.options;
+    this.hasReceivedEvents = true;
+    components.quarantine.recordStart(sharedParts);
+    this.ticket.finishPrefill();
+    components.selector.recordFirstEvent(
+      selection,
+      request.service,
+      performance.now() - this.sentAtMs,
+    );
+  }
+}
