Move the end of requests that can't be answered into a class of its own

RequestFailure (requestFailure.ts) refuses a request or breaks off its answer. No behaviour changes.

--- /dev/null
+++ b/src/router/requestFailure.ts
@@ -0,0 +1,79 @@
+/** Ends requests that the router can't answer. */
+import type {RequestBudget} from '../node/requestBudget.js';
+import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
+import {Outcome} from '../protocol/outcome.js';
+import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import type {ForwardedRequest} from './forwardedRequest.js';
+import type {RequestLog} from './requestLog.js';
+import {estimateRetryAfterMs} from './returnTime.js';
+import type {Selection, ServerSelector} from './serverSelector.js';
+
+/** What the end of a request needs to know about it. */
+export interface RequestFailureOptions {
+  readonly request: ForwardedRequest;
+  readonly selector: ServerSelector;
+  readonly log: RequestLog;
+  readonly budget: RequestBudget;
+}
+
+/**
+ * Refuses a request, or breaks off its answer once that has begun.
+ *
+ * @example
+ * new RequestFailure({request, selector, log, budget}).failWithoutServer(false);
+ */
+export class RequestFailure {
+  constructor(private readonly options: RequestFailureOptions) {}
+
+  /** Ends a request that may have run and can't be retried. */
+  fail(selection: Selection, error: AnvilstallError): void {
+    const {request, log} = this.options;
+    const {exchange} = request;
+    if (exchange.isHeadSent) {
+      exchange.abortStream();
+      log.recordEvent('stream broken off', selection, error.message);
+      return;
+    }
+    const reason =
+      error instanceof DeadlineError
+        ? RefusalReason.DeadlineExceeded
+        : RefusalReason.BackendServerFailed;
+    this.refuse(new Refusal(reason, Outcome.MayHaveRun, error.message));
+  }
+
+  /** Ends a request for which no server is left. */
+  failWithoutServer(mayHaveRun: boolean): void {
+    const {request, selector} = this.options;
+    const backoffMs = Math.max(
+      selector.getBackoffMs(request.service),
+      selector.getLimitIntervalMs(request.service),
+    );
+    this.failUnsent(
+      mayHaveRun,
+      mayHaveRun
+        ? 'no other backend server can take the request'
+        : 'no backend server can take the request now',
+      estimateRetryAfterMs(backoffMs, Math.random),
+    );
+  }
+
+  /** Ends a request that isn't sent, or not once more. */
+  failUnsent(mayHaveRun: boolean, message: string, retryAfterMs: number): void {
+    const {exchange} = this.options.request;
+    if (exchange.isHeadSent) {
+      exchange.abortStream();
+    } else if (mayHaveRun) {
+      const reason = RefusalReason.BackendServerFailed;
+      this.refuse(new Refusal(reason, Outcome.MayHaveRun, message));
+    } else {
+      const reason = RefusalReason.NoBackendServer;
+      this.refuse(new Refusal(reason, Outcome.NotRun, message, {retryAfterMs}));
+    }
+  }
+
+  private refuse(refusal: Refusal): void {
+    const {request, log, budget} = this.options;
+    request.exchange.refuse(refusal);
+    log.recordRefusal(refusal, budget.describe());
+  }
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -2,9 +2,7 @@
 import {waitFor} from '../node/delay.js';
 import type {RequestBudget} from '../node/requestBudget.js';
 import {assertNever} from '../protocol/assertNever.js';
-import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
-import {Outcome} from '../protocol/outcome.js';
-import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {DeadlineError} from '../protocol/errors.js';
 import {
   AttemptKind,
   type AttemptResult,
@@ -25,9 +23,9 @@
   decideAdmission,
   recheckIntervalMs,
 } from './promptAdmission.js';
+import {RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
-import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause} from './routerMetrics.js';
 import {SentAttempt} from './sentAttempt.js';
 import type {Selection, SelectionRequest} from './serverSelector.js';
@@ -75,6 +73,7 @@
   /** The attempt that was started last. */
   private lastAttempt: SentAttempt | undefined;
   private readonly log: RequestLog;
+  private readonly failure: RequestFailure;
 
   constructor(
     private readonly options: RequestForwarderOptions,
@@ -99,6 +98,9 @@
     this.requestKey = computeRequestKey(path, customer, body);
     this.budget = options.budgets.get(request.service);
     this.budget.refill();
+    const {log, budget} = this;
+    const {selector} = options;
+    this.failure = new RequestFailure({request, selector, log, budget});
   }
 
   async run(): Promise<void> {
@@ -112,14 +114,14 @@
       if (verdict.kind === VerdictKind.Blocked) {
         const {suspect, crashes, retryAfterMs} = verdict;
         const message = describeBlock(suspect, crashes);
-        this.failUnsent(message, retryAfterMs);
+        this.failure.failUnsent(this.runs > 0, message, retryAfterMs);
         return;
       }
       const selection = this.select();
       if (!selection) {
         const waitMs = this.measureLimitWaitMs();
         if (waitMs === undefined) {
-          this.failWithoutServer();
+          this.failure.failWithoutServer(this.runs > 0);
           return;
         }
         await waitFor(waitMs, exchange.signal);
@@ -339,7 +341,7 @@
           this.log.recordEvent('not run, retrying', selection, result.status);
           return false;
         }
-        this.failWithoutServer();
+        this.failure.failWithoutServer(this.runs > 0);
         return true;
       case AttemptKind.Unreachable:
         exchange.mayHaveRun = this.runs > 0;
@@ -376,7 +378,7 @@
           suspectCrash(this.options, id, {request, parts});
         }
         if (this.retry(selection, result.error.message)) return false;
-        this.fail(selection, result.error);
+        this.failure.fail(selection, result.error);
         return true;
       default:
         return assertNever(result);
@@ -396,54 +398,4 @@
     this.log.recordEvent('attempt failed, retrying', selection, cause);
     return true;
   }
-
-  /** Ends a request that may have run and can't be retried. */
-  private fail(selection: Selection, error: AnvilstallError): void {
-    const {exchange} = this.request;
-    if (exchange.isHeadSent) {
-      exchange.abortStream();
-      this.log.recordEvent('stream broken off', selection, error.message);
-      return;
-    }
-    const reason =
-      error instanceof DeadlineError
-        ? RefusalReason.DeadlineExceeded
-        : RefusalReason.BackendServerFailed;
-    this.refuse(new Refusal(reason, Outcome.MayHaveRun, error.message));
-  }
-
-  /** Ends a request for which no server is left. */
-  private failWithoutServer(): void {
-    const {selector} = this.options;
-    const {service} = this.request;
-    const backoffMs = Math.max(
-      selector.getBackoffMs(service),
-      selector.getLimitIntervalMs(service),
-    );
-    this.failUnsent(
-      this.runs > 0
-        ? 'no other backend server can take the request'
-        : 'no backend server can take the request now',
-      estimateRetryAfterMs(backoffMs, Math.random),
-    );
-  }
-
-  /** Ends a request that isn't sent, or not once more. */
-  private failUnsent(message: string, retryAfterMs: number): void {
-    const {exchange} = this.request;
-    if (exchange.isHeadSent) {
-      exchange.abortStream();
-    } else if (this.runs > 0) {
-      const reason = RefusalReason.BackendServerFailed;
-      this.refuse(new Refusal(reason, Outcome.MayHaveRun, message));
-    } else {
-      const reason = RefusalReason.NoBackendServer;
-      this.refuse(new Refusal(reason, Outcome.NotRun, message, {retryAfterMs}));
-    }
-  }
-
-  private refuse(refusal: Refusal): void {
-    this.request.exchange.refuse(refusal);
-    this.log.recordRefusal(refusal, this.budget.describe());
-  }
 }
