Don't count servers that accept no connection as sends

Cause: the limit on the sends of a request also counted attempts for which no connection could be opened.

Fix: such an attempt doesn't count. Nothing was sent, the server is excluded for the request, and passed over by the router's other requests for 0.7 s, so that the loop ends with the servers or with the deadline. An attempt at a server that was passed over, because no other one was left, still counts: else each request for a service that is down would try all its servers.

Log lines show as `unreached` how many of the sends reached no server.

--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -12,6 +12,8 @@
   readonly cause?: string | number;
   /** Attempts so far. */
   readonly sends: number;
+  /** Attempts of these that reached no server; undefined if there are none. */
+  readonly unreached: number | undefined;
   readonly admission: AdmissionDecision;
   /** Age of the view of backend servers, in milliseconds. */
   readonly viewAgeMs: number;
@@ -39,6 +41,7 @@
     urgency,
     cause: facts.cause,
     sends: facts.sends,
+    unreached: facts.unreached,
     unreadTokens: selection.unreadTokens,
     fetchFrom: selection.fetchFrom,
     backlogMs: Math.round(selection.backlogMs),
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -32,7 +32,11 @@
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
 const minRemainingMs = 40;
-/** Attempts of one request, including those that did not run. */
+/**
+ * Attempts of one request, including those that did not run. An attempt that
+ * reaches no server doesn't count, unless an earlier one of this router had just
+ * shown that the server accepts no connections.
+ */
 const maxSends = 6;
 /** Cost of a failure that can be retried, in milliseconds of waiting. */
 const retryableFailureCostMs = 250;
@@ -64,6 +68,8 @@
   /** Servers that refused the request or could not be reached. */
   private readonly excluded = new Set<string>();
   private readonly budget: RequestBudget;
+  /** Attempts that count towards `maxSends`. */
+  private countedSends = 0;
   /** Failed attempts that may have run. */
   private runs = 0;
   /** True once this request tests whether a suspect crashes servers. */
@@ -200,7 +206,7 @@
   }
 
   private get canSend(): boolean {
-    return this.log.sends < maxSends && this.remainingMs >= minRemainingMs;
+    return this.countedSends < maxSends && this.remainingMs >= minRemainingMs;
   }
 
   /**
@@ -289,6 +295,9 @@
     const {selection} = attempt;
     const {outcomes, selector, directory, quarantine, metrics} = this.options;
     const {id} = selection.server;
+    const isReached = result.kind !== AttemptKind.Unreachable;
+    if (isReached || attempt.wasUnreachable) this.countedSends += 1;
+    if (!isReached) this.log.unreached += 1;
     // A faulty server may answer with an error what crashes the others.
     const isInnocent =
       result.kind === AttemptKind.Streamed ||
--- a/src/router/requestLog.ts
+++ b/src/router/requestLog.ts
@@ -20,6 +20,8 @@
 export class RequestLog {
   /** Attempts so far, including those that did not run. */
   sends = 0;
+  /** Attempts of these for which no connection to a server could be opened. */
+  unreached = 0;
   /** Latest decision about holding the prompt back. */
   admission = AdmissionDecision.OnTime;
   readonly progress: StreamProgress;
@@ -86,6 +88,7 @@
         selection,
         cause,
         sends: this.sends,
+        unreached: this.unreached || undefined,
         admission: this.admission,
         viewAgeMs: directory.measureAgeMs(),
         progress: this.progress,
@@ -104,6 +107,7 @@
       route: route.name,
       deployment: deploymentVersion,
       sends: this.sends,
+      unreached: this.unreached || undefined,
       ms: Math.round(this.elapsedMs),
     };
   }
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -33,6 +33,8 @@
   readonly sentAtMs = performance.now();
   /** Idle time of the connection before the attempt, in milliseconds. */
   readonly connectionIdleMs: number;
+  /** True if the server was known to accept no connections. */
+  readonly wasUnreachable: boolean;
   private readonly connection: BackendConnection;
   private readonly ticket: LoadTicket;
   private readonly withdrawPlacement: () => void;
@@ -49,6 +51,7 @@
     const {codec, connections, loads} = components;
     const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
+    this.wasUnreachable = components.outcomes.isUnreachable(server.id);
     components.limits.recordSend(computeLimitKey(server));
     const isEngine = exchange.request.promptParts.length > 0;
     this.ticket = loads.add(server.id, {
