Log where a request was and why its connection is closed

What was seen: `closed without an answer` named the state `choosingServer` for streams that were at a server when their deadline ended them, and no cause, so that early ends couldn't be told apart from the log alone.

Cause: the state changed as soon as an attempt ended, before its result was handled, and the code that breaks an answer off didn't say why.

Fix: the state changes once the request needs another server; what breaks an answer off names the cause (deadline, server failed or silent, no server left, limit on sends, retry budget, quarantine, router stopping or failed).

Evidence: 5 tests of requestLog.test.ts failed before; three of them saw `choosingServer` in place of `atServer`, two no cause.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {BreakCause} from './breakCause.js';
 import type {CallerRequest, MessageCodec} from './messageCodec.js';
 import type {StreamEvent} from './eventSplitter.js';
 
@@ -35,6 +36,8 @@
   mayHaveRun = false;
   /** True once the router has given the request up. */
   isGivenUp = false;
+  /** Set once the router has closed the connection of an unfinished answer. */
+  breakCause: BreakCause | undefined;
   private streamHead: {status: number; headers: readonly string[]} | undefined;
   private readonly gone = new AbortController();
   private stage = RequestState.ReadingBody;
@@ -113,7 +116,8 @@
   }
 
   /** Closes the connection, so that the caller can tell the stream is cut. */
-  abortStream(): void {
+  abortStream(cause: BreakCause): void {
+    this.breakCause ??= cause;
     this.response.destroy();
   }
 
@@ -134,7 +138,11 @@
       this.response.shouldKeepAlive = false;
       this.refuse(refusal);
     } else {
-      this.abortStream();
+      this.abortStream(
+        reason === RefusalReason.ShuttingDown
+          ? BreakCause.RouterStopping
+          : BreakCause.RouterFailed,
+      );
     }
     this.isGivenUp = true;
     this.gone.abort();
--- a/src/router/requestFailure.ts
+++ b/src/router/requestFailure.ts
@@ -3,6 +3,7 @@
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {classifyBreak, type BreakCause} from './breakCause.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestLog} from './requestLog.js';
 import {estimateRetryAfterMs} from './returnTime.js';
@@ -20,7 +21,8 @@
  * Refuses a request, or breaks off its answer once that has begun.
  *
  * @example
- * new RequestFailure({request, selector, log, budget}).failWithoutServer(false);
+ * const failure = new RequestFailure({request, selector, log, budget});
+ * failure.failWithoutServer(BreakCause.NoServerLeft, false);
  */
 export class RequestFailure {
   constructor(private readonly options: RequestFailureOptions) {}
@@ -30,7 +32,7 @@
     const {request, log} = this.options;
     const {exchange} = request;
     if (exchange.isHeadSent) {
-      exchange.abortStream();
+      exchange.abortStream(classifyBreak(error));
       log.recordEvent('stream broken off', selection, error.message);
       return;
     }
@@ -42,13 +44,14 @@
   }
 
   /** Ends a request for which no server is left. */
-  failWithoutServer(mayHaveRun: boolean): void {
+  failWithoutServer(cause: BreakCause, mayHaveRun: boolean): void {
     const {request, selector} = this.options;
     const backoffMs = Math.max(
       selector.getBackoffMs(request.service),
       selector.getLimitIntervalMs(request.service),
     );
     this.failUnsent(
+      cause,
       mayHaveRun,
       mayHaveRun
         ? 'no other backend server can take the request'
@@ -58,10 +61,15 @@
   }
 
   /** Ends a request that isn't sent, or not once more. */
-  failUnsent(mayHaveRun: boolean, message: string, retryAfterMs: number): void {
+  failUnsent(
+    cause: BreakCause,
+    mayHaveRun: boolean,
+    message: string,
+    retryAfterMs: number,
+  ): void {
     const {exchange} = this.options.request;
     if (exchange.isHeadSent) {
-      exchange.abortStream();
+      exchange.abortStream(cause);
     } else if (mayHaveRun) {
       const reason = RefusalReason.BackendServerFailed;
       this.refuse(new Refusal(reason, Outcome.MayHaveRun, message));
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -8,6 +8,7 @@
   type AttemptResult,
   type StreamListener,
 } from './backendAttempt.js';
+import {BreakCause} from './breakCause.js';
 import {VerdictKind, type Verdict} from './crashQuarantine.js';
 import {computeCompactKey} from './compactKey.js';
 import {isStaleConnection} from './connectionReuse.js';
@@ -120,14 +121,16 @@
       if (verdict.kind === VerdictKind.Blocked) {
         const {suspect, crashes, retryAfterMs} = verdict;
         const message = describeBlock(suspect, crashes);
-        this.failure.failUnsent(this.runs > 0, message, retryAfterMs);
+        const cause = BreakCause.Quarantined;
+        this.failure.failUnsent(cause, this.runs > 0, message, retryAfterMs);
         return;
       }
       const selection = this.select();
       if (!selection) {
         const waitMs = this.measureLimitWaitMs();
         if (waitMs === undefined) {
-          this.failure.failWithoutServer(this.runs > 0);
+          const cause = this.explainMissingServer();
+          this.failure.failWithoutServer(cause, this.runs > 0);
           return;
         }
         await waitFor(waitMs, exchange.signal);
@@ -148,8 +151,8 @@
       const result = await attempt.supervise({
         canRetry: () => this.canRetry(),
       });
-      this.log.recordSendEnd();
       if (this.settle(attempt, result)) return;
+      this.log.recordSendEnd();
     }
   }
 
@@ -209,6 +212,14 @@
     return this.countedSends < maxSends && this.remainingMs >= minRemainingMs;
   }
 
+  /** Tells why no server can be selected for the request. */
+  private explainMissingServer(): BreakCause {
+    if (this.remainingMs < minRemainingMs) return BreakCause.Deadline;
+    return this.countedSends < maxSends
+      ? BreakCause.NoServerLeft
+      : BreakCause.SendLimit;
+  }
+
   /**
    * Time until a server whose limit is used up takes the request, in
    * milliseconds; undefined if that is too late for the target.
@@ -324,7 +335,7 @@
           outcomes.recordFailure(id);
           if (this.retry(selection, `status ${status}`)) return false;
         }
-        if (exchange.isHeadSent) exchange.abortStream();
+        if (exchange.isHeadSent) exchange.abortStream(BreakCause.ServerFailed);
         else exchange.sendAnswer(status, headers, body);
         this.log.recordAnswer(selection, status);
         return true;
@@ -350,7 +361,8 @@
           this.log.recordEvent('not run, retrying', selection, result.status);
           return false;
         }
-        this.failure.failWithoutServer(this.runs > 0);
+        this.log.recordSendEnd();
+        this.failure.failWithoutServer(BreakCause.RetryBudget, this.runs > 0);
         return true;
       case AttemptKind.Unreachable:
         exchange.mayHaveRun = this.runs > 0;
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -10,6 +10,7 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {BreakCause} from './breakCause.js';
 import {
   CallerExchange,
   RequestState,
@@ -144,7 +145,9 @@
     await waitForPoll();
     for (const exchange of [...this.inFlight]) {
       if (exchange.state === RequestState.WritingAnswer) continue;
-      if (exchange.isHeadSent) this.recordUnanswered(exchange);
+      if (exchange.isHeadSent) {
+        this.recordUnanswered(exchange, BreakCause.RouterStopping);
+      }
       const cause = 'router is stopping';
       const refusal = exchange.giveUp(RefusalReason.ShuttingDown, cause);
       if (refusal) this.recordRefusal(exchange, refusal);
@@ -161,7 +164,9 @@
   destroy(): void {
     void stopListening(this.server);
     // The process may end before the connections emit `close`.
-    for (const exchange of this.inFlight) this.recordUnanswered(exchange);
+    for (const exchange of this.inFlight) {
+      this.recordUnanswered(exchange, BreakCause.RouterStopping);
+    }
     this.inFlight.clear();
     this.server.closeAllConnections();
   }
@@ -260,12 +265,15 @@
   }
 
   /** Records that the router closed a connection in use. */
-  private recordUnanswered(exchange: CallerExchange): void {
+  private recordUnanswered(
+    exchange: CallerExchange,
+    cause = exchange.breakCause,
+  ): void {
     this.options.metrics.countUnanswered(exchange.state);
-    this.options.log.warn(
-      'closed without an answer',
-      listStateFields(exchange),
-    );
+    this.options.log.warn('closed without an answer', {
+      ...listStateFields(exchange),
+      cause,
+    });
   }
 
   private async serve(exchange: CallerExchange): Promise<void> {
--- a/src/router/requestLog.ts
+++ b/src/router/requestLog.ts
@@ -39,7 +39,7 @@
     this.request.exchange.state = RequestState.AtServer;
   }
 
-  /** Records that an attempt ended; another one may follow. */
+  /** Records that the request is at no server any more. */
   recordSendEnd(): void {
     this.request.exchange.state = RequestState.ChoosingServer;
   }
--- a/tests/router/requestLog.test.ts
+++ b/tests/router/requestLog.test.ts
@@ -8,6 +8,7 @@
   formatChunk,
   formatStreamHead,
   host,
+  readHeader,
   RouterFixture,
   sampleDeployment,
 } from './routerFixture.js';
@@ -100,9 +101,80 @@
     });
     const fields = {requestId, state: 'atServer', isHeadSent: true};
     expect(find('in flight')).to.include(fields);
-    expect(find('closed without an answer')).to.include(fields);
+    expect(find('closed without an answer')).to.include({
+      ...fields,
+      cause: 'routerStopping',
+    });
   });
 
+  /** Sends a stream's head and one event, and nothing more. */
+  const startStream: ConnectionScript = (socket, request) =>
+    socket.write(formatStreamHead(request) + formatChunk('id: 1\ndata: 1\n\n'));
+  const reject: ConnectionScript = (socket, request) =>
+    socket.write(
+      formatBackendAnswer(request, '', 'x-not-run: 1\r\n').replace(
+        '200 OK',
+        '503 Full',
+      ),
+    );
+  const fail: ConnectionScript = (socket, request) =>
+    socket.write(
+      formatBackendAnswer(request, '').replace('200 OK', '500 Failed'),
+    );
+  const breakStream: ConnectionScript = (socket, request) => {
+    void startStream(socket, request);
+    setTimeout(() => socket.destroy(), 50);
+  };
+  const breaks: Array<{
+    path: string;
+    /** Answers to the request and to its resumption. */
+    first: ConnectionScript;
+    second?: ConnectionScript;
+    state: string;
+    cause: string;
+  }> = [
+    {path: '/ask/1', first: startStream, state: 'atServer', cause: 'deadline'},
+    {
+      path: '/ask/1',
+      first: breakStream,
+      state: 'atServer',
+      cause: 'serverFailed',
+    },
+    {
+      path: '/draft/1',
+      first: breakStream,
+      second: fail,
+      state: 'atServer',
+      cause: 'serverFailed',
+    },
+    {
+      path: '/draft/1',
+      first: breakStream,
+      second: reject,
+      state: 'choosingServer',
+      cause: 'noServerLeft',
+    },
+  ];
+  for (const {path, first, second, state, cause} of breaks) {
+    // Guards against incidents in which a stream ends early and the line about
+    // its end shows neither whether it was at a server nor the cause.
+    it(`should show that ${path} is cut in ${state} by ${cause}`, async () => {
+      const script: ConnectionScript = (socket, request) => {
+        if (readHeader(request, 'x-after') === '') first(socket, request);
+        else second?.(socket, request);
+      };
+      for (let i = 0; i < 2; i++) await fixture.addBackend(script);
+      const router = await fixture.addRouter();
+      await fixture.waitReady(router);
+      const headers = {'x-deadline': '900'};
+      const {isComplete} = await fixture.call(router, path, {headers});
+      expect(isComplete).to.equal(false);
+      const isLogged = () => find('closed without an answer') !== undefined;
+      await fixture.waitUntil(isLogged, 'line about the end');
+      expect(find('closed without an answer')).to.include({state, cause});
+    });
+  }
+
   // Guards against the same for a request that is refused at the end.
   it('should name a request that the router refuses at its end', async () => {
     const {requestId, caller} = await stopDuring(
