--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -2,19 +2,16 @@
 import {waitFor} from '../node/delay.js';
 import type {RequestBudget} from '../node/requestBudget.js';
 import {assertNever} from '../protocol/assertNever.js';
-import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
-import {Outcome} from '../protocol/outcome.js';
-import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {superviseAttempt} from './attemptSupervisor.js';
+import {DeadlineError} from '../protocol/errors.js';
 import {
   AttemptKind,
-  BackendAttempt,
   type AttemptResult,
   type StreamListener,
 } from './backendAttempt.js';
+import {BreakCause} from './breakCause.js';
 import {VerdictKind, type Verdict} from './crashQuarantine.js';
 import {computeCompactKey} from './compactKey.js';
-import {chooseReusePolicy, isStaleConnection} from './connectionReuse.js';
+import {isStaleConnection} from './connectionReuse.js';
 import {formatProcess, RouteKind} from './deployment.js';
 import {suspectCrash} from './crashSuspicion.js';
 import {describeBlock} from './describeBlock.js';
@@ -27,20 +24,20 @@
   decideAdmission,
   recheckIntervalMs,
 } from './promptAdmission.js';
+import {RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
-import {estimateRetryAfterMs} from './returnTime.js';
 import {RetryCause} from './routerMetrics.js';
-import type {LoadTicket} from './serverLoads.js';
-import {
-  computeLimitKey,
-  type Selection,
-  type SelectionRequest,
-} from './serverSelector.js';
+import {SentAttempt} from './sentAttempt.js';
+import type {Selection, SelectionRequest} from './serverSelector.js';
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
 const minRemainingMs = 40;
-/** Attempts of one request, including those that did not run. */
+/**
+ * Attempts of one request, including those that did not run. An attempt that
+ * reaches no server doesn't count, unless an earlier one of this router had just
+ * shown that the server accepts no connections.
+ */
 const maxSends = 6;
 /** Cost of a failure that can be retried, in milliseconds of waiting. */
 const retryableFailureCostMs = 250;
@@ -72,20 +69,18 @@
   /** Servers that refused the request or could not be reached. */
   private readonly excluded = new Set<string>();
   private readonly budget: RequestBudget;
+  /** Attempts that count towards `maxSends`. */
+  private countedSends = 0;
   /** Failed attempts that may have run. */
   private runs = 0;
   /** True once this request tests whether a suspect crashes servers. */
   private isProbe = false;
   /** Id of the last event that was sent to the caller. */
   private lastEventId: number | undefined;
-  /** Selection of the current attempt. */
-  private selection: Selection | undefined;
-  private ticket: LoadTicket | undefined;
-  private sentAtMs = 0;
-  /** Idle time of the connection before the attempt, in milliseconds. */
-  private connectionIdleMs = 0;
-  private hasEvents = false;
+  /** The attempt that was started last. */
+  private lastAttempt: SentAttempt | undefined;
   private readonly log: RequestLog;
+  private readonly failure: RequestFailure;
 
   constructor(
     private readonly options: RequestForwarderOptions,
@@ -110,6 +105,9 @@
     this.requestKey = computeRequestKey(path, customer, body);
     this.budget = options.budgets.get(request.service);
     this.budget.refill();
+    const {log, budget} = this;
+    const {selector} = options;
+    this.failure = new RequestFailure({request, selector, log, budget});
   }
 
   async run(): Promise<void> {
@@ -123,14 +121,16 @@
       if (verdict.kind === VerdictKind.Blocked) {
         const {suspect, crashes, retryAfterMs} = verdict;
         const message = describeBlock(suspect, crashes);
-        this.failUnsent(message, retryAfterMs);
+        const cause = BreakCause.Quarantined;
+        this.failure.failUnsent(cause, this.runs > 0, message, retryAfterMs);
         return;
       }
       const selection = this.select();
       if (!selection) {
         const waitMs = this.measureLimitWaitMs();
         if (waitMs === undefined) {
-          this.failWithoutServer();
+          const cause = this.explainMissingServer();
+          this.failure.failWithoutServer(cause, this.runs > 0);
           return;
         }
         await waitFor(waitMs, exchange.signal);
@@ -147,8 +147,12 @@
         this.options.quarantine.recordProbe(verdict.suspect);
         this.log.recordEvent('probing a suspect', selection, verdict.suspect);
       }
-      const result = await this.send(selection);
-      if (this.settle(selection, result)) return;
+      const attempt = this.send(selection);
+      const result = await attempt.supervise({
+        canRetry: () => this.canRetry(),
+      });
+      if (this.settle(attempt, result)) return;
+      this.log.recordSendEnd();
     }
   }
 
@@ -168,9 +172,7 @@
     events: Parameters<StreamListener['receiveEvents']>[0],
     resume: () => void,
   ): boolean {
-    this.options.outcomes.recordEvent(this.selection!.server.id);
     this.log.progress.recordEvents();
-    if (!this.hasEvents) this.recordFirstEvent();
     const after = this.lastEventId ?? -Infinity;
     const newEvents = events.filter(({id}) => id === undefined || id > after);
     if (newEvents.length === 0) return true;
@@ -178,17 +180,6 @@
     return this.request.exchange.sendEvents(newEvents, resume);
   }
 
-  private recordFirstEvent(): void {
-    this.hasEvents = true;
-    this.options.quarantine.recordStart(this.sharedParts);
-    this.ticket?.finishPrefill();
-    this.options.selector.recordFirstEvent(
-      this.selection!,
-      this.request.service,
-      performance.now() - this.sentAtMs,
-    );
-  }
-
   private get remainingMs(): number {
     return this.deadlineAtMs - performance.now();
   }
@@ -204,7 +195,9 @@
       targetMs: route.targetMs,
       callerTimeoutMs: computeCallerTimeoutMs(route, this.deadlineMs),
     });
-    if (decision === AdmissionDecision.Hold && !this.hasEvents) return true;
+    if (decision === AdmissionDecision.Hold && !this.lastAttempt?.hasEvents) {
+      return true;
+    }
     this.log.admission = decision;
     return false;
   }
@@ -216,7 +209,15 @@
   }
 
   private get canSend(): boolean {
-    return this.log.sends < maxSends && this.remainingMs >= minRemainingMs;
+    return this.countedSends < maxSends && this.remainingMs >= minRemainingMs;
+  }
+
+  /** Tells why no server can be selected for the request. */
+  private explainMissingServer(): BreakCause {
+    if (this.remainingMs < minRemainingMs) return BreakCause.Deadline;
+    return this.countedSends < maxSends
+      ? BreakCause.NoServerLeft
+      : BreakCause.SendLimit;
   }
 
   /**
@@ -226,7 +227,8 @@
   private measureLimitWaitMs(): number | undefined {
     const {route} = this.request;
     const {limits} = this.options;
-    if (limits.isEmpty || !this.canSend || this.hasEvents) return undefined;
+    const hasEvents = this.lastAttempt?.hasEvents ?? false;
+    if (limits.isEmpty || !this.canSend || hasEvents) return undefined;
     const request = this.buildSelectionRequest();
     return computeLimitWaitMs({
       waitMs: this.options.selector.measureLimitWaitMs(request),
@@ -256,80 +258,32 @@
     };
   }
 
-  private async send(selection: Selection): Promise<AttemptResult> {
-    const {exchange, body, route, maxAnswerBytes} = this.request;
-    const {codec, connections, loads} = this.options;
-    const {server, prefillWork, fetchFrom} = selection;
-    this.selection = selection;
-    this.options.limits.recordSend(computeLimitKey(server));
+  private send(selection: Selection): SentAttempt {
+    const {exchange, route} = this.request;
     this.log.recordSend();
-    this.sentAtMs = performance.now();
     exchange.mayHaveRun = true;
-    if (this.log.sends === 1) {
-      const waitMs = this.sentAtMs - exchange.startedAtMs;
-      this.options.metrics.recordWait(route.name, waitMs);
-    }
-    this.hasEvents = false;
-    const isEngine = exchange.request.promptParts.length > 0;
-    this.ticket = loads.add(server.id, {
-      prefillWork,
-      rank: this.request.urgency,
-      pauseWeight: isEngine ? selection.pauseWeight : 0,
-    });
-    const withdrawPlacement = this.options.selector.recordPlacement(
-      selection,
-      exchange.request.promptParts,
-    );
-    const resumesAfter =
-      this.lastEventId === exchange.request.lastEventId
-        ? undefined
-        : this.lastEventId;
-    const connection = connections.take(
-      server,
-      chooseReusePolicy({
+    const {lastEventId} = this;
+    const attempt = new SentAttempt(
+      {
+        components: this.options,
+        request: this.request,
+        selection,
+        sharedParts: this.sharedParts,
         isRetryable: this.isRetryable,
-        isStream: route.kind === RouteKind.Stream,
-        canReuseIdle: this.options.idleReuse.canReuseIdle(server.service),
-      }),
-    );
-    this.connectionIdleMs = connection.idleMs;
-    const attempt = new BackendAttempt({
-      connection,
-      method: exchange.incoming.method ?? 'GET',
-      path: exchange.incoming.url ?? '/',
-      headers: codec.encodeRequest(exchange.incoming.rawHeaders, {
-        serverId: server.id,
-        deadlineMs: this.remainingMs,
-        customer: this.request.customer,
-        lastEventId: resumesAfter,
-        urgency: isEngine ? this.request.urgency : undefined,
-        fetchFrom,
-      }),
-      body,
-      attemptId: exchange.request.attemptId,
-      codec,
-      stream: route.kind === RouteKind.Stream ? this : undefined,
-      receiveAnswer: answer =>
-        this.options.answerNotices.record(server, answer, this.sentAtMs),
-      maxAnswerBytes,
-    });
-    try {
-      const result = await superviseAttempt(attempt, {
-        route,
-        signal: exchange.signal,
+        resumesAfter:
+          lastEventId === exchange.request.lastEventId
+            ? undefined
+            : lastEventId,
         remainingMs: this.remainingMs,
-        expectedMs: selection.expectedMs,
-        hasEvents: () => this.hasEvents,
-        isServerActive: () => this.options.outcomes.hasRecentEvent(server.id),
-        canRetry: () => this.canRetry(),
-      });
-      if (!this.hasEvents) withdrawPlacement();
-      return result;
-    } finally {
-      this.log.recordSendEnd();
-      connection.release();
-      this.ticket.release();
+      },
+      this,
+    );
+    this.lastAttempt = attempt;
+    if (this.log.sends === 1) {
+      const waitMs = attempt.sentAtMs - exchange.startedAtMs;
+      this.options.metrics.recordWait(route.name, waitMs);
     }
+    return attempt;
   }
 
   /** True when another server may run the request if this attempt fails. */
@@ -347,10 +301,14 @@
    * Handles the result of an attempt; true when the request is finished, false
    * when it needs another attempt.
    */
-  private settle(selection: Selection, result: AttemptResult): boolean {
+  private settle(attempt: SentAttempt, result: AttemptResult): boolean {
     const {exchange, service} = this.request;
+    const {selection} = attempt;
     const {outcomes, selector, directory, quarantine, metrics} = this.options;
     const {id} = selection.server;
+    const isReached = result.kind !== AttemptKind.Unreachable;
+    if (isReached || attempt.wasUnreachable) this.countedSends += 1;
+    if (!isReached) this.log.unreached += 1;
     // A faulty server may answer with an error what crashes the others.
     const isInnocent =
       result.kind === AttemptKind.Streamed ||
@@ -371,13 +329,13 @@
           outcomes.recordAnswer(id);
           selector.recordServiceTime(
             service,
-            performance.now() - this.sentAtMs,
+            performance.now() - attempt.sentAtMs,
           );
         } else {
           outcomes.recordFailure(id);
           if (this.retry(selection, `status ${status}`)) return false;
         }
-        if (exchange.isHeadSent) exchange.abortStream();
+        if (exchange.isHeadSent) exchange.abortStream(BreakCause.ServerFailed);
         else exchange.sendAnswer(status, headers, body);
         this.log.recordAnswer(selection, status);
         return true;
@@ -403,7 +361,8 @@
           this.log.recordEvent('not run, retrying', selection, result.status);
           return false;
         }
-        this.failWithoutServer();
+        this.log.recordSendEnd();
+        this.failure.failWithoutServer(BreakCause.RetryBudget, this.runs > 0);
         return true;
       case AttemptKind.Unreachable:
         exchange.mayHaveRun = this.runs > 0;
@@ -420,27 +379,27 @@
         if (
           isStaleConnection({
             isUnanswered: result.isUnanswered,
-            idleMs: this.connectionIdleMs,
-            elapsedMs: performance.now() - this.sentAtMs,
+            idleMs: attempt.connectionIdleMs,
+            elapsedMs: performance.now() - attempt.sentAtMs,
           })
         ) {
           this.options.idleReuse.record(service);
           this.log.recordEvent(
             'stale connection',
             selection,
-            this.connectionIdleMs,
+            attempt.connectionIdleMs,
           );
         } else {
           outcomes.recordFailure(id);
         }
         if (!(result.error instanceof DeadlineError)) {
           const {requestKey: request, sharedParts} = this;
-          const isAnswerLost = result.isConnectionLost && !this.hasEvents;
+          const isAnswerLost = result.isConnectionLost && !attempt.hasEvents;
           const parts = isAnswerLost ? sharedParts : [];
           suspectCrash(this.options, id, {request, parts});
         }
         if (this.retry(selection, result.error.message)) return false;
-        this.fail(selection, result.error);
+        this.failure.fail(selection, result.error);
         return true;
       default:
         return assertNever(result);
@@ -460,54 +419,4 @@
     this.log.recordEvent('attempt failed, retrying', selection, cause);
     return true;
   }
-
-  /** Ends a request that may have run and can't be retried. */
-  private fail(selection: Selection, error: AnvilstallError): void {
-    const {exchange} = this.request;
-    if (exchange.isHeadSent) {
-      exchange.abortStream();
-      this.log.recordEvent('stream broken off', selection, error.message);
-      return;
-    }
-    const reason =
-      error instanceof DeadlineError
-        ? RefusalReason.DeadlineExceeded
-        : RefusalReason.BackendServerFailed;
-    this.refuse(new Refusal(reason, Outcome.MayHaveRun, error.message));
-  }
-
-  /** Ends a request for which no server is left. */
-  private failWithoutServer(): void {
-    const {selector} = this.options;
-    const {service} = this.request;
-    const backoffMs = Math.max(
-      selector.getBackoffMs(service),
-      selector.getLimitIntervalMs(service),
-    );
-    this.failUnsent(
-      this.runs > 0
-        ? 'no other backend server can take the request'
-        : 'no backend server can take the request now',
-      estimateRetryAfterMs(backoffMs, Math.random),
-    );
-  }
-
-  /** Ends a request that isn't sent, or not once more. */
-  private failUnsent(message: string, retryAfterMs: number): void {
-    const {exchange} = this.request;
-    if (exchange.isHeadSent) {
-      exchange.abortStream();
-    } else if (this.runs > 0) {
-      const reason = RefusalReason.BackendServerFailed;
-      this.refuse(new Refusal(reason, Outcome.MayHaveRun, message));
-    } else {
-      const reason = RefusalReason.NoBackendServer;
-      this.refuse(new Refusal(reason, Outcome.NotRun, message, {retryAfterMs}));
-    }
-  }
-
-  private refuse(refusal: Refusal): void {
-    this.request.exchange.refuse(refusal);
-    this.log.recordRefusal(refusal, this.budget.describe());
-  }
 }
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -10,6 +10,7 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {BreakCause} from './breakCause.js';
 import {
   CallerExchange,
   RequestState,
@@ -169,7 +170,7 @@
     // The process may end before the connections emit `close`.
     for (const exchange of this.inFlight) {
       exchange.isGivenUp = true;
-      this.recordUnanswered(exchange);
+      this.recordUnanswered(exchange, BreakCause.RouterStopping);
     }
     this.inFlight.clear();
     this.server.closeAllConnections();
@@ -269,12 +270,15 @@
   }
 
   /** Records that the router closed a connection in use. */
-  private recordUnanswered(exchange: CallerExchange): void {
+  private recordUnanswered(
+    exchange: CallerExchange,
+    cause = exchange.breakCause,
+  ): void {
     this.options.metrics.countUnanswered(exchange.state);
-    this.options.log.warn(
-      'closed without an answer',
-      listStateFields(exchange),
-    );
+    this.options.log.warn('closed without an answer', {
+      ...listStateFields(exchange),
+      cause,
+    });
   }
 
   private async serve(exchange: CallerExchange): Promise<void> {
