Resume a silent stream beside its server, not instead of it

Cause: the supervisor gave up work that could still succeed before its replacement was certain.

The supervisor now asks for a resumption beside the silent attempt. The first event of either ends the other at once, so that events are passed on from one attempt at a time. A resumption that is refused, breaks or can't connect leaves the stream to the silent server, and a later check tries another server while the retry budget, maxServers, the sends and the deadline allow. The stream is broken off only when no attempt is left. A lost silent attempt counts as a failure of its server and suspects the request as before; a resumption that is not needed any more counts against nobody, but uses up one of maxServers. The silent server itself is asked again only if no server has refused the request and no other is left (test "should lose a stream that sends bytes but no event"). Streams whose events have no ids are no longer run again after a pause: the caller got their first events twice.

--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -85,5 +85,8 @@
 /** A connection received no data for longer than its idle limit. */
 export class SilentConnectionError extends AnvilstallError {}
 
+/** An attempt was given up because another one of its request went on. */
+export class SupersededError extends AnvilstallError {}
+
 /** A deadline passed. */
 export class DeadlineError extends AnvilstallError {}
--- a/src/router/attemptSupervisor.ts
+++ b/src/router/attemptSupervisor.ts
@@ -1,6 +1,6 @@
 /**
- * Aborts an attempt at its deadline, when the caller disconnects, or when the
- * server stays silent for too long.
+ * Aborts an attempt at its deadline, when the caller disconnects, or when its
+ * server stays silent for too long and another one can take its place.
  */
 import {DeadlineError, SilentConnectionError} from '../protocol/errors.js';
 import type {AttemptResult, BackendAttempt} from './backendAttempt.js';
@@ -8,7 +8,7 @@
 
 /**
  * An attempt is aborted when its server stays silent for this multiple of the
- * expected time and another server may run the request.
+ * expected time and another server can run the request now.
  */
 const expectedWaitFactor = 3.5;
 const minFirstSilenceMs = 400;
@@ -33,14 +33,19 @@
   readonly hasEvents: () => boolean;
   /** True while the server sends events of any stream to this router. */
   readonly isServerActive: () => boolean;
-  /** True when another server may run the request instead. */
+  /** True when another server can run the request instead now. */
   readonly canRetry: () => boolean;
+  /**
+   * Called, and again at each later check, when an attempt that has sent events
+   * is silent. Without it, such an attempt is aborted.
+   */
+  readonly resumeBeside?: () => void;
 }
 
 /**
  * Waits for the result of an attempt. Aborts it at its deadline, when the
- * caller disconnects, or when the server is silent and another one may run the
- * request.
+ * caller disconnects, or when the server is silent and another one can run the
+ * request now.
  */
 export async function superviseAttempt(
   attempt: Pick<BackendAttempt, 'abort' | 'measureSilenceMs' | 'result'>,
@@ -67,8 +72,9 @@
 /** Returns a function that ends the watch. */
 function watchSilence(
   attempt: Pick<BackendAttempt, 'abort' | 'measureSilenceMs'>,
-  {route, expectedMs, hasEvents, isServerActive, canRetry}: AttemptBounds,
+  bounds: AttemptBounds,
 ): () => void {
+  const {route, expectedMs, hasEvents, isServerActive} = bounds;
   const isStream = route.kind === RouteKind.Stream;
   const firstLimitMs = Math.max(
     minFirstSilenceMs,
@@ -91,8 +97,10 @@
   };
   let confirmation: NodeJS.Immediate | undefined;
   const confirm = () => {
-    if (!isSilent()) timer.refresh();
-    else if (canRetry()) {
+    timer.refresh();
+    if (!isSilent()) return;
+    if (bounds.resumeBeside && hasEvents()) bounds.resumeBeside();
+    else if (bounds.canRetry()) {
       attempt.abort(new SilentConnectionError('no byte within the limit'));
     }
   };
--- /dev/null
+++ b/src/router/attemptsInProgress.ts
@@ -0,0 +1,95 @@
+/** The attempts of one request that are in progress. */
+import {SilentConnectionError, SupersededError} from '../protocol/errors.js';
+import type {AttemptResult} from './backendAttempt.js';
+import type {SentAttempt} from './sentAttempt.js';
+
+/** An attempt that has ended. */
+export interface EndedAttempt {
+  readonly attempt: SentAttempt;
+  readonly result: AttemptResult;
+}
+
+/**
+ * Holds the attempts of a request in the order in which they were sent. More
+ * than one is in progress only while a stream is resumed beside a silent
+ * attempt, until one of the two sends an event.
+ */
+export class AttemptsInProgress {
+  private readonly attempts = new Set<SentAttempt>();
+  /** Ended attempts that `waitForEnd` has not returned yet. */
+  private readonly ended: EndedAttempt[] = [];
+  private notify: () => void = () => undefined;
+
+  /** @param recordLoss - called when an attempt that was given up has ended */
+  constructor(private readonly recordLoss: (lost: EndedAttempt) => void) {}
+
+  /** Attempts that are in progress or whose end is not handled yet. */
+  get size(): number {
+    return this.attempts.size;
+  }
+
+  /** Adds an attempt until its result has been handled. */
+  add(attempt: SentAttempt, result: Promise<AttemptResult>): void {
+    this.attempts.add(attempt);
+    void result.then(value => {
+      const end = {attempt, result: value};
+      if (!this.attempts.has(attempt)) {
+        this.recordLoss(end);
+        return;
+      }
+      this.ended.push(end);
+      this.notify();
+    });
+  }
+
+  /** True until the attempt has been given up or its end been handled. */
+  has(attempt: SentAttempt): boolean {
+    return this.attempts.has(attempt);
+  }
+
+  /** Lists the ids of the servers of the attempts. */
+  listServers(): string[] {
+    return [...this.attempts].map(({selection}) => selection.server.id);
+  }
+
+  /**
+   * True when the only attempt has sent events, so that the stream can be
+   * resumed beside it while it is silent.
+   */
+  canResumeBeside(): boolean {
+    const [attempt] = this.attempts;
+    return this.size === 1 && attempt.hasEvents;
+  }
+
+  /** Waits until an attempt ends that has not been given up; removes it. */
+  async waitForEnd(): Promise<EndedAttempt> {
+    for (;;) {
+      const end = this.ended.shift();
+      if (end) {
+        this.attempts.delete(end.attempt);
+        return end;
+      }
+      await new Promise<void>(resolve => (this.notify = resolve));
+    }
+  }
+
+  /** Aborts all other attempts, which closes their connections at once. */
+  abortOthers(kept: SentAttempt): void {
+    for (const attempt of [...this.attempts]) {
+      if (attempt === kept) continue;
+      this.attempts.delete(attempt);
+      const index = this.ended.findIndex(end => end.attempt === attempt);
+      if (index >= 0) {
+        this.recordLoss(this.ended.splice(index, 1)[0]);
+        continue;
+      }
+      // Only the silent attempt has sent events: the first event of the other
+      // ends the silent one.
+      attempt.abort(
+        attempt.hasEvents
+          ? new SilentConnectionError('silent, and another server went on')
+          : new SupersededError('the silent server went on'),
+      );
+    }
+  }
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -2,7 +2,8 @@
 import {waitFor} from '../node/delay.js';
 import type {RequestBudget} from '../node/requestBudget.js';
 import {assertNever} from '../protocol/assertNever.js';
-import {DeadlineError} from '../protocol/errors.js';
+import {DeadlineError, SilentConnectionError} from '../protocol/errors.js';
+import {AttemptsInProgress, type EndedAttempt} from './attemptsInProgress.js';
 import {
   AttemptKind,
   type AttemptResult,
@@ -27,7 +28,7 @@
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
 import {RetryCause} from './routerMetrics.js';
-import {SentAttempt} from './sentAttempt.js';
+import {SentAttempt, type AttemptListener} from './sentAttempt.js';
 import type {Selection, SelectionRequest} from './serverSelector.js';
 
 /** Time before the deadline, in milliseconds, below which no attempt starts. */
@@ -52,7 +53,7 @@
 }
 
 /** State of one request from its first attempt to its answer. */
-class Forwarding implements StreamListener {
+class Forwarding implements AttemptListener {
   private readonly deadlineMs: number;
   private readonly deadlineAtMs: number;
   private readonly isRetryable: boolean;
@@ -72,6 +73,9 @@
   private lastEventId: number | undefined;
   /** The attempt that was started last. */
   private lastAttempt: SentAttempt | undefined;
+  private readonly attempts = new AttemptsInProgress(lost =>
+    this.recordLoss(lost),
+  );
   private readonly log: RequestLog;
   private readonly failure: RequestFailure;
 
@@ -138,15 +142,26 @@
         this.options.quarantine.recordProbe(verdict.suspect);
         this.log.recordEvent('probing a suspect', selection, verdict.suspect);
       }
-      const attempt = this.send(selection);
-      const result = await attempt.supervise({
-        canRetry: () => this.canRetry(),
-      });
-      this.log.recordSendEnd();
-      if (this.settle(attempt, result)) return;
+      this.send(selection);
+      if (await this.settleAttempts()) return;
     }
   }
 
+  /**
+   * Handles the results of all attempts; true when the request is finished,
+   * false when it needs another attempt.
+   */
+  private async settleAttempts(): Promise<boolean> {
+    while (this.attempts.size > 0) {
+      const {attempt, result} = await this.attempts.waitForEnd();
+      if (this.attempts.size === 0) this.log.recordSendEnd();
+      if (!this.settle(attempt, result)) continue;
+      this.attempts.abortOthers(attempt);
+      return true;
+    }
+    return false;
+  }
+
   /** A probe goes on until a server runs it. */
   private checkQuarantine(): Verdict {
     return this.isProbe
@@ -154,23 +169,31 @@
       : this.options.quarantine.check([...this.sharedParts, this.requestKey]);
   }
 
-  receiveHead(status: number, headers: string[]): void {
-    const {exchange} = this.request;
-    if (!exchange.isHeadSent) exchange.startStream(status, headers);
-  }
-
+  /** Passes events on, and ends the other attempt if there is one. */
   receiveEvents(
-    events: Parameters<StreamListener['receiveEvents']>[0],
-    resume: () => void,
+    attempt: SentAttempt,
+    ...[events, resume]: Parameters<StreamListener['receiveEvents']>
   ): boolean {
+    // An attempt that was given up may still have events in its buffers.
+    if (!this.attempts.has(attempt)) return true;
+    this.attempts.abortOthers(attempt);
     this.log.progress.recordEvents();
     const after = this.lastEventId ?? -Infinity;
     const newEvents = events.filter(({id}) => id === undefined || id > after);
     if (newEvents.length === 0) return true;
     for (const {id} of newEvents) this.lastEventId = id ?? this.lastEventId;
+    this.startStream(attempt);
     return this.request.exchange.sendEvents(newEvents, resume);
   }
 
+  /** Sets the head of the stream unless an earlier one has been sent. */
+  private startStream({head}: SentAttempt): void {
+    const {exchange} = this.request;
+    if (head && !exchange.isHeadSent) {
+      exchange.startStream(head.status, head.headers);
+    }
+  }
+
   private get remainingMs(): number {
     return this.deadlineAtMs - performance.now();
   }
@@ -193,10 +216,11 @@
     return false;
   }
 
-  private select(): Selection | undefined {
-    return this.canSend
-      ? this.options.selector.select(this.buildSelectionRequest())
-      : undefined;
+  private select(
+    change: Partial<SelectionRequest> = {},
+  ): Selection | undefined {
+    const request = {...this.buildSelectionRequest(), ...change};
+    return this.canSend ? this.options.selector.select(request) : undefined;
   }
 
   private get canSend(): boolean {
@@ -241,7 +265,8 @@
     };
   }
 
-  private send(selection: Selection): SentAttempt {
+  /** Starts an attempt. */
+  private send(selection: Selection): void {
     const {exchange, route} = this.request;
     this.log.recordSend();
     exchange.mayHaveRun = true;
@@ -266,15 +291,62 @@
       const waitMs = attempt.sentAtMs - exchange.startedAtMs;
       this.options.metrics.recordWait(route.name, waitMs);
     }
-    return attempt;
+    const result = attempt.supervise({
+      canRetry: () => this.canRetry(),
+      resumeBeside: () => this.resumeBeside(),
+    });
+    this.attempts.add(attempt, result);
+  }
+
+  /**
+   * Resumes the stream of a silent attempt at another server. The silent one
+   * goes on until the other sends an event: the other may refuse the request or
+   * fail, and then the silent one is all that is left.
+   */
+  private resumeBeside(): void {
+    // Events without ids can't be told from those that the caller has.
+    if (this.lastEventId === undefined) return;
+    if (!this.attempts.canResumeBeside()) return;
+    // Servers that refused the request show that there are others, but full.
+    const selection = this.selectOther(this.excluded.size === 0);
+    if (!selection || !this.budget.take()) return;
+    const {metrics} = this.options;
+    metrics.countRetry(this.request.service, RetryCause.Failed);
+    this.send(selection);
+    this.log.recordEvent('resuming beside a silent attempt', selection);
+  }
+
+  /**
+   * Selects a server that may run the request beside or instead of the attempt
+   * in progress; undefined if none can take it now.
+   *
+   * @param canRepeat - allows servers that failed it or are silent if there is
+   *     no other: the fault may lie in the connection
+   */
+  private selectOther(canRepeat = false): Selection | undefined {
+    if (!this.canRetry() || this.request.exchange.signal.aborted) return;
+    if (this.checkQuarantine().kind !== VerdictKind.Clear) return;
+    const {outcomes} = this.options;
+    const used = [...this.failed, ...this.attempts.listServers()];
+    const selection = this.select(
+      canRepeat
+        ? {failed: new Set(used)}
+        : {excluded: new Set([...this.excluded, ...used])},
+    );
+    if (!selection || this.shouldHold(selection)) return undefined;
+    const {id} = selection.server;
+    // The selector names these servers only when no other is left.
+    return outcomes.isUnwilling(id) || outcomes.isUnreachable(id)
+      ? undefined
+      : selection;
   }
 
-  /** True when another server may run the request if this attempt fails. */
+  /** True when another server may run the request. */
   private canRetry(): boolean {
     return (
       this.isRetryable &&
       !this.isProbe &&
-      this.runs + 1 < this.request.route.maxServers &&
+      this.runs + this.attempts.size < this.request.route.maxServers &&
       this.remainingMs > minRemainingMs &&
       this.budget.describe() >= 1
     );
@@ -315,6 +387,7 @@
           outcomes.recordFailure(id);
           if (this.retry(selection, `status ${status}`)) return false;
         }
+        if (this.leaveToOther(selection, `status ${status}`)) return false;
         if (exchange.isHeadSent) exchange.abortStream();
         else exchange.sendAnswer(status, headers, body);
         this.log.recordAnswer(selection, status);
@@ -322,11 +395,12 @@
       }
       case AttemptKind.Streamed:
         outcomes.recordAnswer(id);
+        this.startStream(attempt);
         exchange.endStream();
         this.log.recordAnswer(selection, 200);
         return true;
       case AttemptKind.NotRun:
-        exchange.mayHaveRun = this.runs > 0;
+        exchange.mayHaveRun = this.mayHaveRun;
         if (result.load) outcomes.recordSlowness(id, result.load.slowness);
         if (result.isOtherProcess) {
           directory.removeProcess(
@@ -336,6 +410,10 @@
         if (result.retryAfterMs === undefined) outcomes.recordUnwilling(id);
         else outcomes.recordBackoff(id, result.retryAfterMs);
         this.excluded.add(id);
+        if (this.attempts.size > 0) {
+          this.log.recordEvent('not run, waiting', selection, result.status);
+          return false;
+        }
         if (this.budget.take()) {
           metrics.countRetry(service, RetryCause.NotRun);
           this.log.recordEvent('not run, retrying', selection, result.status);
@@ -344,10 +422,12 @@
         this.failure.failWithoutServer(this.runs > 0);
         return true;
       case AttemptKind.Unreachable:
-        exchange.mayHaveRun = this.runs > 0;
+        exchange.mayHaveRun = this.mayHaveRun;
         outcomes.recordUnreachable(id);
         this.excluded.add(id);
-        metrics.countRetry(service, RetryCause.Unreachable);
+        // Nothing was sent, so that the next resumption costs no more.
+        if (this.attempts.size > 0) this.budget.giveBack();
+        else metrics.countRetry(service, RetryCause.Unreachable);
         this.log.recordEvent(
           'server unreachable',
           selection,
@@ -372,10 +452,8 @@
           outcomes.recordFailure(id);
         }
         if (!(result.error instanceof DeadlineError)) {
-          const {requestKey: request, sharedParts} = this;
           const isAnswerLost = result.isConnectionLost && !attempt.hasEvents;
-          const parts = isAnswerLost ? sharedParts : [];
-          suspectCrash(this.options, id, {request, parts});
+          this.suspectCrash(id, isAnswerLost ? this.sharedParts : []);
         }
         if (this.retry(selection, result.error.message)) return false;
         this.failure.fail(selection, result.error);
@@ -385,12 +463,48 @@
     }
   }
 
-  private retry(selection: Selection, cause: string): boolean {
-    if (!this.canRetry()) {
-      this.runs += 1;
-      return false;
+  /** Records that an attempt was given up because another one went on. */
+  private recordLoss({attempt, result}: EndedAttempt): void {
+    const {selection} = attempt;
+    const {id} = selection.server;
+    if (result.kind === AttemptKind.Unreachable) {
+      this.budget.giveBack();
+      return;
     }
     this.runs += 1;
+    const error = result.kind === AttemptKind.Broken ? result.error : undefined;
+    if (error instanceof SilentConnectionError) {
+      this.failed.add(id);
+      this.options.outcomes.recordFailure(id);
+      this.suspectCrash(id, []);
+    }
+    this.log.recordEvent('attempt given up', selection, error?.message);
+  }
+
+  /** @param parts - suspects beside the request itself */
+  private suspectCrash(serverId: string, parts: readonly number[]): void {
+    const {requestKey: request} = this;
+    suspectCrash(this.options, serverId, {request, parts});
+  }
+
+  /** True if a backend server may have run the request. */
+  private get mayHaveRun(): boolean {
+    return this.runs + this.attempts.size > 0;
+  }
+
+  /** Leaves the request to the other attempt; false if there is none. */
+  private leaveToOther(selection: Selection, cause: string): boolean {
+    if (this.attempts.size === 0) return false;
+    this.runs += 1;
+    this.failed.add(selection.server.id);
+    this.log.recordEvent('attempt failed, waiting', selection, cause);
+    return true;
+  }
+
+  private retry(selection: Selection, cause: string): boolean {
+    if (this.leaveToOther(selection, cause)) return true;
+    this.runs += 1;
+    if (!this.canRetry()) return false;
     this.failed.add(selection.server.id);
     this.budget.take();
     const {service} = this.request;
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -1,4 +1,5 @@
 /** One attempt of a caller's request and what it holds until its end. */
+import type {AnvilstallError} from '../protocol/errors.js';
 import {superviseAttempt, type AttemptBounds} from './attemptSupervisor.js';
 import {
   BackendAttempt,
@@ -27,6 +28,21 @@
   readonly remainingMs: number;
 }
 
+/** Receives the events of the attempts of one request. */
+export interface AttemptListener {
+  /** See `StreamListener`. */
+  receiveEvents(
+    attempt: SentAttempt,
+    ...args: Parameters<StreamListener['receiveEvents']>
+  ): boolean;
+}
+
+/** Head of a stream. */
+export interface StreamHead {
+  readonly status: number;
+  readonly headers: readonly string[];
+}
+
 /** Sends a request to the selected server and counts it towards its load. */
 export class SentAttempt implements StreamListener {
   readonly selection: Selection;
@@ -38,11 +54,11 @@
   private readonly withdrawPlacement: () => void;
   private readonly attempt: BackendAttempt;
   private hasReceivedEvents = false;
+  private receivedHead: StreamHead | undefined;
 
-  /** @param listener - receives the parts of a stream */
   constructor(
     private readonly options: SentAttemptOptions,
-    private readonly listener: StreamListener,
+    private readonly listener: AttemptListener,
   ) {
     const {components, request, selection, remainingMs} = options;
     const {exchange, body, route, maxAnswerBytes} = request;
@@ -97,6 +113,16 @@
     return this.hasReceivedEvents;
   }
 
+  /** Head of the stream, once it has arrived. */
+  get head(): StreamHead | undefined {
+    return this.receivedHead;
+  }
+
+  /** Closes the connection, which cancels the request at the server. */
+  abort(reason: AnvilstallError): void {
+    this.attempt.abort(reason);
+  }
+
   /**
    * Waits for the result; then releases the connection and the load.
    *
@@ -104,7 +130,7 @@
    * const result = await attempt.supervise({canRetry: () => false});
    */
   async supervise(
-    bounds: Pick<AttemptBounds, 'canRetry'>,
+    bounds: Pick<AttemptBounds, 'canRetry' | 'resumeBeside'>,
   ): Promise<AttemptResult> {
     const {components, request, selection, remainingMs} = this.options;
     const {id} = selection.server;
@@ -127,7 +153,7 @@
   }
 
   receiveHead(status: number, headers: string[]): void {
-    this.listener.receiveHead(status, headers);
+    this.receivedHead = {status, headers};
   }
 
   receiveEvents(
@@ -137,7 +163,7 @@
     const {components, selection} = this.options;
     components.outcomes.recordEvent(selection.server.id);
     if (!this.hasReceivedEvents) this.recordFirstEvent();
-    return this.listener.receiveEvents(events, resume);
+    return this.listener.receiveEvents(this, events, resume);
   }
 
   private recordFirstEvent(): void {
