Give up a silent unanswered attempt only when another server can take it

Callers got 502 or a second run although their server was about to answer: an attempt that was silent before its answer or first event was aborted as soon as a retry was allowed, though no other server was there or all others had refused the request. Cause: the check looked at the budget, the deadline and maxServers, not at the servers, and was made once.

It now asks the selector for a server that has neither failed nor refused the request, that takes requests now and that the quarantine and the admission of prompts allow, and it is repeated while the silence lasts. Two attempts are not run here: under load that would double the work of the engines.

--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -292,7 +292,7 @@
       this.options.metrics.recordWait(route.name, waitMs);
     }
     const result = attempt.supervise({
-      canRetry: () => this.canRetry(),
+      canRetry: () => this.selectOther() !== undefined,
       resumeBeside: () => this.resumeBeside(),
     });
     this.attempts.add(attempt, result);
