--- a/tests/router/leavingLate.test.ts
+++ b/tests/router/leavingLate.test.ts
@@ -59,10 +59,11 @@
     );
     const router = await fixture.addRouter({graceSeconds});
     await fixture.waitReady(router);
-    const caller = await RawCaller.open(router.callers);
     const startedAtMs = performance.now();
     const stopped = router.daemon.stop();
     await waitFor(excusedSendMs - 500);
+    // A connection without a request for as long as that would get 408.
+    const caller = await RawCaller.open(router.callers);
     const head = formatRequest('/ask/1', 'late').replace('GET', 'POST');
     caller.send(head.replace('\r\n\r\n', '\r\ncontent-length: 4\r\n\r\n'));
     await waitFor(startedAtMs + excusedSendMs + 50 - performance.now());
