Hold the order of the unreachable-servers tests beyond their end

A test failed once beside other work: the order that holds the busy server's only slot reached its deadline of 3 s, so that the server was selected before the closed ones (sends 2 in place of 9). Its deadline is now 60 s; the checks are the same.

--- a/tests/router/unreachableServers.test.ts
+++ b/tests/router/unreachableServers.test.ts
@@ -10,6 +10,7 @@
   lastChunk,
   readHeader,
   RouterFixture,
+  sampleDeployment,
   sampleServer,
   type RunningRouter,
 } from './routerFixture.js';
@@ -17,6 +18,8 @@
 const events = [1, 2].map(id => `id: ${id}\ndata: ${id}\n\n`);
 /** More than a request may be sent to. */
 const closedPorts = 7;
+/** More than a test may take. */
+const heldMs = 60_000;
 /** Time after the deadline in which the rules want the final answer. */
 const maxLatenessMs = 500;
 
@@ -71,6 +74,15 @@
    * before it.
    */
   async function addBusyServer(): Promise<RunningRouter> {
+    // The order that holds the slot must not reach its deadline before the end
+    // of a test.
+    fixture.platform.deployment = {
+      ...sampleDeployment,
+      routes: sampleDeployment.routes.map(route => ({
+        ...route,
+        timeoutMs: heldMs,
+      })),
+    };
     let isHeld = false;
     await fixture.addBackend(
       (socket, request) => {
