--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -4,6 +4,7 @@
 import type {ValidationError} from '../protocol/errors.js';
 import {LogLevel, setLogLevel} from '../node/log.js';
 import {ExitCode} from './exitCode.js';
+import {handleUnexpectedErrors} from './unexpectedErrors.js';
 
 /** A running daemon. */
 interface Daemon<S> {
@@ -24,11 +25,18 @@
   readonly version: string;
   readonly readSettings: (file: string) => Result<S, ValidationError>;
   readonly start: (settings: S) => Promise<Daemon<S>>;
+  /**
+   * True where the platform may send SIGTERM again while the daemon stops, and
+   * doesn't mean that it should hurry.
+   */
+  readonly ignoresRepeatedSigterm?: boolean;
 }
 
 /**
  * Reads the settings, starts a daemon and stops it gracefully on SIGTERM or
- * SIGINT. A second signal stops it at once. SIGHUP reloads the settings.
+ * SIGINT. A second signal stops it at once; see `ignoresRepeatedSigterm` for the
+ * exception. SIGHUP reloads the settings. An error that nothing has caught
+ * stops it gracefully too, with exit code `ExitCode.Software`.
  *
  * @example
  * runDaemon({
@@ -43,6 +51,7 @@
   version,
   readSettings,
   start,
+  ignoresRepeatedSigterm = false,
 }: DaemonOptions<S>): void {
   const reloadSignals = new ReloadSignalHandler();
   sade(name, true)
@@ -66,6 +75,7 @@
           reloadSignals.setHandler(() =>
             reload(daemon, () => readSettings(options.settings)),
           ),
+        ignoresRepeatedSigterm,
       );
     })
     .parse(process.argv);
@@ -119,18 +129,26 @@
 async function runUntilSignal<S>(
   start: () => Promise<Daemon<S>>,
   handleStarted: (daemon: Daemon<S>) => void,
+  ignoresRepeatedSigterm: boolean,
 ): Promise<void> {
   try {
     const running = await start();
     handleStarted(running);
     let isStopping = false;
-    const handleSignal = () => {
+    const exit = (stopped: Promise<void>, exitCode: ExitCode) => {
+      isStopping = true;
+      void stopped.finally(() => process.exit(exitCode));
+    };
+    const handleSignal = (signal: NodeJS.Signals) => {
+      if (isStopping && signal === 'SIGTERM' && ignoresRepeatedSigterm) return;
       const stopped = isStopping
         ? (running.stopNow?.() ?? Promise.resolve())
         : running.stop();
-      isStopping = true;
-      void stopped.then(() => process.exit(ExitCode.Ok));
+      exit(stopped, ExitCode.Ok);
     };
+    handleUnexpectedErrors(() => {
+      if (!isStopping) exit(running.stop(), ExitCode.Software);
+    });
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
   } catch (error) {
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -113,11 +113,12 @@
   }
 
   /**
-   * Sends `Connection: close` with each further answer, and refuses requests
-   * that are read later than this many milliseconds from now.
+   * Sends `Connection: close` with each answer that begins, and refuses requests
+   * whose last byte is read later than this many milliseconds from now.
    */
   drain(acceptMs: number): void {
     this.refusesAtMs = performance.now() + acceptMs;
+    for (const exchange of this.inFlight) exchange.closeAfterAnswer();
   }
 
   /**
@@ -137,34 +138,38 @@
   }
 
   /**
-   * Ends the requests in flight, those whose answer has not begun with a
-   * refusal, and waits until these have been written.
+   * Refuses the requests in flight whose answer has not begun, and waits until
+   * complete answers have been written. Answers that have begun go on.
    */
-  async endRequests(): Promise<void> {
+  async refuseUnanswered(): Promise<void> {
     this.refusesAtMs = -Infinity;
     await waitForPoll();
     for (const exchange of [...this.inFlight]) {
-      if (exchange.state === RequestState.WritingAnswer) continue;
-      if (exchange.isHeadSent) {
-        this.recordUnanswered(exchange, BreakCause.RouterStopping);
-      }
+      if (exchange.isHeadSent) continue;
       const cause = 'router is stopping';
       const refusal = exchange.giveUp(RefusalReason.ShuttingDown, cause);
       if (refusal) this.recordRefusal(exchange, refusal);
-      else this.inFlight.delete(exchange);
     }
     const endsAtMs = performance.now() + flushTimeoutMs;
-    while (this.active > 0 && performance.now() < endsAtMs) {
+    while (this.isWriting() && performance.now() < endsAtMs) {
       await waitFor(flushPollMs);
     }
     await waitForPoll();
   }
 
+  /** True while a complete answer is on its way to its caller. */
+  private isWriting(): boolean {
+    return [...this.inFlight].some(
+      ({state}) => state === RequestState.WritingAnswer,
+    );
+  }
+
   /** Closes all connections at once, also those with requests in flight. */
   destroy(): void {
     void stopListening(this.server);
     // The process may end before the connections emit `close`.
     for (const exchange of this.inFlight) {
+      exchange.isGivenUp = true;
       this.recordUnanswered(exchange, BreakCause.RouterStopping);
     }
     this.inFlight.clear();
@@ -234,7 +239,7 @@
     this.idleSockets.delete(incoming.socket);
     this.responses.set(incoming.socket, response);
     response.once('close', () => this.finish(exchange, response));
-    if (this.refusesAtMs < Infinity) response.shouldKeepAlive = false;
+    if (this.refusesAtMs < Infinity) exchange.closeAfterAnswer();
     try {
       await this.serve(exchange);
     } catch (error) {
@@ -286,6 +291,10 @@
     const {limits} = table.deployment;
     const body = await this.readBody(exchange, limits.maxBodyBytes);
     if (body === undefined) return;
+    if (performance.now() >= this.refusesAtMs) {
+      this.refuse(exchange, buildStopRefusal());
+      return;
+    }
     exchange.state = RequestState.WaitingForTurn;
     if (!(await this.waitForTurn(exchange, admission))) return;
     exchange.state = RequestState.ChoosingServer;
@@ -354,18 +363,16 @@
     request,
   }: CallerExchange): AdmittedRequest | Refusal {
     const {table} = this.options.deployments;
-    if (!table || performance.now() >= this.refusesAtMs) {
-      const reason = table
-        ? RefusalReason.ShuttingDown
-        : RefusalReason.NotReady;
-      const message = table ? 'router is stopping' : 'no deployment yet';
-      return new Refusal(reason, Outcome.NotRun, message, {
-        retryAfterMs: table
-          ? stopRetryAfterMs
-          : estimateStartRetryAfterMs(
-              performance.now() - this.createdAtMs,
-              Math.random,
-            ),
+    if (table && performance.now() >= this.refusesAtMs) {
+      return buildStopRefusal();
+    }
+    if (!table) {
+      const message = 'no deployment yet';
+      return new Refusal(RefusalReason.NotReady, Outcome.NotRun, message, {
+        retryAfterMs: estimateStartRetryAfterMs(
+          performance.now() - this.createdAtMs,
+          Math.random,
+        ),
       });
     }
     const {limits} = table.deployment;
@@ -460,6 +467,16 @@
   return new Promise(resolve => setImmediate(resolve));
 }
 
+/** Builds the refusal of a request that came too late to be finished. */
+function buildStopRefusal(): Refusal {
+  return new Refusal(
+    RefusalReason.ShuttingDown,
+    Outcome.NotRun,
+    'router is stopping',
+    {retryAfterMs: stopRetryAfterMs},
+  );
+}
+
 /** Ends a connection with an answer to a request that wasn't received. */
 function endConnection(socket: Socket, status: string): void {
   if (!socket.writable) return;
