Use ports on which no process listens for unreachable servers in a test

Suspected, not proven: the ports had been closed for the test and could be given to other processes of a busy machine.

Port 1 of other loopback addresses is never given out.

--- a/tests/router/unreachableServers.test.ts
+++ b/tests/router/unreachableServers.test.ts
@@ -58,12 +58,18 @@
     await fixture.waitUntil(() => countUsable() === count, 'view of servers');
   }
 
-  /** Publishes servers whose ports are closed. */
-  async function addClosedServers(count: number): Promise<void> {
-    for (let i = 0; i < count; i++) {
-      const backend = await fixture.addBackend(() => undefined);
-      await backend.stop();
-    }
+  /**
+   * Publishes servers whose ports are closed. No process listens on port 1; a
+   * port that was closed for the test could be given to another process.
+   */
+  function addClosedServers(count: number): void {
+    const closed = Array.from({length: count}, (_, index) => ({
+      ...sampleServer,
+      id: `closed-${index}`,
+      host: `127.0.1.${1 + index}`,
+      port: 1,
+    }));
+    fixture.platform.publishServers([...fixture.platform.servers, ...closed]);
   }
 
   /**
@@ -110,7 +116,7 @@
     await waitForServers(router, 2);
     const call = fixture.call(router, '/draft/1');
     await fixture.waitUntil(() => source !== undefined, 'stream at a server');
-    await addClosedServers(closedPorts);
+    addClosedServers(closedPorts);
     await waitForServers(router, 2 + closedPorts);
     source?.destroy();
     const {body, isComplete} = await call;
@@ -127,7 +133,7 @@
     // refuse connections, though another one could run it.
     it(`should not keep ${path} from the server that is left`, async () => {
       const router = await addBusyServer();
-      await addClosedServers(closedPorts);
+      addClosedServers(closedPorts);
       await waitForServers(router, 1 + closedPorts);
       expect(await fixture.call(router, path)).to.include({
         status: 200,
@@ -140,7 +146,7 @@
   // accept no connection.
   it('should be passed over by the requests that follow', async () => {
     const router = await addBusyServer();
-    await addClosedServers(closedPorts);
+    addClosedServers(closedPorts);
     await waitForServers(router, 1 + closedPorts);
     for (const path of ['/orders/1', '/orders/2']) {
       expect((await fixture.call(router, path)).status).to.equal(200);
@@ -153,7 +159,7 @@
   // none accepts connections, which keeps the router from its other work.
   it('should be tried a few times while none accepts connections', async () => {
     const count = 40;
-    await addClosedServers(count);
+    addClosedServers(count);
     const router = await startRouter();
     await waitForServers(router, count);
     for (const path of ['/orders/1', '/orders/2']) {
