Close a silent attempt once the server beside it has taken the request

The rule TWICE allows 400 ms from the moment at which the stream goes on at another server.

A server without room refuses within milliseconds, so the silent attempt now ends 150 ms after the request was sent to the other server, unless that one has ended by then. The time counts from the send, not from the connect, so that a server that accepts no connection costs nothing.

--- a/src/router/attemptsInProgress.ts
+++ b/src/router/attemptsInProgress.ts
@@ -3,6 +3,15 @@
 import type {AttemptResult} from './backendAttempt.js';
 import type {SentAttempt} from './sentAttempt.js';
 
+/**
+ * Longest time that two servers may have the request, in milliseconds. A server
+ * without room refuses at once, so one that hasn't refused by then has taken it.
+ * The platform allows 400 ms, part of which the close of the connection takes.
+ */
+const maxOverlapMs = 150;
+/** Interval of the check whether that time has passed, in milliseconds. */
+const overlapCheckMs = 25;
+
 /** An attempt that has ended. */
 export interface EndedAttempt {
   readonly attempt: SentAttempt;
@@ -11,8 +20,8 @@
 
 /**
  * Holds the attempts of a request in the order in which they were sent. More
- * than one is in progress only while a stream is resumed beside a silent
- * attempt, until one of the two sends an event.
+ * than one is in progress only for a short time, while a stream is resumed beside
+ * a silent attempt.
  */
 export class AttemptsInProgress {
   private readonly attempts = new Set<SentAttempt>();
@@ -73,6 +82,25 @@
     }
   }
 
+  /**
+   * Aborts all other attempts soon after this one was sent, unless it ends
+   * before.
+   */
+  scheduleAbortOfOthers(attempt: SentAttempt): void {
+    const check = () => {
+      // After a delay of the event loop, timers run before a refusal is read.
+      if (attempt.measureSentMs() >= maxOverlapMs) setImmediate(confirm);
+    };
+    const confirm = () => {
+      clearInterval(timer);
+      if (this.has(attempt)) this.abortOthers(attempt);
+    };
+    const timer = setInterval(() => {
+      if (this.has(attempt)) check();
+      else clearInterval(timer);
+    }, overlapCheckMs);
+  }
+
   /** Aborts all other attempts, which closes their connections at once. */
   abortOthers(kept: SentAttempt): void {
     for (const attempt of [...this.attempts]) {
@@ -83,8 +111,7 @@
         this.recordLoss(this.ended.splice(index, 1)[0]);
         continue;
       }
-      // Only the silent attempt has sent events: the first event of the other
-      // ends the silent one.
+      // Only the silent attempt has sent events when the other supersedes it.
       attempt.abort(
         attempt.hasEvents
           ? new SilentConnectionError('silent, and another server went on')
--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -110,7 +110,7 @@
   private settle!: (result: AttemptResult) => void;
   private controller: Dispatcher.DispatchController | undefined;
   private abortReason: Error | undefined;
-  private wasSent = false;
+  private sentAtMs: number | undefined;
   private hasHead = false;
   private status = 0;
   private headers: string[] = [];
@@ -149,6 +149,11 @@
     return this.isPaused ? 0 : performance.now() - this.lastProgressAtMs;
   }
 
+  /** Milliseconds since the request was sent; 0 while it connects. */
+  measureSentMs(): number {
+    return this.sentAtMs === undefined ? 0 : performance.now() - this.sentAtMs;
+  }
+
   /** Closes the connection, which cancels the request at the server. */
   abort(reason: AnvilstallError): void {
     if (this.abortReason) return;
@@ -159,8 +164,8 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    this.wasSent = true;
-    this.lastProgressAtMs = performance.now();
+    this.sentAtMs = performance.now();
+    this.lastProgressAtMs = this.sentAtMs;
     if (this.abortReason) controller.abort(this.abortReason);
   }
 
@@ -269,7 +274,7 @@
     }
     const code = (error as NodeJS.ErrnoException).code ?? '';
     if (
-      !this.wasSent &&
+      this.sentAtMs === undefined &&
       (connectFailureCodes.has(code) || isConnectFailure(error))
     ) {
       const cause = new ConnectError(error.message, {cause: error});
@@ -294,9 +299,9 @@
   private fail(error: AnvilstallError, isConnectionLost = false): void {
     const isUnanswered = isConnectionLost && !this.hasHead;
     this.settle(
-      this.wasSent
-        ? {kind: AttemptKind.Broken, error, isConnectionLost, isUnanswered}
-        : {kind: AttemptKind.Unreachable, error},
+      this.sentAtMs === undefined
+        ? {kind: AttemptKind.Unreachable, error}
+        : {kind: AttemptKind.Broken, error, isConnectionLost, isUnanswered},
     );
   }
 }
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -267,7 +267,7 @@
   }
 
   /** Starts an attempt. */
-  private send(selection: Selection): void {
+  private send(selection: Selection): SentAttempt {
     const {exchange, route} = this.request;
     this.log.recordSend();
     exchange.mayHaveRun = true;
@@ -297,12 +297,13 @@
       resumeBeside: () => this.resumeBeside(),
     });
     this.attempts.add(attempt, result);
+    return attempt;
   }
 
   /**
    * Resumes the stream of a silent attempt at another server. The silent one
-   * goes on until the other sends an event: the other may refuse the request or
-   * fail, and then the silent one is all that is left.
+   * goes on until the other has taken the request: if that refuses it, the
+   * silent one is all that is left.
    */
   private resumeBeside(): void {
     // Events without ids can't be told from those that the caller has.
@@ -313,7 +314,7 @@
     if (!selection || !this.budget.take()) return;
     const {metrics} = this.options;
     metrics.countRetry(this.request.service, RetryCause.Failed);
-    this.send(selection);
+    this.attempts.scheduleAbortOfOthers(this.send(selection));
     this.log.recordEvent('resuming beside a silent attempt', selection);
   }
 
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -121,6 +121,11 @@
     return this.receivedHead;
   }
 
+  /** Milliseconds since the request was sent; 0 while it connects. */
+  measureSentMs(): number {
+    return this.attempt.measureSentMs();
+  }
+
   /** Closes the connection, which cancels the request at the server. */
   abort(reason: AnvilstallError): void {
     this.attempt.abort(reason);
