Restart routers one after the other after an error that nothing has caught

Cause of the scale, not of the error itself: each router decides alone to stop, though the same answer or message reaches all of them. The class is what a VM decides and the fleet must bound (crashing requests, server limits).

Change: a router waits for its turn, by its place among those that callers are sent to; an eighth of them, at least one, restarts at a time. SIGTERM is obeyed meanwhile. Ruled out: going on without a restart, because the error may have left invalid state behind.

--- a/src/bin/runDaemon.ts
+++ b/src/bin/runDaemon.ts
@@ -13,6 +13,11 @@
   reload?(settings: S): void;
   /** Stops without waiting for requests in flight. */
   stopNow?(): Promise<void>;
+  /**
+   * Waits until others can take this daemon's callers, before it stops because of
+   * an error. Without it, the daemon stops at once.
+   */
+  waitForRestart?(): Promise<void>;
 }
 
 /** Settings that all daemons have. */
@@ -36,7 +41,8 @@
  * Reads the settings, starts a daemon and stops it gracefully on SIGTERM or
  * SIGINT. A second signal stops it at once; see `ignoresRepeatedSigterm` for the
  * exception. SIGHUP reloads the settings. An error that nothing has caught
- * stops it gracefully too, with exit code `ExitCode.Software`.
+ * stops it gracefully too, once `waitForRestart` allows it, with exit code
+ * `ExitCode.Software`.
  *
  * @example
  * runDaemon({
@@ -146,8 +152,14 @@
         : running.stop();
       exit(stopped, ExitCode.Ok);
     };
-    handleUnexpectedErrors(() => {
+    let isRestarting = false;
+    const restart = async () => {
+      isRestarting = true;
+      await running.waitForRestart?.();
       if (!isStopping) exit(running.stop(), ExitCode.Software);
+    };
+    handleUnexpectedErrors(() => {
+      if (!isStopping && !isRestarting) void restart();
     });
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
--- a/src/router/offeredRouters.ts
+++ b/src/router/offeredRouters.ts
@@ -2,6 +2,9 @@
 import {sortByWeight} from '../node/rendezvous.js';
 import type {TurnPosition} from './serverLimits.js';
 
+/** Largest part of these routers that restarts at the same time. */
+const maxRestartRatio = 1 / 8;
+
 /** A router's view of the routers that callers are sent to. */
 export interface OfferedRouters {
   /** IP address of this router. */
@@ -47,3 +50,24 @@
   const sorted = sortByWeight(key, [host, ...others], other => other);
   return sorted.indexOf(host) < count;
 }
+
+/**
+ * Returns how long a router that has to restart waits, in milliseconds, so that
+ * an error that occurs at all routers at once doesn't stop all of them at once.
+ * Routers that callers aren't sent to don't wait.
+ *
+ * @param restartMs - time that a restart takes
+ * @example
+ * const offered = {host: '10.0.0.2', isOffered: true, others: ['10.0.0.1']};
+ * computeRestartDelayMs(offered, 10_000) === 10_000
+ */
+export function computeRestartDelayMs(
+  offered: OfferedRouters,
+  restartMs: number,
+): number {
+  const position = findPosition(offered);
+  if (!position) return 0;
+  const {index, count} = position;
+  const atOnce = Math.max(1, Math.floor(count * maxRestartRatio));
+  return Math.floor(index / atOnce) * restartMs;
+}
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,7 +1,6 @@
 /** Assembles a router from its components and runs it. */
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
-import type {LogSinkCounts} from '../node/logSink.js';
 import {SignalAge} from '../node/signalAge.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
@@ -16,8 +15,8 @@
 import {FleetView} from './fleetView.js';
 import {IdleReuseSuspensions} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
-import type {MessageCodec} from './messageCodec.js';
 import {
+  computeRestartDelayMs,
   findPosition,
   isAmongChosen,
   type OfferedRouters,
@@ -26,13 +25,13 @@
 import {OwnReportBuilder} from './ownReportBuilder.js';
 import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
-import type {PublishedStateReader} from './publishedState.js';
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
 import {RetryBudgets} from './retryBudgets.js';
 import {registerGauges} from './routerGauges.js';
 import {RouterMetrics} from './routerMetrics.js';
+import type {RouterPlatform} from './routerPlatform.js';
 import type {RouterSettings} from './routerSettings.js';
 import {ServerDirectory} from './serverDirectory.js';
 import {ServerLimits} from './serverLimits.js';
@@ -63,14 +62,6 @@
  */
 const minImmediateReportTokens = 2_048;
 
-/** Platform-specific components of a router. */
-export interface RouterPlatform {
-  readonly codec: MessageCodec;
-  readonly reader: PublishedStateReader;
-  /** Counts of log lines, for metrics. */
-  readonly logCounts?: Readonly<LogSinkCounts>;
-}
-
 /** One router process. It is the only process on its VM. */
 export class RouterDaemon {
   private readonly log: Log;
@@ -269,6 +260,15 @@
     this.intake.destroy();
   }
 
+  /** Waits for this router's turn to restart; see `computeRestartDelayMs`. */
+  async waitForRestart(): Promise<void> {
+    const {shutdown, contactBoundMs} = this.settings;
+    const restartMs = shutdown.graceSeconds * 1_000 + contactBoundMs;
+    const delayMs = computeRestartDelayMs(this.findOffered(), restartMs);
+    this.log.warn('restart is due', {delayMs});
+    await waitFor(delayMs, this.supervisor.signal);
+  }
+
   /** Applies seeds and retry budget; other settings need a restart. */
   reload(settings: RouterSettings): void {
     this.settings = settings;
--- a/tests/bin/failingDaemon.ts
+++ b/tests/bin/failingDaemon.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import {ok} from 'neverthrow';
 import {runDaemon} from '../../src/bin/runDaemon.js';
+import {waitFor} from '../../src/node/delay.js';
 import {stopListening} from '../../src/node/stopListening.js';
 
 /** Paths of requests that cause errors; all requests are answered. */
@@ -18,8 +19,12 @@
 /** When errors are thrown again, in milliseconds after the request. */
 const throwTimesMs = [0, 50, 100];
 
-/** Runs the daemon. It prints its port, then a line for each request. */
-export function runFailingDaemon(): void {
+/**
+ * Runs the daemon. It prints its port, then a line for each request.
+ *
+ * @param restartDelayMs - time that it waits before it stops after an error
+ */
+export function runFailingDaemon(restartDelayMs: number): void {
   runDaemon({
     name: 'failing-daemon',
     version: 'test',
@@ -35,7 +40,10 @@
         server.listen(0, '127.0.0.1', () => resolve()),
       );
       console.log((server.address() as AddressInfo).port);
-      return {stop: () => stopListening(server)};
+      return {
+        stop: () => stopListening(server),
+        waitForRestart: () => waitFor(restartDelayMs),
+      };
     },
   });
 }
--- a/tests/bin/startFailingDaemon.ts
+++ b/tests/bin/startFailingDaemon.ts
@@ -1,4 +1,4 @@
-/** Entry point of the failing daemon. */
+/** Entry point of the daemon whose requests cause errors. */
 import {runFailingDaemon} from './failingDaemon.js';
 
-runFailingDaemon();
+runFailingDaemon(Number(process.argv[2] ?? 0));
