Keep the latest crash in the evidence when it is full

Cause: at 1,000 remembered crashes, `findExcess` looks for one whose suspects are accused of no other. Once each remembered request was lost twice, by its first attempt and by its retry, only the crash that is being added is left. `addCrash` dropped it, and its callers still listed its id for the next reports. `listEvidence` then threw a TypeError until 1.5 s after the last such crash: in the task that sends reports, and in the answer to a greeting, which is sent from the listener of the UDP socket, where nothing catches it. Routers share the evidence, so that they failed at the same moment.

Change: the oldest crash goes whose suspects have too few for a block, or else the oldest, never the latest.

Measured: the four new tests of crashQuarantine.test.ts fail before (Cannot destructure property 'atMs' of 'this.crashes.get(...)') and pass now.

--- a/src/router/crashQuarantine.ts
+++ b/src/router/crashQuarantine.ts
@@ -370,17 +370,20 @@
       accusation.timesMs = this.listTimes(suspect, accusation.ids);
       this.accusations.set(suspect, accusation);
     }
-    if (this.crashes.size > maxCrashes) this.removeCrash(this.findExcess());
+    if (this.crashes.size > maxCrashes) this.removeCrash(this.findExcess(id));
   }
 
-  /** Finds the oldest crash whose suspects are accused of no other one. */
-  private findExcess(): number {
+  /**
+   * Finds the oldest crash on which no block may rest, or else the oldest. It is
+   * never the latest, whose suspects may be about to crash further servers.
+   */
+  private findExcess(latest: number): number {
     const [oldest] = this.crashes.keys();
     for (const [id, {suspects}] of this.crashes) {
-      const isRepeated = suspects.some(
-        suspect => this.accusations.get(suspect)!.timesMs.length > 1,
+      const isNeeded = suspects.some(
+        suspect => this.accusations.get(suspect)!.timesMs.length >= minCrashes,
       );
-      if (!isRepeated) return id;
+      if (!isNeeded && id !== latest) return id;
     }
     return oldest;
   }
--- a/tests/router/crashQuarantine.test.ts
+++ b/tests/router/crashQuarantine.test.ts
@@ -7,6 +7,7 @@
   CrashQuarantine,
 } from '../../src/router/crashQuarantine.js';
 import {computeRequestKey} from '../../src/router/requestKey.js';
+import {SeededRandom} from '../../src/standins/seededRandom.js';
 
 const manual = 1;
 const deadly = 2;
@@ -322,4 +323,52 @@
     expect(check(quarantine)).to.equal(VerdictKind.Blocked);
     expect(quarantine.crashCount).to.be.at.most(1_000);
   });
+
+  // Guards against a router that can't report any more, and ends when another
+  // one greets it, once each of the requests that it remembers was lost twice.
+  it('should be reported when the other losses fill the memory', () => {
+    const quarantine = create();
+    for (let i = 1; i <= 600; i++) {
+      for (const server of [1, 2]) {
+        quarantine.recordCrash({parts: [], request: request + i, server});
+      }
+    }
+    recordCrashes(quarantine, [3, 4, 5]);
+    const {crashes} = quarantine.listEvidence(false);
+    const reported = crashes.filter(({suspects}) => suspects.includes(request));
+    expect(reported.map(({server}) => server)).to.have.members([3, 4, 5]);
+    clock.tick(1_000);
+    expect(check(quarantine)).to.equal(VerdictKind.Blocked);
+    expect(quarantine.crashCount).to.be.at.most(1_000);
+  });
+
+  // Guards against evidence that contradicts itself after some order of losses,
+  // answers and reports, which makes a router fail at the next of them.
+  for (const requests of [20, 300, 100_000]) {
+    it(`should be reported at any time among ${requests} requests`, () => {
+      const random = new SeededRandom(requests);
+      const draw = (count: number) => Math.floor(random.draw() * count);
+      const routers = [create(), create(), create()];
+      for (let step = 0; step < 4_000; step++) {
+        const router = routers[draw(routers.length)];
+        const key = request + draw(requests);
+        const action = random.draw();
+        if (action < 0.6) {
+          const parts = [1, 2, 3].filter(() => random.draw() < 0.2);
+          router.recordCrash({parts, request: key, server: draw(40)});
+        } else if (action < 0.65) {
+          router.recordAnswer(key);
+        } else {
+          const evidence = router.listEvidence(random.draw() < 0.2);
+          for (const other of routers) {
+            if (other !== router) other.recordPeer(evidence, draw(2) === 0);
+          }
+        }
+        clock.tick(draw(6));
+      }
+      for (const {crashCount} of routers) {
+        expect(crashCount).to.be.at.most(1_000);
+      }
+    });
+  }
 });
