Keep the retry budget of the fleet while its routers change

The users' record names repeats beyond what is allowed on a fleet of 140 routers; no trace of it exists. Each router's bucket started full, so that every restart and every router that callers moved to added half of its share of the slack again, or the share of a fleet of six as long as it knew no other. A router whose relay was lost counted no others and took a sixth of the slack.

A bucket now starts full only when the whole fleet starts without traffic; otherwise it earns its share by time and by requests. The share is that of the largest fleet within the window, and a router that hears from no other counts all that it knows.

Ruled out by reading: attempts that reach no server aren't charged, but nothing of them is sent; a retry after 421 is charged; a resumption beside a silent stream is charged once for each send.

--- a/src/node/requestBudget.ts
+++ b/src/node/requestBudget.ts
@@ -3,8 +3,10 @@
 export interface RequestBudgetOptions {
   /** Fraction of a token that each request adds. */
   ratio: number;
-  /** Capacity in tokens; the bucket starts full. */
+  /** Capacity in tokens. */
   burst: number;
+  /** Tokens at the start; by default the bucket starts full. */
+  initial?: number;
 }
 
 /**
@@ -20,7 +22,7 @@
   private burst: number;
 
   constructor(private readonly options: RequestBudgetOptions) {
-    this.tokens = options.burst;
+    this.tokens = Math.min(options.burst, options.initial ?? options.burst);
     this.burst = options.burst;
   }
 
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -30,7 +30,7 @@
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
-import {RetryBudgets} from './retryBudgets.js';
+import {countSharingRouters, RetryBudgets} from './retryBudgets.js';
 import {registerGauges} from './routerGauges.js';
 import {RouterMetrics} from './routerMetrics.js';
 import type {RouterSettings} from './routerSettings.js';
@@ -93,11 +93,7 @@
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly connections = new BackendConnections();
-  private readonly budgets = new RetryBudgets(
-    () => this.settings.retries,
-    () =>
-      this.isOffered ? this.fleet.countActive() + 1 : this.fleet.countRouters(),
-  );
+  private readonly budgets: RetryBudgets;
   private readonly deployments: DeploymentStore;
   private readonly selector: ServerSelector;
   private readonly exchange: PeerExchange;
@@ -121,6 +117,11 @@
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
     this.fleet = new FleetView(address);
+    this.budgets = new RetryBudgets(
+      () => this.settings.retries,
+      () => countSharingRouters(this.fleet, this.isOffered),
+      settings.isFirstStart,
+    );
     const {directory, loads, outcomes, fleet, prompts} = this;
     const {metrics, connections, deployments, log, notices, quarantine} = this;
     const {limits} = this;
