Notice a caller's end when it is read, not when the response closes

Callers that had left still had their requests forwarded (GONE). When the HTTP server reads the end of a connection, it ends its own side, and the response emits `close` only once that has been sent, one or two iterations of the event loop later; after a reset, only in the closing phase of the iteration. Requests that got their turn meanwhile were sent to a backend server. The end and the error of the socket now abort the exchange at once. Nothing could be answered in that time: the writable side is already ended.

departedCallers.test.ts, "should not be forwarded from new connections": before, 3 to 10 of 20 requests reached the backend server in three runs; now none. The other cases of that file passed before and guard the neighbouring paths.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -51,7 +51,16 @@
   ) {
     this.signal = this.gone.signal;
     this.request = codec.decodeRequest(incoming.rawHeaders);
+    // The response closes one or two iterations of the event loop after the end
+    // of the connection has been read. No answer can be sent meanwhile, because
+    // the HTTP server ends its side at once.
+    const {socket} = incoming;
+    const leave = () => {
+      if (!response.writableEnded) this.gone.abort();
+    };
+    socket.once('end', leave).once('error', leave);
     response.on('close', () => {
+      socket.off('end', leave).off('error', leave);
       if (!response.writableFinished) this.gone.abort();
     });
     response.on('error', () => this.gone.abort());
