Forward a request only after the poll that follows its last byte

The end of a connection is never read together with the data before it, so whether the caller has left shows at the next poll. Requests waited for it only if a connection had been accepted in this or the previous iteration of the event loop. A body that takes several reads is complete long after its connection was accepted, and was forwarded in the iteration in which its last byte was read (GONE). Each request now waits for one more poll, and isn't counted as late before its turn could be granted.

turnQueue.test.ts, "should not be granted before the next poll while none come in": before, the turn was granted to a caller that had left.

--- a/src/router/turnQueue.ts
+++ b/src/router/turnQueue.ts
@@ -55,7 +55,6 @@
   private sliceStartedAtMs: number | undefined;
   /** Since when each iteration has accepted a connection. */
   private acceptingSinceMs: number | undefined;
-  private isGranting = false;
 
   /** Number of requests that wait. */
   get size(): number {
@@ -72,14 +71,16 @@
     this.ensureSlice();
   }
 
-  /** Waits for a turn; granted at once while the processor keeps up. */
+  /**
+   * Waits for a turn. While the processor keeps up, it is granted after the next
+   * poll.
+   */
   wait({rank, maxWaitMs, signal}: TurnRequest): Promise<Turn> {
     return new Promise(settle => {
       const {iteration} = this;
       const expiresAtMs = performance.now() + maxWaitMs;
       this.waiting.push({rank, iteration, expiresAtMs, signal, settle});
       this.ensureSlice();
-      void this.grantTurns();
     });
   }
 
@@ -102,8 +103,6 @@
   }
 
   private async grantTurns(): Promise<void> {
-    if (this.isGranting) return;
-    this.isGranting = true;
     while (this.hasTimeLeft()) {
       const turn = this.takeMostUrgent();
       if (!turn) break;
@@ -112,7 +111,6 @@
       // Connections are accepted again once requests have had their share.
       if (!this.hasTimeLeft()) this.acceptingSinceMs = undefined;
     }
-    this.isGranting = false;
   }
 
   private hasTimeLeft(): boolean {
@@ -125,24 +123,27 @@
   /** Settles the turns that are of no use any more. */
   private removeEnded(): void {
     const nowMs = performance.now();
-    this.waiting = this.waiting.filter(({signal, expiresAtMs, settle}) => {
+    this.waiting = this.waiting.filter(turn => {
+      const {signal, iteration, expiresAtMs, settle} = turn;
+      // Before the second slice, no turn could have been granted.
+      const couldBeTaken = iteration < this.iteration - 1;
       if (signal.aborted) settle(Turn.Abandoned);
-      else if (nowMs > expiresAtMs) settle(Turn.Expired);
+      else if (couldBeTaken && nowMs > expiresAtMs) settle(Turn.Expired);
       else return true;
       return false;
     });
   }
 
   /**
-   * Takes the most urgent request. While connections come in, a request may have
-   * waited in the socket, and whether its caller has left shows only at the next
-   * poll. So it isn't taken in the iteration in which it was read.
+   * Takes the most urgent request. A request may have waited in the socket, and
+   * whether its caller has left shows only at the next poll: the end of a
+   * connection isn't read together with the data before it. So it isn't taken
+   * in the iteration in which it was read.
    */
   private takeMostUrgent(): WaitingTurn | undefined {
-    const isBusy = this.lastAcceptIteration >= this.iteration - 1;
     let best: number | undefined;
     for (const [index, {rank, iteration}] of this.waiting.entries()) {
-      if (isBusy && iteration === this.iteration) continue;
+      if (iteration === this.iteration) continue;
       if (best === undefined || rank < this.waiting[best].rank) best = index;
     }
     return best === undefined ? undefined : this.waiting.splice(best, 1)[0];
--- a/tests/router/turnQueue.test.ts
+++ b/tests/router/turnQueue.test.ts
@@ -59,6 +59,15 @@
     expect(await turn).to.equal(Turn.Abandoned);
   });
 
+  // Guards against forwarding a request (GONE) whose caller's end was read in
+  // the next poll: a large body takes several reads, long after the accept.
+  it('should not be granted before the next poll while none come in', async () => {
+    const leaving = new AbortController();
+    const turn = takeTurn(1, 1_000, leaving.signal);
+    setImmediate(() => leaving.abort());
+    expect(await turn).to.equal(Turn.Abandoned);
+  });
+
   it('should be granted in order of urgency, then of arrival', async () => {
     const order: string[] = [];
     const add = async (rank: number, name: string) => {
