Contain an error in the exchange of reports to one report

What callers saw: an error in the handling of one datagram, or in the report that answers it, stopped the router with up to 400 requests that it didn't concern. In the task that sends reports, such an error delayed each next try more, up to 5 s; the other routers take a router that is silent for 1 s for lost.

Change: the listener of the UDP socket and the sender log the error and go on with the next datagram or report.

The test of datagrams of any content used version 7 of the format, 5 behind, so that nothing but the version was checked. It uses the current one now, and also expects that no error is logged, because the listener would hide one.

--- a/src/bin/unexpectedErrors.ts
+++ b/src/bin/unexpectedErrors.ts
@@ -1,5 +1,5 @@
 /** Handling of errors that nothing in the process has caught. */
-import {Log} from '../node/log.js';
+import {formatError, Log} from '../node/log.js';
 
 /**
  * Logs errors that nothing has caught, and calls `stop` for each. Without this,
@@ -20,10 +20,3 @@
     stop();
   });
 }
-
-/** A promise may be rejected with any value. */
-function formatError(error: unknown): string {
-  return error instanceof Error
-    ? (error.stack ?? error.message)
-    : String(error);
-}
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -80,3 +80,15 @@
     ? LogLevel.Trace
     : (Object.values(LogLevel)[loglevel.getLevel()] ?? 'silent');
 }
+
+/**
+ * Formats a value that was thrown, with its stack if it has one.
+ *
+ * @example
+ * log.logError('datagram failed', {error: formatError(error)});
+ */
+export function formatError(error: unknown): string {
+  return error instanceof Error
+    ? (error.stack ?? error.message)
+    : String(error);
+}
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -1,6 +1,6 @@
 /** Exchange of reports with the other routers over UDP. */
 import {waitFor} from '../node/delay.js';
-import type {Log} from '../node/log.js';
+import {formatError, type Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
 import {DatagramKind, decodeDatagram, encodeDatagram} from './datagramCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -186,7 +186,14 @@
       sentAtMs = performance.now();
       this.hasChanges = false;
       this.isUrgent = false;
-      this.sendReports();
+      try {
+        this.sendReports();
+      } catch (error) {
+        // The next report may do better; without any, the other routers take
+        // this one for lost.
+        const {log} = this.options;
+        log.logError('report failed', {error: formatError(error)});
+      }
     }
   }
 
--- a/src/router/peerSocket.ts
+++ b/src/router/peerSocket.ts
@@ -1,6 +1,6 @@
 /** Datagrams between routers over UDP. */
 import dgram from 'node:dgram';
-import type {Log} from '../node/log.js';
+import {formatError, type Log} from '../node/log.js';
 
 /** Called with each datagram and the IP address of its sender. */
 export type DatagramListener = (bytes: Uint8Array, host: string) => void;
@@ -33,9 +33,15 @@
 
   async listen(listener: DatagramListener, signal: AbortSignal): Promise<void> {
     const {address, port, log} = this.options;
-    this.socket.on('message', (bytes, sender) =>
-      listener(bytes, sender.address),
-    );
+    this.socket.on('message', (bytes, {address: host}) => {
+      // An error must cost no more than this datagram: it has nothing to do with
+      // the requests in flight.
+      try {
+        listener(bytes, host);
+      } catch (error) {
+        log.logError('datagram failed', {host, error: formatError(error)});
+      }
+    });
     this.socket.on('error', error =>
       log.warn('UDP socket for peer reports failed', {error: error.message}),
     );
--- a/tests/router/malformedMessages.test.ts
+++ b/tests/router/malformedMessages.test.ts
@@ -2,6 +2,8 @@
 import net from 'node:net';
 import {encode} from '@msgpack/msgpack';
 import {expect} from 'chai';
+import loglevel from 'loglevel';
+import {formatVersion} from '../../src/router/datagramCodec.js';
 import {
   formatBackendAnswer,
   RouterFixture,
@@ -59,6 +61,11 @@
 
   it('should not end the process: datagrams of any content', async () => {
     const [host] = router.callers.split(':');
+    const {methodFactory} = loglevel;
+    const levelBefore = loglevel.getLevel();
+    const lines: string[] = [];
+    loglevel.methodFactory = () => (line: string) => void lines.push(line);
+    loglevel.setLevel('error', false);
     const socket = dgram.createSocket('udp4');
     const kinds = [0, 1, 2, 3, 4, -1, 'x'];
     const fields = [
@@ -71,7 +78,7 @@
     ];
     for (const kind of kinds) {
       for (const list of fields) {
-        const bytes = encode([7, kind, list]);
+        const bytes = encode([formatVersion, kind, list]);
         await new Promise(resolve =>
           socket.send(bytes, fixture.exchangePort, host, resolve),
         );
@@ -80,6 +87,9 @@
     socket.close();
     await new Promise(resolve => setTimeout(resolve, 100));
     const answer = await fixture.call(router, '/status/1');
+    loglevel.methodFactory = methodFactory;
+    loglevel.setLevel(levelBefore, false);
     expect(answer.status).to.equal(200);
+    expect(lines).to.deep.equal([]);
   });
 });
