Write the first error lines of a second beyond the limit on lines

A router that writes 400 lines in a second, as at 1,000 requests a second, left out the line that says why it ends. 20 lines of errors a second are written beyond the limit now.

Measured: the new test of logSink.test.ts finds none of them before, and passes now.

--- a/src/node/logSink.ts
+++ b/src/node/logSink.ts
@@ -1,6 +1,7 @@
 /** Non-blocking output of log lines to standard output. */
 import loglevel from 'loglevel';
 import {waitFor} from './delay.js';
+import {LogLevel} from './log.js';
 
 /** Bytes buffered for a slow reader; further lines are dropped. */
 const maxBufferedBytes = 262_144;
@@ -9,6 +10,11 @@
  * 100 requests/s. Further lines are only counted, and the count is logged.
  */
 const maxLinesPerSecond = 400;
+/**
+ * Lines of errors that are written in one second beyond `maxLinesPerSecond`. A
+ * process that ends because of an error logs the cause while it is busiest.
+ */
+const maxErrorLinesPerSecond = 20;
 const secondMs = 1_000;
 /** Longest wait for a slow reader when the process exits. */
 const closeTimeoutMs = 200;
@@ -44,6 +50,7 @@
   stdout.on('error', () => (counts.dropped += 1));
   let secondEndsAtMs = 0;
   let lines = 0;
+  let errorLines = 0;
   let suppressedInSecond = 0;
   const write = (line: string) => {
     if (stdout.writableLength > maxBufferedBytes) {
@@ -56,15 +63,21 @@
   const startSecond = (nowMs: number) => {
     secondEndsAtMs = nowMs + secondMs;
     lines = 0;
+    errorLines = 0;
     if (suppressedInSecond === 0) return;
     write(formatSuppressed(suppressedInSecond));
     suppressedInSecond = 0;
   };
-  loglevel.methodFactory = () => (line: unknown) => {
+  loglevel.methodFactory = level => (line: unknown) => {
     const nowMs = performance.now();
     if (nowMs >= secondEndsAtMs) startSecond(nowMs);
     lines += 1;
-    if (lines <= maxLinesPerSecond) {
+    const isError = level === LogLevel.Error;
+    if (isError) errorLines += 1;
+    if (
+      lines <= maxLinesPerSecond ||
+      (isError && errorLines <= maxErrorLinesPerSecond)
+    ) {
       write(String(line));
       return;
     }
--- a/tests/node/logSink.test.ts
+++ b/tests/node/logSink.test.ts
@@ -23,7 +23,36 @@
   }, 1500);
 `;
 
+/** Logs an error after more lines than are written in a second. */
+const errorScript = `
+  import {openLogSink} from './dist/src/node/logSink.js';
+  import {Log, LogLevel, setLogLevel} from './dist/src/node/log.js';
+  const sink = openLogSink();
+  setLogLevel(LogLevel.Info);
+  const log = new Log({vm: 'vm-1'});
+  for (let i = 0; i < 1000; i++) log.logInfo('line');
+  for (let i = 0; i < 1000; i++) log.logError('cause');
+  await sink.close();
+`;
+
 describe('log sink', () => {
+  // Guards against a busy process that ends without a line about the error that
+  // ended it.
+  it('should write the first errors of a second beyond its limit', async () => {
+    const child = spawn(
+      process.execPath,
+      ['--input-type=module', '--eval', errorScript],
+      {stdio: ['ignore', 'pipe', 'inherit']},
+    );
+    let output = '';
+    child.stdout.on('data', text => (output += String(text)));
+    await once(child, 'close');
+    const count = (event: string) =>
+      output.split('\n').filter(line => line.includes(`"${event}"`)).length;
+    expect(count('line')).to.be.within(1, 400);
+    expect(count('cause')).to.be.within(1, 50);
+  });
+
   // Guards against a log collector that stops reading the pipe: the event loop
   // must not block, and the buffered lines must not fill the memory.
   it('should neither block nor grow when its reader stops', async () => {
