Fail to start when the port for peer reports is taken

A router whose UDP port is taken waited for ever at its start, without an error: only the callback of bind settled the wait, and the error was logged as a warning. Now the start fails with EADDRINUSE, as it does for its TCP ports.

Seen as a time-out in a hook of departedCallers.test.ts beside other runs of the tests on the same loopback addresses (once; three runs after it passed). That this was its cause is suspected.

peerSocket.test.ts, 'should fail to listen on a port that is taken': timed out before, passes now.

--- a/src/router/peerSocket.ts
+++ b/src/router/peerSocket.ts
@@ -7,7 +7,9 @@
 
 /** Sends datagrams to other routers and receives theirs. */
 export interface PeerSocket {
-  /** Receives datagrams until the signal aborts. */
+  /**
+   * Receives datagrams until the signal aborts. Rejects when the port is taken.
+   */
   listen(listener: DatagramListener, signal: AbortSignal): Promise<void>;
   /** Sends a datagram to the router with the given IP address. */
   send(host: string, bytes: Uint8Array): void;
@@ -42,12 +44,16 @@
         log.logError('datagram failed', {host, error: formatError(error)});
       }
     });
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(port, address, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
     this.socket.on('error', error =>
       log.warn('UDP socket for peer reports failed', {error: error.message}),
     );
-    await new Promise<void>(resolve =>
-      this.socket.bind(port, address, resolve),
-    );
     signal.addEventListener('abort', () => this.socket.close(), {once: true});
   }
 
--- a/tests/router/peerSocket.test.ts
+++ b/tests/router/peerSocket.test.ts
@@ -43,6 +43,22 @@
     expect(received).to.deep.equal([1, 2]);
     expect(lines.join()).to.include('datagram failed').and.include('malformed');
   });
+
+  // Guards against a router that waits for ever at its start, without an error,
+  // because its port is taken.
+  it('should fail to listen on a port that is taken', async () => {
+    const address = '127.0.0.21';
+    const port = await findFreePort(address);
+    const stop = new AbortController();
+    const sockets = [0, 1].map(
+      () => new UdpPeerSocket({address, port, log: new Log({})}),
+    );
+    await sockets[0].listen(() => undefined, stop.signal);
+    const second = sockets[1].listen(() => undefined, stop.signal);
+    const error = await second.catch((cause: unknown) => cause);
+    stop.abort();
+    expect(error).to.have.property('code', 'EADDRINUSE');
+  });
 });
 
 async function findFreePort(address: string): Promise<number> {
