Keep reports of crashes shorter than a datagram

Once the evidence of crashes was full, a relay's bundle was longer than the 65,507 bytes of a UDP datagram, and so was a single report with all bounds reached (78 kB). Sending fails then, and members hear nothing of their relay: no versions, no loads, no notices.

The cause: each report of a relay had all evidence, also between full reports; the limit counted the suspects of each kind, but not the other numbers of a crash; and nothing limited the sum of the reports in a bundle.

Relays repeat new evidence in all reports, and send all of it with full reports, to new members and to resting ones. Members recognise the relay's own report by its sender, since it need not be the first in each datagram.

--- a/src/router/crashQuarantine.ts
+++ b/src/router/crashQuarantine.ts
@@ -10,6 +10,7 @@
  * Routers share crashes, acquittals and probes, so that the whole fleet sends a
  * blocked suspect to a few servers at most.
  */
+import {selectEvidence} from './evidenceLimit.js';
 import {isRequestKey} from './requestKey.js';
 
 /** Crashes that a suspect must explain before it is blocked. */
@@ -66,8 +67,6 @@
 const maxCrashes = 1_000;
 /** Suspects of one crash; a prompt may list hundreds of parts. */
 const maxAccused = 32;
-/** Keys in one report, of each kind; about 5 bytes each. */
-const maxReportedKeys = 2_000;
 /** Range of the random ids of crashes and probes. */
 const idRange = 2 ** 32;
 
@@ -294,26 +293,22 @@
         repeatUntilMs >= nowMs || blocked.has(suspect),
     );
     const acquitted = [...this.acquittedUntilMs.keys()];
-    return {
+    return selectEvidence({
       crashes: this.listReports([...ids].reverse()),
-      acquitted: acquitted.slice(-maxReportedKeys),
-      probes: probes.slice(-maxReportedKeys).map(([id, {suspect, atMs}]) => ({
+      acquitted,
+      probes: probes.map(([id, {suspect, atMs}]) => ({
         id,
         ageMs: Math.round(nowMs - atMs),
         suspect,
       })),
-    };
+    });
   }
 
-  /** Lists crashes until the report is full. */
   private listReports(ids: readonly number[]): CrashReport[] {
     const reports: CrashReport[] = [];
-    let keys = 0;
     for (const id of ids) {
       const {atMs, server, suspects} = this.crashes.get(id)!;
       if (suspects.length === 0) continue;
-      keys += suspects.length;
-      if (keys > maxReportedKeys) break;
       const ageMs = Math.round(performance.now() - atMs);
       reports.push({id, ageMs, server, suspects});
     }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -2,6 +2,7 @@
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
+import {splitIntoBundles, type BundlePart} from './bundleParts.js';
 import {DatagramKind, decodeDatagram, encodeDatagram} from './datagramCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView, Peer} from './fleetView.js';
@@ -304,8 +305,7 @@
       servers: own?.servers ?? [],
       placements: own?.placements ?? [],
       notices: reports.listNotices(),
-      // Resting and new members get no other report with all evidence.
-      crashEvidence: reports.listCrashEvidence(true),
+      crashEvidence: reports.listCrashEvidence(isFull),
       limits: reports.listLimits(true),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
@@ -324,8 +324,13 @@
     // to all members for each that joins, the traffic of a starting fleet would
     // grow with the cube of the zone.
     const joined = active.filter(isNew);
+    // Resting and new members get no other report with all evidence.
+    const listAll = (): RelaySelf => ({
+      ...self,
+      crashEvidence: reports.listCrashEvidence(true),
+    });
     if (joined.length > 0) {
-      const full = this.aggregator.buildFull(self);
+      const full = this.aggregator.buildFull(listAll());
       const fullBytes = encodeDatagram({
         kind: DatagramKind.Relay,
         report: full,
@@ -333,16 +338,19 @@
       this.sendBundle(joined, [[address, fullBytes], ...otherRelayDatagrams]);
     }
     this.aggregator.markInformed(active);
-    if (this.tryStartHeartbeat()) this.sendHeartbeat(self);
+    if (this.tryStartHeartbeat()) this.sendHeartbeat(listAll());
   }
 
+  /** Sends reports in as few datagrams as possible. */
   private sendBundle(
     hosts: readonly string[],
-    parts: Array<[string, Uint8Array]>,
+    parts: readonly BundlePart[],
   ): void {
     if (hosts.length === 0) return;
-    const bundle = encodeDatagram({kind: DatagramKind.Bundle, parts});
-    for (const host of hosts) this.sendDatagram(host, bundle);
+    for (const group of splitIntoBundles(parts)) {
+      const bundle = encodeDatagram({kind: DatagramKind.Bundle, parts: group});
+      for (const host of hosts) this.sendDatagram(host, bundle);
+    }
   }
 
   /**
@@ -432,7 +440,7 @@
         if (hasUpdates(datagram.report)) this.scheduleReport();
         return;
       case DatagramKind.Bundle:
-        this.receiveBundle(datagram.parts, signal);
+        this.receiveBundle(datagram.parts, host, signal);
         return;
       case DatagramKind.Roster:
         this.discovery.recordRoster(datagram.members);
@@ -488,14 +496,15 @@
   }
 
   /**
-   * The first report is the sender's. Published state is read only from the
-   * sender, which itself follows the other relays.
+   * Published state is read only from the sender, which itself follows the other
+   * relays.
    */
   private receiveBundle(
     parts: ReadonlyArray<readonly [host: string, datagram: Uint8Array]>,
+    sender: string,
     signal: AbortSignal,
   ): void {
-    for (const [index, [host, bytes]] of parts.entries()) {
+    for (const [host, bytes] of parts) {
       const decoded = decodeDatagram(bytes);
       if (decoded.isErr() || decoded.value.kind !== DatagramKind.Relay) {
         const {log} = this.options;
@@ -505,7 +514,7 @@
       if (host === this.options.address) continue;
       const {report} = decoded.value;
       this.receiveRelayReport(report, host);
-      if (index === 0) this.reads.syncFrom(report, report.peers, signal);
+      if (host === sender) this.reads.syncFrom(report, report.peers, signal);
     }
   }
 }
--- a/tests/support/simulatedRouters.ts
+++ b/tests/support/simulatedRouters.ts
@@ -3,6 +3,7 @@
 import prand from 'pure-rand';
 import {Log} from '../../src/node/log.js';
 import {listAddresses} from '../../src/router/callerAddresses.js';
+import {CrashQuarantine} from '../../src/router/crashQuarantine.js';
 import {FleetView} from '../../src/router/fleetView.js';
 import {OwnReportBuilder} from '../../src/router/ownReportBuilder.js';
 import {
@@ -18,6 +19,8 @@
 import {SharedNotices} from '../../src/router/sharedNotices.js';
 
 const oneWayLatencyMs = 1;
+/** Longest payload of a UDP datagram over IPv4; longer ones aren't sent. */
+const maxDatagramBytes = 65_507;
 /** As in the daemon. */
 const sweepIntervalMs = 500;
 /** Period of changes to the load of each router that takes requests. */
@@ -63,6 +66,12 @@
 export class SimulatedRouter {
   readonly fleet: FleetView;
   readonly exchange: PeerExchange;
+  readonly quarantine = new CrashQuarantine({
+    announce: () => this.exchange.announce(),
+    isProber: () => false,
+  });
+  /** Datagrams that were too long to be sent. */
+  rejectedDatagrams = 0;
   /** Revision of the published state that this router has. */
   revision = 1;
   isLeaving = false;
@@ -85,10 +94,7 @@
     this.fleet = new FleetView(host);
     const notices = new SharedNotices(() => this.exchange.announce());
     const nothing = {listReports: () => [], recordPeer: () => {}};
-    const quarantine = {
-      listEvidence: () => ({crashes: [], acquitted: [], probes: []}),
-      recordPeer: () => {},
-    };
+    const {quarantine} = this;
     const reports = new OwnReportBuilder({
       reporter: {
         listAll: () => this.listLoads(),
@@ -220,6 +226,10 @@
   }
 
   private send(to: string, bytes: Uint8Array): void {
+    if (bytes.length > maxDatagramBytes) {
+      this.rejectedDatagrams += 1;
+      return;
+    }
     const nowMs = performance.now();
     const last = this.periods.at(-1);
     if (last && nowMs - last.startedAtMs < bandwidthPeriodMs) {
