Keep the turns of restarts while other routers leave

Routers restart in turns after an error that nothing has caught, by their position among the ready ones. A router that has begun to restart is leaving, so that the next one whose error comes 0.2 s later took itself for the first and left as well.

The test failed before: eight routers whose errors are 200 ms apart left 200 ms apart, now 10 s.

--- a/src/router/offeredRouters.ts
+++ b/src/router/offeredRouters.ts
@@ -1,5 +1,7 @@
 /** Decisions that the routers that callers are sent to share among themselves. */
 import {sortByWeight} from '../node/rendezvous.js';
+import type {FleetView} from './fleetView.js';
+import {RouterStatus} from './peerReport.js';
 import type {TurnPosition} from './serverLimits.js';
 
 /** Largest part of these routers that restarts at the same time. */
@@ -51,6 +53,21 @@
   return sorted.indexOf(host) < count;
 }
 
+/**
+ * Lists the other routers that restart in turns with one that callers are sent
+ * to. Those that are leaving or have just ended are listed, too: the same error
+ * may have reached them first, and the turns of the others must not move up.
+ *
+ * @example
+ * computeRestartDelayMs({host, isOffered, others: listRestarting(fleet)}, 10_000)
+ */
+export function listRestarting(fleet: Pick<FleetView, 'listKnown'>): string[] {
+  return fleet
+    .listKnown()
+    .filter(({status}) => status !== RouterStatus.Resting)
+    .map(({host}) => host);
+}
+
 /**
  * Returns how long a router that has to restart waits, in milliseconds, so that
  * an error that occurs at all routers at once doesn't stop all of them at once.
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -19,6 +19,7 @@
   computeRestartDelayMs,
   findPosition,
   isAmongChosen,
+  listRestarting,
   type OfferedRouters,
 } from './offeredRouters.js';
 import {PeerExchange} from './peerExchange.js';
@@ -265,7 +266,9 @@
   async waitForRestart(): Promise<void> {
     const {shutdown, contactBoundMs} = this.settings;
     const restartMs = shutdown.graceSeconds * 1_000 + contactBoundMs;
-    const delayMs = computeRestartDelayMs(this.findOffered(), restartMs);
+    const others = listRestarting(this.fleet);
+    const offered = {...this.findOffered(), others};
+    const delayMs = computeRestartDelayMs(offered, restartMs);
     this.log.warn('restart is due', {delayMs});
     await waitFor(delayMs, this.supervisor.signal);
   }
--- a/tests/router/offeredRouters.test.ts
+++ b/tests/router/offeredRouters.test.ts
@@ -1,9 +1,12 @@
 import {expect} from 'chai';
+import {FleetView} from '../../src/router/fleetView.js';
 import {
   computeRestartDelayMs,
   findPosition,
   isAmongChosen,
+  listRestarting,
 } from '../../src/router/offeredRouters.js';
+import {RouterStatus} from '../../src/router/peerReport.js';
 
 const offered = Array.from({length: 8}, (_, i) => `10.0.0.${i}`);
 const resting = Array.from({length: 90}, (_, i) => `10.0.1.${i}`);
@@ -49,6 +52,37 @@
     expect(computeRestartDelayMs(findView(resting[0]), 10_000)).to.equal(0);
   });
 
+  // Guards against an error that reaches the routers some report intervals apart:
+  // each saw the one before leave, took itself for the first and left as well.
+  it('should restart one after the other when they fail one after the other', () => {
+    const restartMs = 10_000;
+    const betweenMs = 200;
+    const leavesAtMs = new Map<string, number>();
+    for (const [index, host] of offered.entries()) {
+      const nowMs = index * betweenMs;
+      const fleet = new FleetView(host);
+      const isLeaving = (other: string) =>
+        (leavesAtMs.get(other) ?? Infinity) <= nowMs;
+      fleet.recordRoster(
+        offered.map(other => ({
+          host: other,
+          status: isLeaving(other) ? RouterStatus.Leaving : RouterStatus.Ready,
+          vm: `vm-${other}`,
+          zone: 'a',
+          callers: `${other}:80`,
+          peers: `${other}:81`,
+          linkMbps: 490,
+        })),
+      );
+      const view = {host, isOffered: true, others: listRestarting(fleet)};
+      leavesAtMs.set(host, nowMs + computeRestartDelayMs(view, restartMs));
+    }
+    const times = [...leavesAtMs.values()].sort((a, b) => a - b);
+    for (const [index, atMs] of times.slice(1).entries()) {
+      expect(atMs - times[index]).to.be.at.least(restartMs);
+    }
+  });
+
   it('should have restarted within eight turns in a large fleet', () => {
     const delays = resting.map(host => {
       const others = resting.filter(other => other !== host);
