--- a/tests/platform/headerCodec.test.ts
+++ b/tests/platform/headerCodec.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {HeaderCodec} from '../../platform/headerCodec.js';
+import {computePrefillWork} from '../../src/router/engineModel.js';
 
 const codec = new HeaderCodec();
 
@@ -37,6 +38,18 @@
     expect(request.promptParts).to.deep.equal([]);
   });
 
+  // Guards against a load that is infinite: the other routers dropped all reports
+  // with it as malformed, those of a relay too, while such a request was in flight.
+  it('should limit the tokens of a prompt', () => {
+    const {promptTokens, maxOutputTokens, promptParts} = codec.decodeRequest([
+      ...['Token-Count', '1e200,1e200', 'Prompt-Prefix', '5c:1e200,6d:1e200'],
+    ]);
+    const counts = [promptTokens, maxOutputTokens];
+    for (const tokens of [...counts, ...promptParts.map(part => part.tokens)]) {
+      expect(computePrefillWork(tokens, tokens)).to.be.below(Infinity);
+    }
+  });
+
   it('should show a backend server the customer and never the key', () => {
     const headers = codec.encodeRequest(streamRequest, {
       serverId: 'i-1',
