Pause the reading of an answer at its socket

What callers saw: nothing yet; found while looking for what ended the loaded routers. When a caller takes no bytes, reading from its server pauses. undici fails an assertion in a listener of the socket, where nothing catches it, if the connection of the paused answer ends or is reset and the answer is the last one on it (`Connection: close`, as from servers that leave, or no length). The router then stops with all its requests.

Change: reading pauses at the socket, so that undici's parser never is in the paused state. The end of the connection is read once reading goes on.

Measured: four of five new tests of pausedAnswers.test.ts fail before (Uncaught AssertionError: assert(!this.paused)) and pass now; the fifth one, that no more is read than the buffers hold, passes before and now.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -69,9 +69,10 @@
 }
 
 export interface AttemptOptions {
-  readonly connection: Pick<BackendConnection, 'isResetting'> & {
-    readonly dispatcher: Dispatcher;
-  };
+  readonly connection: Pick<
+    BackendConnection,
+    'isResetting' | 'pauseReading' | 'resumeReading'
+  > & {readonly dispatcher: Dispatcher};
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
@@ -123,9 +124,15 @@
   private lastProgressAtMs = performance.now();
   /** True while nothing is read because the caller takes no more events. */
   private isPaused = false;
+  private isSettled = false;
 
   constructor(private readonly options: AttemptOptions) {
-    this.result = new Promise(resolve => (this.settle = resolve));
+    this.result = new Promise(resolve => {
+      this.settle = result => {
+        this.isSettled = true;
+        resolve(result);
+      };
+    });
     const {connection, method, path, headers, body} = options;
     this.splitter = new EventSplitter(options.maxAnswerBytes);
     const request = {
@@ -205,7 +212,7 @@
   ): void {
     if (this.isStream) {
       this.splitter.split(chunk).match(
-        events => this.receiveEvents(controller, events),
+        events => this.receiveEvents(events),
         error => controller.abort(error),
       );
       return;
@@ -218,22 +225,22 @@
     }
   }
 
-  private receiveEvents(
-    controller: Dispatcher.DispatchController,
-    events: StreamEvent[],
-  ): void {
+  private receiveEvents(events: StreamEvent[]): void {
     // Bytes that complete no event are not progress: a stalled server may
     // still send some.
     if (events.length === 0) return;
     this.lastProgressAtMs = performance.now();
-    const canContinue = this.options.stream!.receiveEvents(events, () => {
+    const {connection, stream} = this.options;
+    const canContinue = stream!.receiveEvents(events, () => {
+      // The connection may serve another request by now.
+      if (!this.isPaused || this.isSettled) return;
       this.isPaused = false;
       this.lastProgressAtMs = performance.now();
-      controller.resume();
+      connection.resumeReading();
     });
     if (canContinue) return;
     this.isPaused = true;
-    controller.pause();
+    connection.pauseReading();
   }
 
   onResponseEnd(): void {
--- a/src/router/backendConnections.ts
+++ b/src/router/backendConnections.ts
@@ -1,4 +1,5 @@
 /** Pooled HTTP/1.1 connections to backend servers. */
+import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
 import {
   connectTimeoutMs,
@@ -36,6 +37,9 @@
   idleMs = 0;
   /** `performance.now()` at the end of its last request. */
   private idleSinceMs: number | undefined;
+  private socket: Socket | undefined;
+  /** Listeners that read from the socket, while reading is paused. */
+  private pausedReaders: Array<() => void> = [];
 
   constructor({host, port}: Pick<BackendServer, 'host' | 'port'>) {
     const markReset = (error: Error | null | undefined) => {
@@ -51,6 +55,7 @@
           // Runs before undici's own handler, which treats a reset as the
           // regular end of a close-delimited answer.
           const socket = result[1];
+          this.socket = socket ?? undefined;
           socket?.on('error', markReset);
           // libuv reports a reset that arrives together with data as an end of
           // file; an empty write then fails and reveals the reset.
@@ -83,8 +88,28 @@
     this.idleSinceMs = undefined;
   }
 
+  /**
+   * Stops reading, so that the server can send no more than the buffers hold.
+   * undici's own pause doesn't do: it fails an assertion, outside of any handler,
+   * when the connection of a paused answer ends that is the last one on it.
+   */
+  pauseReading(): void {
+    const {socket} = this;
+    if (!socket || this.pausedReaders.length > 0) return;
+    this.pausedReaders = socket.listeners('readable') as Array<() => void>;
+    for (const read of this.pausedReaders) socket.off('readable', read);
+  }
+
+  /** Goes on reading, also the end of a connection that has ended meanwhile. */
+  resumeReading(): void {
+    const readers = this.pausedReaders;
+    this.pausedReaders = [];
+    for (const read of readers) this.socket?.on('readable', read);
+  }
+
   /** Marks the end of the request. */
   release(): void {
+    this.resumeReading();
     this.idleSinceMs = performance.now();
   }
 }
