Send a lookup beside its silent attempt, not instead of it

What callers saw: 502 in place of an answer. A lookup was aborted after 0.4 s of silence at the server that worked on it, as soon as the selector named another one; that was full or refused the connection, and no server was left.

Cause: only streams that had sent events were resumed beside the silent attempt. Lookups, and streams before their first event, gave the attempt up for a server that might not take the request.

Change: `superviseAttempt` only tells of the silence, and the forwarder sends the request beside the silent attempt, which ends once the other server has not refused within the overlap that resumptions have, or when the other one answers. The first whole answer goes to the caller. Each send takes one retry of the budget, and no more servers run it than the route allows. Orders are never sent again.

An error in the search for the other server was uncaught and stopped the router; it ends the attempt and answers the request now.

--- a/src/router/attemptSupervisor.ts
+++ b/src/router/attemptSupervisor.ts
@@ -1,14 +1,14 @@
 /**
- * Aborts an attempt at its deadline, when the caller disconnects, or when its
- * server stays silent for too long and another one can take its place.
+ * Aborts an attempt at its deadline or when the caller disconnects, and tells
+ * when its server stays silent for too long.
  */
-import {DeadlineError, SilentConnectionError} from '../protocol/errors.js';
+import {BackendServerError, DeadlineError} from '../protocol/errors.js';
 import type {AttemptResult, BackendAttempt} from './backendAttempt.js';
 import {RouteKind, type Route} from './deployment.js';
 
 /**
- * An attempt is aborted when its server stays silent for this multiple of the
- * expected time and another server can run the request now.
+ * An attempt is silent when nothing has come from its server for this multiple of
+ * the expected time.
  */
 const expectedWaitFactor = 3.5;
 const minFirstSilenceMs = 400;
@@ -33,19 +33,13 @@
   readonly hasEvents: () => boolean;
   /** True while the server sends events of any stream to this router. */
   readonly isServerActive: () => boolean;
-  /** True when another server can run the request instead now. */
-  readonly canRetry: () => boolean;
-  /**
-   * Called, and again at each later check, when an attempt that has sent events
-   * is silent. Without it, such an attempt is aborted.
-   */
-  readonly resumeBeside?: () => void;
+  /** Called when the attempt is silent, and again at each later check. */
+  readonly handleSilence: () => void;
 }
 
 /**
- * Waits for the result of an attempt. Aborts it at its deadline, when the
- * caller disconnects, or when the server is silent and another one can run the
- * request now.
+ * Waits for the result of an attempt. Aborts it at its deadline or when the
+ * caller disconnects. Rejects only if `handleSilence` throws.
  */
 export async function superviseAttempt(
   attempt: Pick<BackendAttempt, 'abort' | 'measureSilenceMs' | 'result'>,
@@ -59,9 +53,15 @@
   const handleCallerDisconnect = () =>
     attempt.abort(new DeadlineError('caller disconnected'));
   signal.addEventListener('abort', handleCallerDisconnect, {once: true});
-  const stopWatching = watchSilence(attempt, bounds);
+  let stopWatching: () => void = () => undefined;
+  const failed = new Promise<never>((_, reject) => {
+    stopWatching = watchSilence(attempt, bounds, reject);
+  });
   try {
-    return await attempt.result;
+    return await Promise.race([attempt.result, failed]);
+  } catch (error) {
+    attempt.abort(new BackendServerError('supervision of the attempt failed'));
+    throw error;
   } finally {
     clearTimeout(deadline);
     stopWatching();
@@ -69,10 +69,15 @@
   }
 }
 
-/** Returns a function that ends the watch. */
+/**
+ * Returns a function that ends the watch.
+ *
+ * @param fail - called with what `handleSilence` throws
+ */
 function watchSilence(
-  attempt: Pick<BackendAttempt, 'abort' | 'measureSilenceMs'>,
+  attempt: Pick<BackendAttempt, 'measureSilenceMs'>,
   bounds: AttemptBounds,
+  fail: (error: unknown) => void,
 ): () => void {
   const {route, expectedMs, hasEvents, isServerActive} = bounds;
   const isStream = route.kind === RouteKind.Stream;
@@ -99,9 +104,10 @@
   const confirm = () => {
     timer.refresh();
     if (!isSilent()) return;
-    if (bounds.resumeBeside && hasEvents()) bounds.resumeBeside();
-    else if (bounds.canRetry()) {
-      attempt.abort(new SilentConnectionError('no byte within the limit'));
+    try {
+      bounds.handleSilence();
+    } catch (error) {
+      fail(error);
     }
   };
   const check = () => {
--- a/src/router/attemptsInProgress.ts
+++ b/src/router/attemptsInProgress.ts
@@ -20,13 +20,14 @@
 
 /**
  * Holds the attempts of a request in the order in which they were sent. More
- * than one is in progress only for a short time, while a stream is resumed beside
- * a silent attempt.
+ * than one is in progress only for a short time, while the request is sent again
+ * beside a silent attempt.
  */
 export class AttemptsInProgress {
   private readonly attempts = new Set<SentAttempt>();
   /** Ended attempts that `waitForEnd` has not returned yet. */
   private readonly ended: EndedAttempt[] = [];
+  private failure: {readonly error: unknown} | undefined;
   private notify: () => void = () => undefined;
 
   /** @param recordLoss - called when an attempt that was given up has ended */
@@ -40,7 +41,7 @@
   /** Adds an attempt until its result has been handled. */
   add(attempt: SentAttempt, result: Promise<AttemptResult>): void {
     this.attempts.add(attempt);
-    void result.then(value => {
+    const handleEnd = (value: AttemptResult) => {
       const end = {attempt, result: value};
       if (!this.attempts.has(attempt)) {
         this.recordLoss(end);
@@ -48,6 +49,10 @@
       }
       this.ended.push(end);
       this.notify();
+    };
+    void result.then(handleEnd, (error: unknown) => {
+      this.failure = {error};
+      this.notify();
     });
   }
 
@@ -61,18 +66,19 @@
     return [...this.attempts].map(({selection}) => selection.server.id);
   }
 
-  /**
-   * True when the only attempt has sent events, so that the stream can be
-   * resumed beside it while it is silent.
-   */
-  canResumeBeside(): boolean {
+  /** The only attempt; undefined if there are several or none. */
+  get only(): SentAttempt | undefined {
     const [attempt] = this.attempts;
-    return this.size === 1 && attempt.hasEvents;
+    return this.size === 1 ? attempt : undefined;
   }
 
-  /** Waits until an attempt ends that has not been given up; removes it. */
+  /**
+   * Waits until an attempt ends that has not been given up; removes it. Rejects
+   * if the supervision of an attempt has failed.
+   */
   async waitForEnd(): Promise<EndedAttempt> {
     for (;;) {
+      if (this.failure) throw this.failure.error;
       const end = this.ended.shift();
       if (end) {
         this.attempts.delete(end.attempt);
@@ -111,9 +117,9 @@
         this.recordLoss(this.ended.splice(index, 1)[0]);
         continue;
       }
-      // Only the silent attempt has sent events when the other supersedes it.
+      // The request is sent again only beside an attempt that is silent.
       attempt.abort(
-        attempt.hasEvents
+        attempt.sentAtMs <= kept.sentAtMs
           ? new SilentConnectionError('silent, and another server went on')
           : new SupersededError('the silent server went on'),
       );
--- a/src/router/requestFailure.ts
+++ b/src/router/requestFailure.ts
@@ -9,6 +9,11 @@
 import {estimateRetryAfterMs} from './returnTime.js';
 import type {Selection, ServerSelector} from './serverSelector.js';
 
+/** Cost of a failure that can be retried, in milliseconds of waiting. */
+const retryableFailureCostMs = 250;
+/** Cost of a failure that is passed on to the caller, in milliseconds. */
+const finalFailureCostMs = 600;
+
 /** What the end of a request needs to know about it. */
 export interface RequestFailureOptions {
   readonly request: ForwardedRequest;
@@ -85,3 +90,13 @@
     log.recordRefusal(refusal, budget.describe());
   }
 }
+
+/**
+ * Returns the cost of a failed attempt, in milliseconds of waiting.
+ *
+ * @example
+ * selector.select({...request, failureCostMs: getFailureCostMs(true)});
+ */
+export function getFailureCostMs(isRetryable: boolean): number {
+  return isRetryable ? retryableFailureCostMs : finalFailureCostMs;
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -25,7 +25,7 @@
   decideAdmission,
   recheckIntervalMs,
 } from './promptAdmission.js';
-import {RequestFailure} from './requestFailure.js';
+import {getFailureCostMs, RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
 import {RetryCause} from './routerMetrics.js';
@@ -33,10 +33,6 @@
 import {SentAttempt, type AttemptListener} from './sentAttempt.js';
 import type {Selection, SelectionRequest} from './serverSelector.js';
 
-/** Cost of a failure that can be retried, in milliseconds of waiting. */
-const retryableFailureCostMs = 250;
-/** Cost of a failure that is passed on to the caller, in milliseconds. */
-const finalFailureCostMs = 600;
 /** Answers with this status or a higher one count as server failures. */
 const minServerErrorStatus = 500;
 
@@ -260,9 +256,7 @@
       rank: this.request.urgency,
       targetMs: this.request.route.targetMs,
       waitedMs: performance.now() - exchange.startedAtMs,
-      failureCostMs: this.isRetryable
-        ? retryableFailureCostMs
-        : finalFailureCostMs,
+      failureCostMs: getFailureCostMs(this.isRetryable),
     };
   }
 
@@ -293,39 +287,40 @@
       this.options.metrics.recordWait(route.name, waitMs);
     }
     const result = attempt.supervise({
-      canRetry: () => this.selectOther() !== undefined,
-      resumeBeside: () => this.resumeBeside(),
+      handleSilence: () => this.sendBeside(),
     });
     this.attempts.add(attempt, result);
     return attempt;
   }
 
   /**
-   * Resumes the stream of a silent attempt at another server. The silent one
-   * goes on until the other has taken the request: if that refuses it, the
-   * silent one is all that is left.
+   * Sends the request to another server beside a silent attempt, which goes on
+   * until the other server has taken the request: if that refuses it, the silent
+   * one is all that is left.
    */
-  private resumeBeside(): void {
+  private sendBeside(): void {
+    const silent = this.attempts.only;
+    if (!silent) return;
+    const isResumption = silent.hasEvents;
     // Events without ids can't be told from those that the caller has.
-    if (this.lastEventId === undefined) return;
-    if (!this.attempts.canResumeBeside()) return;
+    if (isResumption && this.lastEventId === undefined) return;
     // Servers that refused the request show that there are others, but full.
-    const selection = this.selectOther(this.excluded.size === 0);
+    const canRepeat = isResumption && this.excluded.size === 0;
+    const selection = this.selectOther(canRepeat);
     if (!selection || !this.budget.take()) return;
-    const {metrics} = this.options;
-    metrics.countRetry(this.request.service, RetryCause.Failed);
+    this.countFailedRetry();
     this.attempts.scheduleAbortOfOthers(this.send(selection));
-    this.log.recordEvent('resuming beside a silent attempt', selection);
+    this.log.recordEvent('sent beside a silent attempt', selection);
   }
 
   /**
-   * Selects a server that may run the request beside or instead of the attempt
-   * in progress; undefined if none can take it now.
+   * Selects a server that may run the request beside the attempt in progress;
+   * undefined if none can take it now.
    *
    * @param canRepeat - allows servers that failed it or are silent if there is
    *     no other: the fault may lie in the connection
    */
-  private selectOther(canRepeat = false): Selection | undefined {
+  private selectOther(canRepeat: boolean): Selection | undefined {
     if (!this.canRetry() || this.request.exchange.signal.aborted) return;
     if (this.checkQuarantine().kind !== VerdictKind.Clear) return;
     const {outcomes} = this.options;
@@ -390,9 +385,10 @@
           outcomes.recordFailure(id);
           if (this.retry(selection, `status ${status}`)) return false;
         }
-        if (this.leaveToOther(selection, `status ${status}`)) return false;
-        if (exchange.isHeadSent) exchange.abortStream(BreakCause.ServerFailed);
-        else exchange.sendAnswer(status, headers, body);
+        if (exchange.isHeadSent) {
+          if (this.leaveToOther(selection, `status ${status}`)) return false;
+          exchange.abortStream(BreakCause.ServerFailed);
+        } else exchange.sendAnswer(status, headers, body);
         this.log.recordAnswer(selection, status);
         return true;
       }
@@ -518,9 +514,13 @@
     if (!this.canRetry()) return false;
     this.failed.add(selection.server.id);
     this.budget.take();
-    const {service} = this.request;
-    this.options.metrics.countRetry(service, RetryCause.Failed);
+    this.countFailedRetry();
     this.log.recordEvent('attempt failed, retrying', selection, cause);
     return true;
   }
+
+  private countFailedRetry(): void {
+    const {service} = this.request;
+    this.options.metrics.countRetry(service, RetryCause.Failed);
+  }
 }
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -135,10 +135,10 @@
    * Waits for the result; then releases the connection and the load.
    *
    * @example
-   * const result = await attempt.supervise({canRetry: () => false});
+   * const result = await attempt.supervise({handleSilence: () => {}});
    */
   async supervise(
-    bounds: Pick<AttemptBounds, 'canRetry' | 'resumeBeside'>,
+    bounds: Pick<AttemptBounds, 'handleSilence'>,
   ): Promise<AttemptResult> {
     const {components, request, selection, remainingMs} = this.options;
     const {id} = selection.server;
--- a/tests/router/silentLookups.test.ts
+++ b/tests/router/silentLookups.test.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {expect} from 'chai';
+import {ServerSelector} from '../../src/router/serverSelector.js';
 import {formatBackendAnswer, RouterFixture} from './routerFixture.js';
 
 /** Above the silence limit, well below the deadline of the route. */
@@ -53,4 +54,64 @@
     await closed.stop();
     expect(await callLookup()).to.include({status: 200, body: 'ok'});
   });
+
+  /** Publishes servers that answer all requests late; returns these. */
+  async function addLateServers(count: number): Promise<Socket[]> {
+    const runs: Socket[] = [];
+    for (let i = 0; i < count; i++) {
+      await fixture.addBackend((socket, request) => {
+        runs.push(socket);
+        const timer = setTimeout(
+          () => socket.write(formatBackendAnswer(request, 'ok')),
+          answerAfterMs,
+        );
+        socket.on('close', () => clearTimeout(timer));
+      });
+    }
+    return runs;
+  }
+
+  // Guards against a lookup that runs at more servers than its route allows, or
+  // goes on at two of them.
+  it('should run at two of three, the first of which is given up', async () => {
+    const runs = await addLateServers(3);
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const answer = fixture.call(router, '/status/1');
+    await fixture.waitUntil(() => runs.length === 2, 'the second run');
+    expect(runs[0].destroyed).to.equal(false);
+    await fixture.waitUntil(() => runs[0].destroyed, 'end of the first run');
+    expect(await answer).to.include({status: 200, body: 'ok'});
+    expect(runs).to.have.length(2);
+  });
+
+  // Guards against running an order twice.
+  it('should not share their rule with orders', async () => {
+    const runs = await addLateServers(2);
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const answer = await fixture.call(router, '/orders/1');
+    expect(answer).to.include({status: 200, body: 'ok'});
+    expect(runs).to.have.length(1);
+  });
+
+  // Guards against an error in the search for another server that stops the
+  // router, or leaves its request without an answer.
+  it('should be answered when the search for another server fails', async () => {
+    const {select} = ServerSelector.prototype;
+    const runs = await addLateServers(2);
+    const router = await fixture.addRouter();
+    await fixture.waitReady(router);
+    const answer = fixture.call(router, '/status/1');
+    await fixture.waitUntil(() => runs.length === 1, 'the first run');
+    ServerSelector.prototype.select = () => {
+      throw new TypeError('no such server');
+    };
+    try {
+      expect((await answer).status).to.be.oneOf([502, 504]);
+    } finally {
+      ServerSelector.prototype.select = select;
+    }
+    expect(await fixture.call(router, '/status/2')).to.include({status: 200});
+  });
 });
