Refuse requests with more than one host

undici sends no request with two Host headers. The router took that for a server that can't be reached, and tried the next: one such request made all servers of its service count as unreachable at the router for 0.7 s, and as failing in the reports to the whole fleet. It was answered with 503, so that the caller came again.

Such requests get 400, as RFC 9112 (section 3.2) demands. The test failed before: 503, and one failure at the server.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -20,6 +20,7 @@
 import type {DeploymentStore} from './deploymentStore.js';
 import type {MessageCodec} from './messageCodec.js';
 import type {RequestForwarder} from './requestForwarder.js';
+import {checkHead} from './requestHead.js';
 import type {RouterMetrics} from './routerMetrics.js';
 import {estimateRetryAfterMs, estimateStartRetryAfterMs} from './returnTime.js';
 import {pickService, type RouteTable} from './routeTable.js';
@@ -376,13 +377,9 @@
       });
     }
     const {limits} = table.deployment;
-    const headBytes = incoming.rawHeaders.reduce(
-      (sum, text) => sum + text.length + 2,
-      0,
-    );
-    if (headBytes > limits.maxHeaderBytes) {
-      const message = `head is longer than ${limits.maxHeaderBytes} bytes`;
-      return new Refusal(RefusalReason.BadHeader, Outcome.NotRun, message);
+    const fault = checkHead(incoming.rawHeaders, limits.maxHeaderBytes);
+    if (fault !== undefined) {
+      return new Refusal(RefusalReason.BadHeader, Outcome.NotRun, fault);
     }
     const [path] = (incoming.url ?? '').split('?', 1);
     const route = table.findRoute(incoming.headers.host ?? '', path);
--- a/tests/router/malformedMessages.test.ts
+++ b/tests/router/malformedMessages.test.ts
@@ -57,6 +57,19 @@
     });
   }
 
+  // Guards against servers that count as unreachable at their router, and as
+  // failing in the whole fleet, because of a request that can't be sent to any.
+  it('should not count against the servers: two hosts', async () => {
+    const host = 'host: shop.example\r\n';
+    const text = `GET /status/1 HTTP/1.1\r\n${host}${host}x-key: k1\r\n\r\n`;
+    const answer = await sendRaw(router.callers, text);
+    expect(answer).to.match(/^HTTP\/1\.1 400/);
+    const {servers} = router.daemon.describe() as {
+      servers: {usable: Array<{outcomes: {failures: number}}>};
+    };
+    expect(servers.usable[0].outcomes.failures).to.equal(0);
+  });
+
   it('should not end the process: datagrams of any content', async () => {
     const [host] = router.callers.split(':');
     const socket = dgram.createSocket('udp4');
