Measure how long connections wait to be accepted

Requests were sent on up to a second after their callers had left (GONE), and no log, time-out or metric showed the wait: timers were in time, and a request's age began with its reading. libuv accepts one connection in each iteration of the event loop, so that connections wait in the listen queue while the loop is busy. The system doesn't tell how old an accepted connection is.

While each iteration accepts a connection, the router now connects to its own address each 50 ms. The queue is first in, first out, so the oldest of these connections that hasn't been accepted gives the least wait of the others. It is shown as the gauge anvilstall_accept_wait_ms, as accepts and maxAcceptWaitMs in the summary, and by "connections wait to be accepted" above 200 ms. Measuring the queue by /proc/net/tcp was ruled out: it tells the length, not the age.

--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -10,6 +10,7 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
+import {AcceptQueue, type AcceptCounts} from './acceptQueue.js';
 import {BreakCause} from './breakCause.js';
 import {
   CallerExchange,
@@ -72,6 +73,7 @@
   /** Connections that have received invalid bytes. */
   private readonly endingSockets = new WeakSet<Socket>();
   private readonly turns = new TurnQueue();
+  private readonly acceptQueue = new AcceptQueue();
   private readonly inFlight = new Set<CallerExchange>();
   private readonly createdAtMs = performance.now();
   /** When requests begin to be refused because the router stops. */
@@ -109,7 +111,19 @@
       this.server.once('error', reject);
       this.server.listen({port, host, backlog}, resolve);
     });
-    return (this.server.address() as AddressInfo).port;
+    const address = this.server.address() as AddressInfo;
+    this.acceptQueue.start(host, address.port);
+    return address.port;
+  }
+
+  /** Time for which connections wait now to be accepted, in milliseconds. */
+  measureAcceptWaitMs(): number {
+    return this.acceptQueue.measureWaitMs();
+  }
+
+  /** Returns the counts of accepted connections since the last call. */
+  takeAcceptCounts(): AcceptCounts {
+    return this.acceptQueue.takeCounts();
   }
 
   /**
@@ -127,6 +141,7 @@
    */
   async close(): Promise<void> {
     await this.acceptPending();
+    this.acceptQueue.stop();
     void stopListening(this.server);
     await waitFor(requestArrivalGraceMs);
     await waitForPoll();
@@ -166,6 +181,7 @@
 
   /** Closes all connections at once, also those with requests in flight. */
   destroy(): void {
+    this.acceptQueue.stop();
     void stopListening(this.server);
     // The process may end before the connections emit `close`.
     for (const exchange of this.inFlight) {
@@ -199,6 +215,10 @@
   private addIdleSocket(socket: Socket): void {
     this.turns.recordAccept();
     this.acceptedCount += 1;
+    if (!this.acceptQueue.recordAccept(socket)) {
+      socket.destroy();
+      return;
+    }
     socket.setNoDelay(true);
     this.idleSockets.set(socket, socket.bytesRead);
     socket.once('close', () => this.idleSockets.delete(socket));
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -16,6 +16,7 @@
 import {FleetView} from './fleetView.js';
 import {IdleReuseSuspensions} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
+import {LoopMonitor} from './loopMonitor.js';
 import type {MessageCodec} from './messageCodec.js';
 import {
   findPosition,
@@ -51,11 +52,6 @@
 /** Interval at which state about servers that have left is removed. */
 const sweepIntervalMs = 500;
 const summaryIntervalMs = 10_000;
-/**
- * A timer that fires later than this is logged, in milliseconds. Callers that
- * disconnect and deadlines that pass are noticed that much later.
- */
-const minLoggedLagMs = 200;
 /**
  * A prompt with at least this many tokens to prefill is reported to the peers
  * at once: it occupies an engine for about 35 ms, a considerable part of the
@@ -102,6 +98,7 @@
   private readonly selector: ServerSelector;
   private readonly exchange: PeerExchange;
   private readonly intake: RequestIntake;
+  private readonly loop: LoopMonitor;
   private readonly control: ControlServers;
   /** Processes of the usable servers, by server id; see `formatProcess`. */
   private readonly serverProcesses = new Map<string, string>();
@@ -109,8 +106,6 @@
   private isLeaving = false;
   /** False while callers are given only the addresses of other routers. */
   private isOffered = true;
-  /** Longest delay of a timer since the last summary, in milliseconds. */
-  private maxLagMs = 0;
 
   private constructor(
     private settings: RouterSettings,
@@ -196,6 +191,7 @@
       metrics,
       log,
     });
+    this.loop = new LoopMonitor({intake: this.intake, metrics, log});
     this.control = new ControlServers({
       codec,
       deployments,
@@ -393,7 +389,7 @@
     while (!signal.aborted) {
       const startedAtMs = performance.now();
       await waitFor(sweepIntervalMs, signal);
-      this.recordLag(performance.now() - startedAtMs - sweepIntervalMs);
+      this.loop.record(performance.now() - startedAtMs - sweepIntervalMs);
       this.fleet.expireSilent();
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
@@ -401,14 +397,6 @@
     }
   }
 
-  private recordLag(lagMs: number): void {
-    this.metrics.recordLag(lagMs);
-    this.maxLagMs = Math.max(this.maxLagMs, lagMs);
-    if (lagMs < minLoggedLagMs) return;
-    const {active} = this.intake;
-    this.log.warn('event loop delayed', {lagMs: Math.round(lagMs), active});
-  }
-
   /**
    * Checks whether callers are given this router's address. While they aren't,
    * its status is `Resting`.
@@ -458,10 +446,9 @@
         reportBytes: this.exchange.counts.sentBytes,
         pulls: this.exchange.pulls,
         peers: this.fleet.listAlive().length,
-        maxLagMs: Math.round(this.maxLagMs),
+        ...this.loop.takeFields(),
         rssMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
       });
-      this.maxLagMs = 0;
     }
   }
 
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -35,6 +35,11 @@
     help: 'Requests without a whole answer',
     measure: () => intake.active,
   });
+  metrics.registerGauge({
+    name: 'anvilstall_accept_wait_ms',
+    help: 'Time for which connections wait to be accepted',
+    measure: () => intake.measureAcceptWaitMs(),
+  });
   metrics.registerGauge({
     name: 'anvilstall_deployment_version',
     help: 'Version of the deployment in force',
