Count the age of a request from when its connection waits to be accepted

The first request of a connection, if it was there when the connection was accepted, now begins with the measured wait of the connection. Deadline and admission count from there, and one that has waited for half of its target is refused as not run.

--- a/src/router/callerExchange.ts
+++ b/src/router/callerExchange.ts
@@ -30,7 +30,8 @@
 export class CallerExchange {
   /** Aborts when the caller disconnects before its answer is complete. */
   readonly signal: AbortSignal;
-  readonly startedAtMs = performance.now();
+  /** When the caller sent the request, as far as the router can tell. */
+  readonly startedAtMs: number;
   readonly request: CallerRequest;
   /** True if a backend server may have run the request. */
   mayHaveRun = false;
@@ -44,11 +45,17 @@
   /** True once a refusal has been written. */
   private isAnswered = false;
 
+  /**
+   * @param acceptWaitMs - time for which the request waited, unread, until its
+   *     connection was accepted
+   */
   constructor(
     readonly incoming: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly codec: MessageCodec,
+    readonly acceptWaitMs = 0,
   ) {
+    this.startedAtMs = performance.now() - acceptWaitMs;
     this.signal = this.gone.signal;
     this.request = codec.decodeRequest(incoming.rawHeaders);
     // The response closes one or two iterations of the event loop after the end
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -254,7 +254,13 @@
       this.options.log.warn('read on an ended connection', {requestId});
       return;
     }
-    const exchange = new CallerExchange(incoming, response, this.options.codec);
+    const acceptWaitMs = this.acceptQueue.takeWaitMs(incoming.socket);
+    const exchange = new CallerExchange(
+      incoming,
+      response,
+      this.options.codec,
+      acceptWaitMs,
+    );
     this.inFlight.add(exchange);
     this.idleSockets.delete(incoming.socket);
     this.responses.set(incoming.socket, response);
@@ -345,9 +351,13 @@
     exchange: CallerExchange,
     {route, urgency: rank}: AdmittedRequest,
   ): Promise<boolean> {
-    const {signal, startedAtMs} = exchange;
+    const {signal, startedAtMs, acceptWaitMs} = exchange;
     const maxWaitMs = route.targetMs * maxTurnWaitRatio;
-    const turn = await this.turns.wait({rank, maxWaitMs, signal});
+    const turn = await this.turns.wait({
+      rank,
+      maxWaitMs: maxWaitMs - acceptWaitMs,
+      signal,
+    });
     switch (turn) {
       case Turn.Granted:
         return true;
--- a/src/router/turnQueue.ts
+++ b/src/router/turnQueue.ts
@@ -25,6 +25,7 @@
 export interface TurnRequest {
   /** 0 is the most urgent. Within a rank, the first to arrive is the first. */
   readonly rank: number;
+  /** Negative for a request that is too late already. */
   readonly maxWaitMs: number;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
@@ -35,6 +36,7 @@
   /** Iteration of the event loop in which the request was read. */
   readonly iteration: number;
   readonly expiresAtMs: number;
+  readonly isLate: boolean;
   readonly signal: AbortSignal;
   readonly settle: (turn: Turn) => void;
 }
@@ -79,7 +81,15 @@
     return new Promise(settle => {
       const {iteration} = this;
       const expiresAtMs = performance.now() + maxWaitMs;
-      this.waiting.push({rank, iteration, expiresAtMs, signal, settle});
+      const isLate = maxWaitMs < 0;
+      this.waiting.push({
+        rank,
+        iteration,
+        expiresAtMs,
+        isLate,
+        signal,
+        settle,
+      });
       this.ensureSlice();
     });
   }
@@ -124,12 +134,16 @@
   private removeEnded(): void {
     const nowMs = performance.now();
     this.waiting = this.waiting.filter(turn => {
-      const {signal, iteration, expiresAtMs, settle} = turn;
-      // Before the second slice, no turn could have been granted.
+      const {signal, iteration, expiresAtMs, isLate, settle} = turn;
+      if (signal.aborted) {
+        settle(Turn.Abandoned);
+        return false;
+      }
+      // The end of the caller's connection may be unread.
+      if (iteration === this.iteration) return true;
       const couldBeTaken = iteration < this.iteration - 1;
-      if (signal.aborted) settle(Turn.Abandoned);
-      else if (couldBeTaken && nowMs > expiresAtMs) settle(Turn.Expired);
-      else return true;
+      if (!isLate && !(couldBeTaken && nowMs > expiresAtMs)) return true;
+      settle(Turn.Expired);
       return false;
     });
   }
