Refuse prompts that would be late in place of sending them last

In a burst, prompts that could not be on time were held until shortly before their callers gave up and then sent.

A prompt that would be late now waits at most until its target, in one queue per service, by urgency and then by deadline. Answers and one 60 ms check wake a few requests at a time; before, each held prompt selected a server anew every 60 ms. It is refused once it would make others late, and at once if the backlog, or the queue before it at the rate of late starts, outlasts its target. Retry-After follows from the engine's backlog. The wait for a slot, from the requests at the engine and the mean time of a stream, is part of the expected time; short prompts are held or refused only where all slots are taken. A request that may have run is still sent.

--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -45,6 +45,7 @@
     unreadTokens: selection.unreadTokens,
     fetchFrom: selection.fetchFrom,
     backlogMs: Math.round(selection.backlogMs),
+    slotWaitMs: Math.round(selection.slotWaitMs) || undefined,
     viewAgeMs: Math.round(facts.viewAgeMs),
     expectedMs: Math.round(selection.expectedMs),
     admission: facts.admission,
--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -59,6 +59,8 @@
   readonly rank: number;
   /** Mean work that is left of a prompt that an engine is prefilling. */
   readonly residualWork: number;
+  /** Mean time for which a stream occupies a slot; 0 before the first sample. */
+  readonly slotTimeMs: number;
   readonly kvTransfer: KvTransfer;
   /** Prefill rate of an engine in tokens per millisecond. */
   readonly prefillTokensPerMs: number;
@@ -87,6 +89,8 @@
   readonly backlogMs: number;
   /** Work of the prompts queued before. */
   readonly backlogWork: number;
+  /** Expected time until a slot is free, in milliseconds. */
+  readonly slotWaitMs: number;
   /** Compact key of the engine from which KV cache is copied before prefill. */
   readonly fetchFrom?: number;
 }
@@ -265,6 +269,8 @@
   const backlogWork =
     urgentWork + Math.min(totalWork - urgentWork, request.residualWork);
   const backlogMs = backlogWork * msPerToken;
+  const urgentRatio = totalWork > 0 ? urgentWork / totalWork : 0;
+  const slotWaitMs = estimateSlotWaitMs(candidate, request, urgentRatio);
   return {
     choice: {
       serverId,
@@ -274,9 +280,10 @@
       prefillWork,
       isShortPrompt: unreadTokens < request.shortPromptTokenLimit,
       promptPrefillMs,
-      prefillEndMs: Math.max(backlogMs, copyMs) + promptPrefillMs,
+      prefillEndMs: Math.max(backlogMs, copyMs, slotWaitMs) + promptPrefillMs,
       backlogMs,
       backlogWork,
+      slotWaitMs,
       fetchFrom: canCopy ? copySource.key : undefined,
     },
     copiedTokens,
@@ -290,6 +297,21 @@
   };
 }
 
+/**
+ * Estimates the time until a slot is free for a prompt.
+ *
+ * @param urgentRatio - part of the waiting work that comes before the prompt
+ */
+function estimateSlotWaitMs(
+  {requests, slots}: Candidate,
+  {slotTimeMs}: PromptRequest,
+  urgentRatio: number,
+): number {
+  if (requests < slots) return 0;
+  const before = (requests - slots) * urgentRatio;
+  return ((before + 1) * slotTimeMs) / slots;
+}
+
 function isPauseSensitive({pauseWeight}: PromptRequest): boolean {
   return pauseWeight > minTightPauseWeight;
 }
--- a/src/router/promptAdmission.ts
+++ b/src/router/promptAdmission.ts
@@ -1,8 +1,10 @@
 /**
- * Admission control for long prompts. A prompt that can meet its target is sent
- * at once; one that cannot yields to those that can. This matters in bursts
- * that exceed the capacity of the engines for some seconds: in order of
- * arrival, all prompts would miss their target after the first second.
+ * Admission control for prompts. A prompt that can meet its target is sent at
+ * once; one that cannot yields to those that can, and its caller is told when to
+ * come back. This matters in bursts that exceed the capacity of the engines for
+ * some seconds: in order of arrival, all prompts would miss their target after
+ * the first second, and prompts that are sent shortly before their callers give
+ * up keep the queues of the engines as long as callers wait.
  */
 
 import type {Route} from './deployment.js';
@@ -13,7 +15,10 @@
   readonly waitedMs: number;
   /** Expected time from sending to the first event, in milliseconds. */
   readonly expectedMs: number;
-  /** Expected time to clear the engine's prefill backlog, in milliseconds. */
+  /**
+   * Part of `expectedMs` that passes before the engine begins the prompt, in
+   * milliseconds.
+   */
   readonly backlogMs: number;
   /** Target of the time to first event, in milliseconds. */
   readonly targetMs: number;
@@ -26,23 +31,27 @@
   OnTime = 'onTime',
   /** Sent late, because the engine is idle enough not to delay others. */
   SpareTime = 'spareTime',
-  /** Sent late, because the caller would otherwise time out. */
+  /** Sent late, because an earlier attempt may have run. */
   LastMoment = 'lastMoment',
-  /** Not sent yet; decided again after `recheckIntervalMs`. */
+  /** Not sent yet, because a place may become free until its target. */
   Hold = 'hold',
+  /** Not sent: it would be late, and make others late. */
+  Refuse = 'refuse',
 }
 
 /** Safety margin for delays that the estimate does not cover. */
 const targetMarginMs = 40;
 /** Safety margin before the caller times out. */
 const callerTimeoutMarginMs = 500;
-/** An engine with at most this prefill backlog has spare capacity. */
+/** An engine with at most this backlog has spare capacity. */
 const maxSpareBacklogMs = 60;
-/** Interval between admission decisions for a held prompt, in milliseconds. */
-export const recheckIntervalMs = 60;
-
 /**
- * Decides whether a long prompt is sent now or held.
+ * Backlog, as a ratio of the target, up to which a late prompt is sent once it
+ * has waited. Prompts that arrive can then still be on time.
+ */
+const maxLateBacklogRatio = 0.5;
+/**
+ * Decides whether a prompt is sent now, held or refused.
  *
  * @example
  * decideAdmission({waitedMs: 0, expectedMs: 200, backlogMs: 100,
@@ -53,10 +62,15 @@
   const readyAtMs = waitedMs + expectedMs;
   if (readyAtMs <= targetMs - targetMarginMs) return AdmissionDecision.OnTime;
   if (backlogMs <= maxSpareBacklogMs) return AdmissionDecision.SpareTime;
-  if (readyAtMs >= callerTimeoutMs - callerTimeoutMarginMs) {
-    return AdmissionDecision.LastMoment;
-  }
-  return AdmissionDecision.Hold;
+  const holdLeftMs = Math.max(0, targetMs - waitedMs);
+  const maxLateBacklogMs = targetMs * maxLateBacklogRatio;
+  // A backlog shrinks by at most a millisecond in each.
+  const canBecomeShort = backlogMs - holdLeftMs <= maxLateBacklogMs;
+  if (holdLeftMs > 0 && canBecomeShort) return AdmissionDecision.Hold;
+  return backlogMs <= maxLateBacklogMs &&
+    readyAtMs <= callerTimeoutMs - callerTimeoutMarginMs
+    ? AdmissionDecision.SpareTime
+    : AdmissionDecision.Refuse;
 }
 
 /**
--- a/src/router/requestFailure.ts
+++ b/src/router/requestFailure.ts
@@ -3,7 +3,7 @@
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
 import {Refusal, RefusalReason} from '../protocol/refusal.js';
-import {classifyBreak, type BreakCause} from './breakCause.js';
+import {BreakCause, classifyBreak} from './breakCause.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestLog} from './requestLog.js';
 import {estimateRetryAfterMs} from './returnTime.js';
@@ -60,6 +60,12 @@
     );
   }
 
+  /** Ends a request that no server would answer in time. */
+  failUntimely(retryAfterMs: number): void {
+    const message = 'no backend server can take the request in time';
+    this.failUnsent(BreakCause.NoServerLeft, false, message, retryAfterMs);
+  }
+
   /** Ends a request that isn't sent, or not once more. */
   failUnsent(
     cause: BreakCause,
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -19,12 +19,9 @@
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestForwarderOptions} from './forwarderOptions.js';
 import {computeLimitWaitMs} from './limitWait.js';
-import {
-  AdmissionDecision,
-  computeCallerTimeoutMs,
-  decideAdmission,
-  recheckIntervalMs,
-} from './promptAdmission.js';
+import {HoldQueues} from './holdQueue.js';
+import {AdmissionDecision} from './promptAdmission.js';
+import {estimateReturnMs, RequestAdmission} from './requestAdmission.js';
 import {RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
@@ -42,17 +39,22 @@
 
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
-  constructor(private readonly options: RequestForwarderOptions) {}
+  private readonly holdQueues = new HoldQueues();
+
+  constructor(private readonly options: RequestForwarderOptions) {
+    options.loads.watch(addedWork => {
+      if (addedWork === 0) this.holdQueues.wakeNext();
+    });
+  }
 
   /** Answers the caller; never throws for a failure of a backend server. */
   async forward(request: ForwardedRequest): Promise<void> {
-    await new Forwarding(this.options, request).run();
+    await new Forwarding(this.options, request, this.holdQueues).run();
   }
 }
 
 /** State of one request from its first attempt to its answer. */
 class Forwarding implements AttemptListener {
-  private readonly deadlineMs: number;
   private readonly deadlineAtMs: number;
   private readonly isRetryable: boolean;
   private readonly requestKey: number;
@@ -77,17 +79,18 @@
   );
   private readonly log: RequestLog;
   private readonly failure: RequestFailure;
+  private readonly admission: RequestAdmission;
 
   constructor(
     private readonly options: RequestForwarderOptions,
     private readonly request: ForwardedRequest,
+    holdQueues: HoldQueues,
   ) {
     const {exchange, route, customer, body} = request;
     const waitMs = Math.min(
       exchange.request.deadlineMs ?? route.timeoutMs,
       route.timeoutMs,
     );
-    this.deadlineMs = waitMs;
     this.deadlineAtMs = exchange.startedAtMs + waitMs;
     this.isRetryable =
       route.kind === RouteKind.Idempotent ||
@@ -104,6 +107,8 @@
     const {log, budget} = this;
     const {selector} = options;
     this.failure = new RequestFailure({request, selector, log, budget});
+    const holdQueue = holdQueues.get(request.service);
+    this.admission = new RequestAdmission(request, holdQueue, waitMs);
   }
 
   async run(): Promise<void> {
@@ -132,12 +137,17 @@
         await waitFor(waitMs, exchange.signal);
         continue;
       }
-      if (this.shouldHold(selection)) {
-        // Jitter keeps routers that hold prompts from sending all at once.
-        const delayMs = recheckIntervalMs * (0.5 + Math.random());
-        await waitFor(delayMs, exchange.signal);
+      const decision = this.admission.decide(selection, this);
+      if (decision === AdmissionDecision.Hold) {
+        await this.admission.wait();
         continue;
       }
+      if (decision === AdmissionDecision.Refuse) {
+        this.failure.failUntimely(estimateReturnMs(selection));
+        return;
+      }
+      this.admission.recordSend();
+      this.log.admission = decision;
       if (verdict.kind === VerdictKind.Probe) {
         this.isProbe = true;
         this.options.quarantine.recordProbe(verdict.suspect);
@@ -199,22 +209,9 @@
     return this.deadlineAtMs - performance.now();
   }
 
-  /** True for a long prompt that must yield to others. */
-  private shouldHold(selection: Selection): boolean {
-    const {exchange, route} = this.request;
-    if (selection.isShortPrompt) return false;
-    const decision = decideAdmission({
-      waitedMs: performance.now() - exchange.startedAtMs,
-      expectedMs: selection.expectedMs,
-      backlogMs: selection.backlogMs,
-      targetMs: route.targetMs,
-      callerTimeoutMs: computeCallerTimeoutMs(route, this.deadlineMs),
-    });
-    if (decision === AdmissionDecision.Hold && !this.lastAttempt?.hasEvents) {
-      return true;
-    }
-    this.log.admission = decision;
-    return false;
+  /** True if the caller may have a part of the answer. */
+  get hasEvents(): boolean {
+    return this.lastAttempt?.hasEvents ?? false;
   }
 
   private select(
@@ -235,8 +232,7 @@
   private measureLimitWaitMs(): number | undefined {
     const {route} = this.request;
     const {limits} = this.options;
-    const hasEvents = this.lastAttempt?.hasEvents ?? false;
-    if (limits.isEmpty || !this.canSend || hasEvents) return undefined;
+    if (limits.isEmpty || !this.canSend || this.hasEvents) return;
     const request = this.buildSelectionRequest();
     return computeLimitWaitMs({
       waitMs: this.options.selector.measureLimitWaitMs(request),
@@ -335,7 +331,7 @@
         ? {failed: new Set(used)}
         : {excluded: new Set([...this.excluded, ...used])},
     );
-    if (!selection || this.shouldHold(selection)) return undefined;
+    if (!selection || !this.admission.canSend(selection, this)) return;
     const {id} = selection.server;
     // The selector names these servers only when no other is left.
     return outcomes.isUnwilling(id) || outcomes.isUnreachable(id)
@@ -499,7 +495,7 @@
   }
 
   /** True if a backend server may have run the request. */
-  private get mayHaveRun(): boolean {
+  get mayHaveRun(): boolean {
     return this.runs + this.attempts.size > 0;
   }
 
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -2,6 +2,7 @@
 import type {AnvilstallError} from '../protocol/errors.js';
 import {superviseAttempt, type AttemptBounds} from './attemptSupervisor.js';
 import {
+  AttemptKind,
   BackendAttempt,
   type AttemptResult,
   type StreamListener,
@@ -55,7 +56,7 @@
   private readonly ticket: LoadTicket;
   private readonly withdrawPlacement: () => void;
   private readonly attempt: BackendAttempt;
-  private hasReceivedEvents = false;
+  private firstEventAtMs: number | undefined;
   private receivedHead: StreamHead | undefined;
 
   constructor(
@@ -113,7 +114,7 @@
 
   /** True once an event of this attempt has arrived. */
   get hasEvents(): boolean {
-    return this.hasReceivedEvents;
+    return this.firstEventAtMs !== undefined;
   }
 
   /** Head of the stream, once it has arrived. */
@@ -153,6 +154,7 @@
         isServerActive: () => components.outcomes.hasRecentEvent(id),
       });
       if (!this.hasEvents) this.withdrawPlacement();
+      this.recordSlotTime(result);
       return result;
     } finally {
       this.connection.release();
@@ -170,13 +172,20 @@
   ): boolean {
     const {components, selection} = this.options;
     components.outcomes.recordEvent(selection.server.id);
-    if (!this.hasReceivedEvents) this.recordFirstEvent();
+    if (!this.hasEvents) this.recordFirstEvent();
     return this.listener.receiveEvents(this, events, resume);
   }
 
+  private recordSlotTime({kind}: AttemptResult): void {
+    if (kind !== AttemptKind.Streamed || !this.firstEventAtMs) return;
+    const {components, request} = this.options;
+    const ms = performance.now() - this.firstEventAtMs;
+    components.selector.recordSlotTime(request.service, ms);
+  }
+
   private recordFirstEvent(): void {
     const {components, request, selection, sharedParts} = this.options;
-    this.hasReceivedEvents = true;
+    this.firstEventAtMs = performance.now();
     components.quarantine.recordStart(sharedParts);
     this.ticket.finishPrefill();
     components.selector.recordFirstEvent(
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -77,6 +77,8 @@
   readonly backlogMs: number;
   /** Work of the engine's prefill backlog. */
   readonly backlogWork: number;
+  /** Expected time until the engine has a free slot, in milliseconds. */
+  readonly slotWaitMs: number;
   /** Requests in flight at the server, from all routers, at selection. */
   readonly serverRequests: number;
   /** Sum of the pause weights of the server's streams. */
@@ -104,6 +106,7 @@
   >();
   private readonly prefillStatistics = new Map<string, PrefillStatistics>();
   private readonly serviceTimesMs = new Map<string, number>();
+  private readonly slotTimesMs = new Map<string, number>();
   private newPlacements: Array<[number, number]> = [];
 
   /** Shortest `maxPauseMs` of the routes to each service. */
@@ -130,7 +133,18 @@
    * @param ms - time from sending the request to its first event
    */
   recordFirstEvent(selection: Selection, service: string, ms: number): void {
-    this.getPrefillStatistics(service).record(selection, ms);
+    const prefillMs = ms - selection.slotWaitMs;
+    this.getPrefillStatistics(service).record(selection, prefillMs);
+  }
+
+  /**
+   * Updates the mean time for which a stream occupies a slot of an engine.
+   *
+   * @param ms - time from the first event to the end
+   */
+  recordSlotTime(service: string, ms: number): void {
+    const meanMs = this.slotTimesMs.get(service) ?? ms;
+    this.slotTimesMs.set(service, meanMs + (ms - meanMs) * sampleWeight);
   }
 
   /** Updates the average service time after an answer of a plain service. */
@@ -309,6 +323,7 @@
           unreadTokens: 0,
           prefillWork: 0,
           backlogWork: 0,
+          slotWaitMs: 0,
           isShortPrompt: true,
           promptPrefillMs: 0,
           prefillEndMs: serviceTimeMs,
@@ -352,6 +367,7 @@
         pauseWeight,
         rank: request.rank,
         residualWork: statistics.residualWork,
+        slotTimeMs: this.slotTimesMs.get(service) ?? 0,
         kvTransfer: this.findKvTransfer(service),
         prefillTokensPerMs,
         shortPromptTokenLimit: computeShortPromptTokenLimit(
@@ -386,6 +402,7 @@
       unreadTokens: choice.unreadTokens,
       prefillWork: choice.prefillWork,
       backlogWork: choice.backlogWork,
+      slotWaitMs: choice.slotWaitMs,
       isShortPrompt: choice.isShortPrompt,
       fetchFrom: source && `${source.host}:${source.port}`,
       expectedMs,
--- /dev/null
+++ b/tests/router/holdQueue.test.ts
@@ -0,0 +1,84 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {HoldQueue} from '../../src/router/holdQueue.js';
+
+describe('queue of requests that wait for room at the servers', () => {
+  let clock: Clock;
+  let queue: HoldQueue;
+  let woken: string[];
+
+  beforeEach(() => {
+    clock = FakeTimers.install({
+      toFake: ['performance', 'setInterval', 'clearInterval'],
+    });
+    queue = new HoldQueue();
+    woken = [];
+  });
+
+  afterEach(() => clock.uninstall());
+
+  function hold(name: string, rank: number, latestAtMs: number): void {
+    const {signal} = new AbortController();
+    void queue.wait({rank, latestAtMs}, signal).then(() => woken.push(name));
+  }
+
+  async function settle(): Promise<void> {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+
+  // Guards against sending a less urgent request before a more urgent one.
+  it('should wake the most urgent first, then the one that can wait least', async () => {
+    hold('late', 1, 900);
+    hold('soon', 1, 500);
+    hold('urgent', 0, 900);
+    for (let i = 0; i < 3; i++) queue.wakeNext();
+    await settle();
+    expect(woken).to.deep.equal(['urgent', 'soon', 'late']);
+  });
+
+  // Guards against a selection for each of hundreds of requests every 60 ms.
+  it('should wake a few in each check and all that can wait no longer', async () => {
+    for (let i = 0; i < 200; i++) hold('waiting', 1, 2_000);
+    for (let i = 0; i < 7; i++) hold('due', 2, 50);
+    clock.tick(60);
+    await settle();
+    expect(woken.filter(name => name === 'due')).to.have.length(7);
+    expect(woken).to.have.length(7 + 4);
+    expect(queue.size).to.equal(196);
+  });
+
+  it('should not keep the request of a caller that has left', async () => {
+    const caller = new AbortController();
+    const wait = queue.wait({rank: 0, latestAtMs: 500}, caller.signal);
+    caller.abort();
+    await wait;
+    expect(queue.size).to.equal(0);
+    await queue.wait({rank: 0, latestAtMs: 500}, caller.signal);
+    expect(queue.size).to.equal(0);
+  });
+
+  // Guards against holding requests that can't be served before they are late.
+  it('should take no request that would wait too long at the present rate', () => {
+    const held = {rank: 1, latestAtMs: 2_000};
+    for (let i = 0; i < 30; i++) hold('before', 1, 1_900);
+    expect(queue.canWait(held)).to.equal(true);
+    for (let i = 0; i < 20; i++) {
+      clock.tick(60);
+      hold('again', 1, 1_900);
+    }
+    expect(queue.canWait(held)).to.equal(false);
+    // Guards against starving the most urgent, which pass all others.
+    expect(queue.canWait({rank: 0, latestAtMs: 2_000})).to.equal(true);
+    for (let i = 0; i < 80; i++) queue.recordStart();
+    expect(queue.canWait(held)).to.equal(true);
+  });
+
+  it('should have no timer while nothing waits', async () => {
+    hold('only', 1, 10);
+    clock.tick(60);
+    await settle();
+    expect(woken).to.deep.equal(['only']);
+    clock.tick(60);
+    expect(clock.countTimers()).to.equal(0);
+  });
+});
--- a/tests/router/placement.test.ts
+++ b/tests/router/placement.test.ts
@@ -55,6 +55,7 @@
     pauseWeight: 0,
     rank: 5,
     residualWork: 0,
+    slotTimeMs: 0,
     kvTransfer: {kvBytesPerToken: 18_432, kvLinkMbps: 280_000},
     prefillTokensPerMs: 50,
     shortPromptTokenLimit: 1_024,
@@ -234,6 +235,7 @@
       prefillEndMs: 67.5,
       backlogMs: 0,
       backlogWork: 0,
+      slotWaitMs: 0,
       fetchFrom: undefined,
     });
   });
