Grant late requests a turn when no more connections come in

A request whose connection had waited for half of its target was refused whatever the processor did next.

A late request is refused while connections still come in, which is the sign of overload, or when its slice had no time for it, as before. Otherwise it is granted a turn, behind the requests of its rank that aren't late.

--- a/src/router/turnQueue.ts
+++ b/src/router/turnQueue.ts
@@ -25,7 +25,10 @@
 export interface TurnRequest {
   /** 0 is the most urgent. Within a rank, the first to arrive is the first. */
   readonly rank: number;
-  /** Negative for a request that is too late already. */
+  /**
+   * Negative for a request that is too late already. It gets a turn only if the
+   * processor has time for it at once and no more connections come in.
+   */
   readonly maxWaitMs: number;
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal;
@@ -140,30 +143,40 @@
         return false;
       }
       // The end of the caller's connection may be unread.
-      if (iteration === this.iteration) return true;
+      if (iteration === this.iteration || nowMs <= expiresAtMs) return true;
+      // Before the second slice, no turn could have been granted.
       const couldBeTaken = iteration < this.iteration - 1;
-      if (!isLate && !(couldBeTaken && nowMs > expiresAtMs)) return true;
+      const isAccepting = this.lastAcceptIteration === this.iteration;
+      if (!couldBeTaken && !(isLate && isAccepting)) return true;
       settle(Turn.Expired);
       return false;
     });
   }
 
   /**
-   * Takes the most urgent request. A request may have waited in the socket, and
+   * Takes the most urgent request, of these one that isn't late if there is one.
+   * A request may have waited in the socket, and
    * whether its caller has left shows only at the next poll: the end of a
    * connection isn't read together with the data before it. So it isn't taken
    * in the iteration in which it was read.
    */
   private takeMostUrgent(): WaitingTurn | undefined {
     let best: number | undefined;
-    for (const [index, {rank, iteration}] of this.waiting.entries()) {
-      if (iteration === this.iteration) continue;
-      if (best === undefined || rank < this.waiting[best].rank) best = index;
+    for (const [index, turn] of this.waiting.entries()) {
+      if (turn.iteration === this.iteration) continue;
+      if (best === undefined || isBefore(turn, this.waiting[best]))
+        best = index;
     }
     return best === undefined ? undefined : this.waiting.splice(best, 1)[0];
   }
 }
 
+/** True for a request that is taken although the other one came first. */
+function isBefore(turn: WaitingTurn, other: WaitingTurn): boolean {
+  if (turn.rank !== other.rank) return turn.rank < other.rank;
+  return !turn.isLate && other.isLate;
+}
+
 /** Waits until the work that a settled promise causes at once has been done. */
 function waitForMicrotasks(): Promise<void> {
   return new Promise(resolve => process.nextTick(resolve));
