Allow for time without a processor in the test of remaining deadlines

"should be sent with the time that is left" failed in one whole run of the router's tests on a busy machine: a deadline ended 335 ms late, 300 are allowed. The time for which the test's thread waited for a processor is now taken off, as in processorOverload.test.ts; on an idle machine the bound is as strict as before.

--- a/tests/router/acceptWait.test.ts
+++ b/tests/router/acceptWait.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import {expect} from 'chai';
 import {pauseEventLoop} from '../support/eventLoop.js';
+import {readRunQueueWaitMs} from '../support/runQueueWait.js';
 import {
   buildRoute,
   formatBackendAnswer,
@@ -80,13 +81,18 @@
   // deadline was counted from the reading.
   it('should be sent with the time that is left', async () => {
     await start(5_000);
+    const waitedBeforeMs = readRunQueueWaitMs();
     const {sentAtMs} = await callTogether(router.callers, '/orders/1');
+    // On a busy machine, the iterations between markers are longer.
+    const waitedMs = readRunQueueWaitMs() - waitedBeforeMs;
     expect(backend.requests).to.have.length(burst);
     const endsAfterMs = backend.requests.map((request, index) => {
       const leftMs = Number(/x-left: (\d+)/.exec(request)?.[1]);
       return arrivedAtMs[index] - sentAtMs + leftMs;
     });
-    expect(Math.max(...endsAfterMs)).to.be.below(deadlineMs + maxErrorMs);
+    expect(Math.max(...endsAfterMs) - waitedMs).to.be.below(
+      deadlineMs + maxErrorMs,
+    );
   });
 
   // Guards against a router that takes in all that it reads, and answers late or
