Keep slots for requests as urgent as one that found none

When a short prompt is refused for want of slots, less urgent prompts of the service wait for 300 ms, or are refused at their target.

--- a/src/router/holdQueue.ts
+++ b/src/router/holdQueue.ts
@@ -11,6 +11,12 @@
 /** Time constant of the rate at which requests leave the queue for a server. */
 const rateWindowMs = 1_000;
 
+/**
+ * Time for which slots are kept for requests as urgent as one that was refused
+ * because all were taken. Others of its kind arrive within it in a burst.
+ */
+const slotShortageMs = 300;
+
 /** A request that can wait. */
 export interface HeldRequest {
   /** Urgency rank, from 0, the most urgent. */
@@ -39,6 +45,9 @@
   /** When requests began to wait; the rate of starts is unknown before. */
   private waitingSinceMs = Infinity;
 
+  /** Most urgent rank that was refused for want of slots, and when. */
+  private shortage = {rank: Infinity, atMs: -Infinity};
+
   /** Number of requests that wait. */
   get size(): number {
     return this.entries.length;
@@ -88,6 +97,19 @@
     this.starts += 1;
   }
 
+  /** Records that a request was refused because all slots were taken. */
+  recordSlotShortage(rank: number): void {
+    const atMs = performance.now();
+    const isOver = atMs - this.shortage.atMs >= slotShortageMs;
+    if (isOver || rank <= this.shortage.rank) this.shortage = {rank, atMs};
+  }
+
+  /** True if requests of this rank must leave free slots to more urgent ones. */
+  shouldLeaveSlots(rank: number): boolean {
+    const {rank: refusedRank, atMs} = this.shortage;
+    return refusedRank < rank && performance.now() - atMs < slotShortageMs;
+  }
+
   /** Wakes the first request, because a server may have room. */
   wakeNext(): void {
     const entry = this.entries[0];
--- a/src/router/requestAdmission.ts
+++ b/src/router/requestAdmission.ts
@@ -43,23 +43,39 @@
     selection: Selection,
     {mayHaveRun, hasEvents}: AttemptHistory,
   ): AdmissionDecision {
+    if (hasEvents) return AdmissionDecision.OnTime;
+    const decision = this.decideByTimes(selection);
+    const isRefused =
+      decision === AdmissionDecision.Refuse ||
+      (decision === AdmissionDecision.Hold && !this.queue.canWait(this.held));
+    if (!isRefused) return decision;
+    // The caller of a request that may have run can't be told to come back.
+    if (mayHaveRun) return AdmissionDecision.LastMoment;
+    if (selection.isShortPrompt && selection.slotWaitMs > 0) {
+      this.queue.recordSlotShortage(this.held.rank);
+    }
+    return AdmissionDecision.Refuse;
+  }
+
+  private decideByTimes(selection: Selection): AdmissionDecision {
     const {exchange, route} = this.request;
+    const {latestAtMs, rank} = this.held;
+    const isEngine = exchange.request.promptParts.length > 0;
+    if (isEngine && this.queue.shouldLeaveSlots(rank)) {
+      return performance.now() < latestAtMs
+        ? AdmissionDecision.Hold
+        : AdmissionDecision.Refuse;
+    }
     // A short prompt delays others only where it takes a slot.
     const isHarmless = selection.isShortPrompt && selection.slotWaitMs === 0;
-    if (isHarmless || hasEvents) return AdmissionDecision.OnTime;
-    const decision = decideAdmission({
+    if (isHarmless) return AdmissionDecision.OnTime;
+    return decideAdmission({
       waitedMs: performance.now() - exchange.startedAtMs,
       expectedMs: selection.expectedMs,
       backlogMs: measureQueueMs(selection),
       targetMs: route.targetMs,
       callerTimeoutMs: computeCallerTimeoutMs(route, this.deadlineMs),
     });
-    const isRefused =
-      decision === AdmissionDecision.Refuse ||
-      (decision === AdmissionDecision.Hold && !this.queue.canWait(this.held));
-    if (!isRefused) return decision;
-    // The caller of a request that may have run can't be told to come back.
-    return mayHaveRun ? AdmissionDecision.LastMoment : AdmissionDecision.Refuse;
   }
 
   /** True if the request may be sent to the server beside an attempt. */
--- a/tests/router/holdQueue.test.ts
+++ b/tests/router/holdQueue.test.ts
@@ -73,6 +73,21 @@
     expect(queue.canWait(held)).to.equal(true);
   });
 
+  // Guards against refusing urgent requests for want of slots while less urgent
+  // ones begin.
+  it('should keep slots for requests as urgent as one that found none', () => {
+    expect(queue.shouldLeaveSlots(3)).to.equal(false);
+    queue.recordSlotShortage(1);
+    queue.recordSlotShortage(2);
+    expect(queue.shouldLeaveSlots(1)).to.equal(false);
+    expect(queue.shouldLeaveSlots(2)).to.equal(true);
+    clock.tick(300);
+    expect(queue.shouldLeaveSlots(3)).to.equal(false);
+    queue.recordSlotShortage(2);
+    expect(queue.shouldLeaveSlots(2)).to.equal(false);
+    expect(queue.shouldLeaveSlots(3)).to.equal(true);
+  });
+
   it('should have no timer while nothing waits', async () => {
     hold('only', 1, 10);
     clock.tick(60);
