Use assertions in the bundle that read no source

Change: the bundle takes `node:assert` from a few lines that only throw.

The new test of codeCache.test.ts fails on the bundle before: it requires `node:assert` 14 times.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -52,6 +52,29 @@
   },
 };
 
+// For the message of a failed assertion without one, Node.js parses the line of
+// the source that holds it: here the whole bundle, for 40 s.
+const usePlainAssertions = {
+  name: 'use assertions that read no source',
+  setup({onResolve, onLoad}) {
+    onResolve({filter: /^(node:)?assert$/}, () => ({
+      path: 'assert',
+      namespace: 'plain',
+    }));
+    onLoad({filter: /^assert$/, namespace: 'plain'}, () => ({
+      contents: `
+        class AssertionError extends Error {
+          code = 'ERR_ASSERTION';
+        }
+        module.exports = function assert(value, message) {
+          if (value) return;
+          if (message instanceof Error) throw message;
+          throw new AssertionError(message ?? 'assertion failed');
+        };`,
+    }));
+  },
+};
+
 const options = {
   bundle: true,
   platform: 'node',
@@ -68,7 +91,7 @@
   outfile: 'target/router.cjs',
   format: 'cjs',
   define: {'process.env.ANVILSTALL_VERSION': JSON.stringify(version)},
-  plugins: [leaveOutUnused, takeHashFunctions],
+  plugins: [leaveOutUnused, takeHashFunctions, usePlainAssertions],
 });
 await build({
   ...options,
--- a/tests/platform/codeCache.test.ts
+++ b/tests/platform/codeCache.test.ts
@@ -75,4 +75,11 @@
     expect(status).to.equal(0);
     expect(stderr).to.contain('code cache rejected');
   });
+
+  // Guards against a router that stands still for 40 s at a failed assertion,
+  // while Node.js parses the bundle for the text of its message.
+  it('should contain no assertions that read the source', () => {
+    const bundle = fs.readFileSync('target/router.cjs', 'utf8');
+    expect(bundle).to.not.match(/require\("(node:)?assert"\)/);
+  });
 });
