Keep the pause of a stream out of the unreachable-servers tests

Its stream is silent while the test waits for seven more servers in the router's view. If that takes longer than the silence limit (0.6 s, checked each 0.3 s), the router rightly resumes the stream at the busy server: it is whole, and sent to 2 servers, not to 9. With a wait of 1.2 s before the servers are published the test fails so each time (expected 'sends' of 9, but got 2).

The routes of these tests now allow pauses of 60 s. What is checked is the same: the source breaks off, seven servers refuse, and the stream goes on at the last one.

--- a/tests/router/unreachableServers.test.ts
+++ b/tests/router/unreachableServers.test.ts
@@ -81,12 +81,14 @@
    */
   async function addBusyServer(): Promise<RunningRouter> {
     // The order that holds the slot must not reach its deadline before the end
-    // of a test.
+    // of a test, nor the pause of a stream the limit at which it is resumed at
+    // another server: the view of servers may take longer than that to change.
     fixture.platform.deployment = {
       ...sampleDeployment,
       routes: sampleDeployment.routes.map(route => ({
         ...route,
         timeoutMs: heldMs,
+        maxPauseMs: route.maxPauseMs && heldMs,
       })),
     };
     let isHeld = false;
