--- a/src/router/peerSocket.ts
+++ b/src/router/peerSocket.ts
@@ -7,7 +7,7 @@
 
 /** Sends datagrams to other routers and receives theirs. */
 export interface PeerSocket {
-  /** Receives datagrams until the signal aborts. */
+  /** Receives datagrams until the signal aborts; rejects if it can't bind. */
   listen(listener: DatagramListener, signal: AbortSignal): Promise<void>;
   /** Sends a datagram to the router with the given IP address. */
   send(host: string, bytes: Uint8Array): void;
@@ -45,9 +45,13 @@
     this.socket.on('error', error =>
       log.warn('UDP socket for peer reports failed', {error: error.message}),
     );
-    await new Promise<void>(resolve =>
-      this.socket.bind(port, address, resolve),
-    );
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(port, address, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
     signal.addEventListener('abort', () => this.socket.close(), {once: true});
   }
 
--- a/tests/router/peerSocket.test.ts
+++ b/tests/router/peerSocket.test.ts
@@ -43,6 +43,21 @@
     expect(received).to.deep.equal([1, 2]);
     expect(lines.join()).to.include('datagram failed').and.include('malformed');
   });
+
+  // Guards against a router that waits for ever at its start, without an error,
+  // because its port is taken.
+  it('should reject if its port is taken', async () => {
+    const address = '127.0.0.21';
+    const port = await findFreePort(address);
+    const stop = new AbortController();
+    const listen = () =>
+      new UdpPeerSocket({address, port, log: new Log({})})
+        .listen(() => undefined, stop.signal)
+        .catch((error: unknown) => String(error));
+    expect(await listen()).to.equal(undefined);
+    expect(await listen()).to.include('EADDRINUSE');
+    stop.abort();
+  });
 });
 
 async function findFreePort(address: string): Promise<number> {
