Decide by events, not by time, how often a lookup runs in its test

"should run at two of three" failed once in 30 runs at a load of 21 on 8 cores: the first server answered after 1.2 s, before the second had held the request for the overlap. The servers of this test and of the two after it now answer when the test says so; the same is checked, also that the connection of a failed attempt closes.

--- a/tests/router/silentLookups.test.ts
+++ b/tests/router/silentLookups.test.ts
@@ -5,6 +5,8 @@
 
 /** Above the silence limit, well below the deadline of the route. */
 const answerAfterMs = 1_200;
+/** Longer than a server may be silent before the request is sent again. */
+const silenceMs = 800;
 
 describe('lookups at slow servers', () => {
   let fixture: RouterFixture;
@@ -55,17 +57,13 @@
     expect(await callLookup()).to.include({status: 200, body: 'ok'});
   });
 
-  /** Publishes servers that answer all requests late; returns these. */
-  async function addLateServers(count: number): Promise<Socket[]> {
-    const runs: Socket[] = [];
+  /** Publishes servers that never answer; returns the requests to them. */
+  async function addSilentServers(count: number) {
+    const runs: Array<{socket: Socket; answer: () => void}> = [];
     for (let i = 0; i < count; i++) {
       await fixture.addBackend((socket, request) => {
-        runs.push(socket);
-        const timer = setTimeout(
-          () => socket.write(formatBackendAnswer(request, 'ok')),
-          answerAfterMs,
-        );
-        socket.on('close', () => clearTimeout(timer));
+        const answer = () => socket.write(formatBackendAnswer(request, 'ok'));
+        runs.push({socket, answer});
       });
     }
     return runs;
@@ -74,24 +72,28 @@
   // Guards against a lookup that runs at more servers than its route allows, or
   // goes on at two of them.
   it('should run at two of three, the first of which is given up', async () => {
-    const runs = await addLateServers(3);
-    const router = await fixture.addRouter();
-    await fixture.waitReady(router);
-    const answer = fixture.call(router, '/status/1');
+    const runs = await addSilentServers(3);
+    const answer = callLookup();
     await fixture.waitUntil(() => runs.length === 2, 'the second run');
-    expect(runs[0].destroyed).to.equal(false);
-    await fixture.waitUntil(() => runs[0].destroyed, 'end of the first run');
+    const [first, second] = runs;
+    expect(first.socket.destroyed).to.equal(false);
+    await fixture.waitUntil(() => first.socket.destroyed, 'end of the first');
+    await new Promise(resolve => setTimeout(resolve, silenceMs));
+    second.answer();
     expect(await answer).to.include({status: 200, body: 'ok'});
     expect(runs).to.have.length(2);
   });
 
   // Guards against running an order twice.
   it('should not share their rule with orders', async () => {
-    const runs = await addLateServers(2);
+    const runs = await addSilentServers(2);
     const router = await fixture.addRouter();
     await fixture.waitReady(router);
-    const answer = await fixture.call(router, '/orders/1');
-    expect(answer).to.include({status: 200, body: 'ok'});
+    const answer = fixture.call(router, '/orders/1');
+    await fixture.waitUntil(() => runs.length > 0, 'the first run');
+    await new Promise(resolve => setTimeout(resolve, answerAfterMs));
+    runs[0].answer();
+    expect(await answer).to.include({status: 200, body: 'ok'});
     expect(runs).to.have.length(1);
   });
 
@@ -99,7 +101,7 @@
   // router, or leaves its request without an answer.
   it('should be answered when the search for another server fails', async () => {
     const {select} = ServerSelector.prototype;
-    const runs = await addLateServers(2);
+    const runs = await addSilentServers(2);
     const router = await fixture.addRouter();
     await fixture.waitReady(router);
     const answer = fixture.call(router, '/status/1');
@@ -112,6 +114,10 @@
     } finally {
       ServerSelector.prototype.select = select;
     }
-    expect(await fixture.call(router, '/status/2')).to.include({status: 200});
+    await fixture.waitUntil(() => runs[0].socket.destroyed, 'end of the run');
+    const next = fixture.call(router, '/status/2');
+    await fixture.waitUntil(() => runs.length === 2, 'the next request');
+    runs[1].answer();
+    expect(await next).to.include({status: 200});
   });
 });
