Check that the UDP port of a router is free in the fixture

The fixture looked for ports that are free over TCP. The reports of routers use UDP, and test processes that run at the same time share the loopback addresses. Two of 30 runs of silentLookups.test.ts failed with EADDRINUSE for that port, as seen in their logs.

--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -1,4 +1,5 @@
 /** Fixture with routers on loopback addresses and scripted backend servers. */
+import dgram from 'node:dgram';
 import http from 'node:http';
 import net from 'node:net';
 import {
@@ -106,10 +107,21 @@
     });
     if (!isFree) continue;
     await new Promise(resolve => server.close(resolve));
-    return port;
+    if (await isUdpPortFree(address, port)) return port;
   }
 }
 
+/** The router's reports use UDP; test processes share the addresses. */
+async function isUdpPortFree(address: string, port: number): Promise<boolean> {
+  const socket = dgram.createSocket('udp4');
+  const isFree = await new Promise<boolean>(resolve => {
+    socket.once('error', () => resolve(false));
+    socket.bind(port, address, () => resolve(true));
+  });
+  await new Promise<void>(resolve => socket.close(() => resolve()));
+  return isFree;
+}
+
 /** A running router with its endpoints. */
 export interface RunningRouter {
   readonly daemon: RouterDaemon;
