--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -6,7 +6,6 @@
 import {DatagramKind, decodeDatagram, encodeDatagram} from './datagramCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView, Peer} from './fleetView.js';
-import {LinkPacer} from './linkPacer.js';
 import type {OwnReportBuilder} from './ownReportBuilder.js';
 import {maxMeshRouters, PeerDiscovery, toMember} from './peerDiscovery.js';
 import {
@@ -92,7 +91,6 @@
   readonly counts = {sent: 0, sentBytes: 0};
   private hasChanges = true;
   private isUrgent = false;
-  private readonly link: LinkPacer;
   private fullReportSentAtMs = -Infinity;
   private wakeSender: (() => void) | undefined;
   private readonly reads: PeerStateReader;
@@ -112,7 +110,6 @@
 
   constructor(private readonly options: PeerExchangeOptions) {
     const {address, endpoints, fleet, reports} = options;
-    this.link = new LinkPacer(endpoints.linkMbps);
     this.socket = options.socket ?? new UdpPeerSocket(options);
     this.reads = new PeerStateReader({
       ...options,
@@ -207,11 +204,7 @@
   }
 
   private computeWaitMs(sinceMs: number): number {
-    const dueMs = this.isUrgent ? 0 : this.computeDueMs(sinceMs);
-    return Math.max(dueMs, this.link.measureWaitMs());
-  }
-
-  private computeDueMs(sinceMs: number): number {
+    if (this.isUrgent) return 0;
     const {fleet, reports} = this.options;
     const members = this.aggregator.listActive().length;
     const {isRelay} = this;
@@ -431,7 +424,6 @@
   private sendDatagram(host: string, bytes: Uint8Array): void {
     this.counts.sent += 1;
     this.counts.sentBytes += bytes.length;
-    this.link.recordSend(bytes.length);
     this.socket.send(host, bytes);
   }
 
