--- a/tests/router/relayLinks.test.ts
+++ b/tests/router/relayLinks.test.ts
@@ -30,6 +30,15 @@
 const leaveMs = 2_800;
 /** Time until ended routers are no longer known as alive, in milliseconds. */
 const afterLeaveMs = 3_000;
+/**
+ * Longest time in which a change reaches all routers of a fleet whose relays
+ * have slow links, in milliseconds. A third of the bound of a deployment.
+ */
+const slowPropagationMs = 1_000;
+/** Longest time that a report may wait for a link, in milliseconds. */
+const maxLinkWaitMs = 150;
+/** Time until fast routers that have returned relay again, in milliseconds. */
+const fastReturnMs = 10_000;
 
 function formatHost(zone: number, index: number): string {
   return `10.${zone}.0.${index + 1}`;
@@ -230,6 +239,32 @@
     expectLinksBelow(maxLinkShare);
   });
 
+  // Guards against relays with slow links that fill their own links for seconds
+  // once no router with a fast link is left: they sent three times what the link
+  // bears, members took their silence for a failure and relayed themselves, and
+  // a new deployment came up to eight seconds late.
+  it('should leave room on slow links while no fast ones are left', async () => {
+    await startFleet();
+    const all = [...zones.keys()];
+    for (let i = 0; i < fastPerZone; i++) {
+      for (const zone of all) network.leave(formatHost(zone, i));
+      await network.advance(betweenLeavesMs);
+    }
+    await network.advance(leaveMs);
+    for (const zone of all) {
+      for (let i = 0; i < fastPerZone; i++) network.stop(formatHost(zone, i));
+    }
+    await network.advance(afterLeaveMs);
+    expect(listRelays().length).to.be.at.most(zones.length + 1);
+    expect(await measurePropagationMs()).to.be.at.most(slowPropagationMs);
+    startFast(...all);
+    await network.advance(fastReturnMs);
+    expect(listRelays().every(isFast)).to.equal(true);
+    for (const {longestLinkWaitMs, options} of network.routers.values()) {
+      expect(longestLinkWaitMs, options.host).to.be.at.most(maxLinkWaitMs);
+    }
+  });
+
   // Guards against members that are lost, or counted twice, when their relay
   // changes twice within a second.
   it('should keep all members when a fast router returns and leaves at once', async () => {
--- a/tests/support/simulatedRouters.ts
+++ b/tests/support/simulatedRouters.ts
@@ -69,6 +69,8 @@
   isOffered = true;
   /** Largest number of bytes sent in any second, and its share of the link. */
   mostBytesPerSecond = 0;
+  /** Longest time that a datagram waited for the link, in milliseconds. */
+  longestLinkWaitMs = 0;
   listener: DatagramListener | undefined;
   private linkBusyUntilMs = 0;
   private readonly stopped = new AbortController();
@@ -235,6 +237,8 @@
     const {host, linkMbps} = this.options;
     const sendMs = (bytes.length * 8) / (linkMbps * 1_000);
     this.linkBusyUntilMs = Math.max(nowMs, this.linkBusyUntilMs) + sendMs;
+    const waitMs = this.linkBusyUntilMs - nowMs;
+    this.longestLinkWaitMs = Math.max(this.longestLinkWaitMs, waitMs);
     this.network.sendDatagram(host, to, bytes, this.linkBusyUntilMs - nowMs);
   }
 }
