Bound the share of a relay's link that its reports take

Cause: once no router with a fast link was left, routers with 10 Mbit/s relayed for some 33 members. Each round of loads needed a third of a second of such a link and was due every 90 ms. Datagrams then waited for seconds, and with them reads of the platform and answers to callers. Members took the silence for a lost relay and relayed themselves, each relay passing on the reports of all others, so that the traffic grew further.

A roll of all routers beside bursts, with the fast ones alive, spread each version within 0.5 s on the old code.

Change: reports with loads wait until they fit into half of the link. Meanwhile members and other relays get versions and live routers every 200 ms, and of each other relay only its last full report and changes are passed on. One report names at most 100 prompt parts.

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -4,8 +4,9 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {DatagramKind, decodeDatagram, encodeDatagram} from './datagramCodec.js';
 import type {DeploymentStore} from './deploymentStore.js';
-import type {FleetView, Peer} from './fleetView.js';
+import type {FleetView} from './fleetView.js';
 import type {OwnReportBuilder} from './ownReportBuilder.js';
+import {PacedSender} from './pacedSender.js';
 import {maxMeshRouters, PeerDiscovery, toMember} from './peerDiscovery.js';
 import {
   RouterStatus,
@@ -17,6 +18,7 @@
 import {PeerStateReader} from './peerStateReader.js';
 import type {CrashQuarantine} from './crashQuarantine.js';
 import type {PublishedStateReader} from './publishedState.js';
+import {RelayHeartbeats} from './relayHeartbeats.js';
 import {RelaySelector} from './relaySelector.js';
 import {RelayAggregator, type RelaySelf} from './relayAggregator.js';
 import {hasUpdates, type RelayReport} from './relayReport.js';
@@ -46,16 +48,10 @@
  * changes and may be lost.
  */
 const fullReportIntervalMs = 1_200;
+/** A relay whose link is too slow for that sends one of this many in full. */
+const minReportsBetweenFull = 3;
 /** Time between reports of a resting router, in milliseconds. */
 const restingIntervalMs = 1_200;
-/** Time between heartbeats to resting routers, in milliseconds. */
-const heartbeatIntervalMs = 400;
-/**
- * Time between heartbeats that list all routers that a resting one must know,
- * in milliseconds.
- */
-const fullHeartbeatIntervalMs = 4_800;
-
 export interface PeerExchangeOptions {
   readonly address: string;
   /** UDP port, the same on every VM. */
@@ -86,11 +82,13 @@
 /** Sends the own reports and processes those of other routers. */
 export class PeerExchange {
   private readonly socket: PeerSocket;
+  private readonly sender: PacedSender;
   /** Totals since the start, for logs. */
   readonly counts = {sent: 0, sentBytes: 0};
   private hasChanges = true;
   private isUrgent = false;
   private fullReportSentAtMs = -Infinity;
+  private reportsSinceFull = 0;
   private wakeSender: (() => void) | undefined;
   private readonly reads: PeerStateReader;
   private readonly aggregator = new RelayAggregator();
@@ -99,17 +97,12 @@
   /** Relay of the own zone that was logged last. */
   private relay: string | undefined;
   private readonly discovery: PeerDiscovery;
-  private heartbeatSentAtMs = -Infinity;
-  private fullHeartbeatSentAtMs = -Infinity;
-  /**
-   * Hosts and statuses of the active routers in the last heartbeat. Resting
-   * members need both to select another relay before theirs has left.
-   */
-  private heartbeatStatuses = '';
+  private readonly heartbeats: RelayHeartbeats;
 
   constructor(private readonly options: PeerExchangeOptions) {
     const {address, endpoints, fleet, reports} = options;
     this.socket = options.socket ?? new UdpPeerSocket(options);
+    this.sender = new PacedSender(this.socket, endpoints.linkMbps);
     this.reads = new PeerStateReader({
       ...options,
       announce: () => this.announce(),
@@ -120,6 +113,12 @@
       linkMbps: endpoints.linkMbps,
       getStatus: () => reports.status,
     });
+    this.heartbeats = new RelayHeartbeats({
+      zone: endpoints.zone,
+      fleet,
+      aggregator: this.aggregator,
+      send: (host, datagram) => this.sendDatagram(host, datagram),
+    });
     this.discovery = new PeerDiscovery({
       ...options,
       send: (host, datagram) =>
@@ -150,6 +149,7 @@
 
   /** Opens the socket; receives datagrams until the signal aborts. */
   async listen(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.sender.clear(), {once: true});
     await this.socket.listen(
       (bytes, host) => this.receive(bytes, host, signal),
       signal,
@@ -183,6 +183,11 @@
         await this.waitForChange(waitMs, signal);
         continue;
       }
+      if (this.sender.isBusy) {
+        const self = this.buildSelf(this.selector.select());
+        this.heartbeats.sendInterim(self, this.listOtherRelays());
+        continue;
+      }
       sentAtMs = performance.now();
       this.hasChanges = false;
       this.isUrgent = false;
@@ -196,6 +201,10 @@
   }
 
   private computeWaitMs(sinceMs: number): number {
+    if (this.sender.isBusy) {
+      const heartbeatMs = this.heartbeats.measureInterimWaitMs();
+      return Math.min(heartbeatMs, this.sender.measureWaitMs() + 1);
+    }
     if (this.isUrgent) return 0;
     const {fleet, reports} = this.options;
     const members = this.aggregator.listActive().length;
@@ -223,9 +232,7 @@
   }
 
   private sendReports(): void {
-    const isFull =
-      performance.now() - this.fullReportSentAtMs >= fullReportIntervalMs;
-    if (isFull) this.fullReportSentAtMs = performance.now();
+    const isFull = this.tryStartFullReport();
     if (!this.usesRelays) {
       this.sendToAll(isFull);
       return;
@@ -238,6 +245,18 @@
     if (relay !== undefined) this.sendToRelay(relay, isFull);
   }
 
+  /** True if the next report is to be a full one. */
+  private tryStartFullReport(): boolean {
+    this.reportsSinceFull += 1;
+    const nowMs = performance.now();
+    if (nowMs - this.fullReportSentAtMs < fullReportIntervalMs) return false;
+    const isEnough = this.reportsSinceFull >= minReportsBetweenFull;
+    if (this.isRelay && !isEnough) return false;
+    this.fullReportSentAtMs = nowMs;
+    this.reportsSinceFull = 0;
+    return true;
+  }
+
   private logRelayChange(relay: string | undefined): void {
     const {log, address} = this.options;
     const host = relay ?? address;
@@ -254,7 +273,7 @@
       if (status === RouterStatus.Resting) resting.push(host);
       else this.sendDatagram(host, bytes);
     }
-    if (!this.tryStartHeartbeat() || resting.length === 0) return;
+    if (!this.heartbeats.tryStart() || resting.length === 0) return;
     const heartbeat = {...report, servers: [], placements: []};
     const heartbeatBytes = encodeDatagram({
       kind: DatagramKind.Report,
@@ -263,14 +282,6 @@
     for (const host of resting) this.sendDatagram(host, heartbeatBytes);
   }
 
-  /** Starts a new heartbeat interval if the last one is over. */
-  private tryStartHeartbeat(): boolean {
-    const nowMs = performance.now();
-    if (nowMs - this.heartbeatSentAtMs < heartbeatIntervalMs) return false;
-    this.heartbeatSentAtMs = nowMs;
-    return true;
-  }
-
   private sendToRelay(relay: string, isFull: boolean): void {
     const {fleet, reports} = this.options;
     const report = this.buildReport(true, isFull);
@@ -289,30 +300,18 @@
    * still serves members that have chosen it by an outdated view of the fleet
    */
   private sendAsRelay(relay: string | undefined, wantsFull: boolean): void {
-    const {address, endpoints, reports, fleet} = this.options;
+    const {address} = this.options;
     const isChosen = relay === undefined;
-    const peer = fleet.listAlive().find(({host}) => host === relay);
     const isFull = wantsFull || isChosen !== this.wasRelay;
     this.wasRelay = isChosen;
     const own = isChosen ? this.buildReport(false, isFull) : undefined;
-    const {incarnation, sequence, status, versions} = reports;
-    const self = {
-      versions,
-      member: {...endpoints, host: address, status},
-      incarnation,
-      sequence,
-      servers: own?.servers ?? [],
-      placements: own?.placements ?? [],
-      notices: reports.listNotices(),
-      // Resting and new members get no other report with all evidence.
-      crashEvidence: reports.listCrashEvidence(true),
-      limits: reports.listLimits(true),
-      routers: fleet.listKnown().length + 1,
-      relay: peer && toMember(peer),
-    };
+    const self = this.buildSelf(relay, own);
     const report = this.aggregator.build(self, isFull);
     const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
-    for (const host of this.listOtherRelays()) this.sendDatagram(host, bytes);
+    this.heartbeats.recordReport();
+    for (const host of this.listOtherRelays()) {
+      this.scheduleDatagram(host, bytes);
+    }
     const otherRelayDatagrams = this.aggregator.drainOtherRelays();
     const active = this.aggregator.listActive();
     const isNew = (host: string) => !isFull && this.aggregator.isNew(host);
@@ -333,7 +332,28 @@
       this.sendBundle(joined, [[address, fullBytes], ...otherRelayDatagrams]);
     }
     this.aggregator.markInformed(active);
-    if (this.tryStartHeartbeat()) this.sendHeartbeat(self);
+    if (this.heartbeats.tryStart()) this.heartbeats.sendToResting(self);
+  }
+
+  /** @param own - the own load, if it is part of the sums */
+  private buildSelf(relay: string | undefined, own?: PeerReport): RelaySelf {
+    const {address, endpoints, reports, fleet} = this.options;
+    const peer = fleet.listAlive().find(({host}) => host === relay);
+    const {incarnation, sequence, status, versions} = reports;
+    return {
+      versions,
+      member: {...endpoints, host: address, status},
+      incarnation,
+      sequence,
+      servers: own?.servers ?? [],
+      placements: own?.placements ?? [],
+      notices: reports.listNotices(),
+      // Resting and new members get no other report with all evidence.
+      crashEvidence: reports.listCrashEvidence(true),
+      limits: reports.listLimits(true),
+      routers: fleet.listKnown().length + 1,
+      relay: peer && toMember(peer),
+    };
   }
 
   private sendBundle(
@@ -342,53 +362,7 @@
   ): void {
     if (hosts.length === 0) return;
     const bundle = encodeDatagram({kind: DatagramKind.Bundle, parts});
-    for (const host of hosts) this.sendDatagram(host, bundle);
-  }
-
-  /**
-   * Tells resting members which routers take requests. New members, and at
-   * longer intervals all of them, also get the resting routers of the members'
-   * zones.
-   */
-  private sendHeartbeat(self: RelaySelf): void {
-    const {fleet, endpoints} = this.options;
-    const nowMs = performance.now();
-    const isFull =
-      nowMs - this.fullHeartbeatSentAtMs >= fullHeartbeatIntervalMs;
-    if (isFull) this.fullHeartbeatSentAtMs = nowMs;
-    const isResting = ({status}: Peer) => status === RouterStatus.Resting;
-    const alive = fleet.listAlive();
-    const active = alive.filter(peer => !isResting(peer));
-    const zones = this.aggregator.listZones().add(endpoints.zone);
-    const restingInZones = alive.filter(
-      peer => isResting(peer) && zones.has(peer.identity.zone),
-    );
-    const statuses = [...active, self.member]
-      .map(({host, status}) => `${host} ${status}`)
-      .join();
-    const isChanged = statuses !== this.heartbeatStatuses;
-    this.heartbeatStatuses = statuses;
-    const resting = this.aggregator.listResting();
-    const needsFull = (host: string) => isFull || this.aggregator.isNew(host);
-    const sendTo = (
-      hosts: string[],
-      peers: Peer[],
-      includesMembers: boolean,
-    ) => {
-      if (hosts.length === 0) return;
-      const members = peers.map(toMember);
-      const report = this.aggregator.buildHeartbeat(
-        self,
-        members,
-        includesMembers,
-      );
-      const bytes = encodeDatagram({kind: DatagramKind.Relay, report});
-      this.sendBundle(hosts, [[self.member.host, bytes]]);
-    };
-    sendTo(resting.filter(needsFull), [...active, ...restingInZones], true);
-    const informed = resting.filter(host => !needsFull(host));
-    sendTo(informed, active, isChanged);
-    this.aggregator.markInformed(resting);
+    for (const host of hosts) this.scheduleDatagram(host, bundle);
   }
 
   /** Relays of other zones, and any other relays heard from recently. */
@@ -407,9 +381,19 @@
   }
 
   private sendDatagram(host: string, bytes: Uint8Array): void {
+    this.countSent(bytes);
+    this.sender.send(host, bytes);
+  }
+
+  /** Sends a report with loads, when the link has room. */
+  private scheduleDatagram(host: string, bytes: Uint8Array): void {
+    this.countSent(bytes);
+    this.sender.schedule(host, bytes);
+  }
+
+  private countSent(bytes: Uint8Array): void {
     this.counts.sent += 1;
     this.counts.sentBytes += bytes.length;
-    this.socket.send(host, bytes);
   }
 
   private receive(bytes: Uint8Array, host: string, signal: AbortSignal): void {
@@ -426,7 +410,12 @@
         this.receiveReport(datagram.report, host, signal);
         return;
       case DatagramKind.Relay:
-        this.aggregator.recordOtherRelay(host, bytes, datagram.report);
+        this.aggregator.recordOtherRelay(
+          host,
+          bytes,
+          datagram.report,
+          this.sender.isBusy,
+        );
         this.receiveRelayReport(datagram.report, host);
         this.reads.syncFrom(datagram.report, datagram.report.peers, signal);
         if (hasUpdates(datagram.report)) this.scheduleReport();
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -8,7 +8,7 @@
   type ServerReport,
   type StateVersions,
 } from './peerReport.js';
-import type {FleetMember, RelayReport} from './relayReport.js';
+import {hasUpdates, type FleetMember, type RelayReport} from './relayReport.js';
 
 /** A member silent for longer than this is removed. */
 const memberTimeoutMs = 1_500;
@@ -19,6 +19,11 @@
  * this long. More than two report intervals.
  */
 const movedMemberTimeoutMs = 250;
+/**
+ * Most prompt parts with their engines in one report, the newest. More come
+ * together only while the link is too slow for the usual interval.
+ */
+const maxPlacements = 100;
 /** Name of the own load as a source in the sums. */
 const ownSource = 'own';
 
@@ -30,6 +35,13 @@
   isNew: boolean;
 }
 
+/** A report of another relay that the members haven't got yet. */
+interface OtherRelayDatagram {
+  readonly host: string;
+  readonly datagram: Uint8Array;
+  readonly isFull: boolean;
+}
+
 /** The relay's own part of a report. */
 export interface RelaySelf {
   readonly versions: StateVersions;
@@ -58,7 +70,7 @@
   private readonly reportedHosts = new Set<string>();
   private readonly changedHosts = new Set<string>();
   private placements: Array<readonly [number, number]> = [];
-  private otherRelayDatagrams: Array<[string, Uint8Array]> = [];
+  private otherRelayDatagrams: OtherRelayDatagram[] = [];
 
   /** True if a full report of the router was received. */
   isMember(host: string): boolean {
@@ -128,14 +140,30 @@
     return isChanged;
   }
 
-  /** Keeps another relay's report for the members. */
+  /**
+   * Keeps another relay's report for the members.
+   *
+   * @param isLate - the members get it later than the next report comes; only
+   * the last full report and the last changes of each relay are kept then, so
+   * that the traffic doesn't grow with the delay
+   */
   recordOtherRelay(
     host: string,
     datagram: Uint8Array,
-    {sequences}: RelayReport,
+    report: RelayReport,
+    isLate = false,
   ): void {
     if (this.members.size === 0) return;
-    this.otherRelayDatagrams.push([host, datagram]);
+    const {sequences, isFull} = report;
+    const waiting = this.otherRelayDatagrams;
+    const isNeeded =
+      isFull || hasUpdates(report) || !waiting.some(o => o.host === host);
+    if (isLate && isNeeded) {
+      this.otherRelayDatagrams = waiting.filter(
+        other => other.host !== host || (!isFull && other.isFull),
+      );
+    }
+    if (isNeeded) this.otherRelayDatagrams.push({host, datagram, isFull});
     const sinceMs = performance.now() - movedMemberTimeoutMs;
     const keys = new Set(sequences.map(([key]) => key));
     for (const [member, {heardAtMs}] of this.members) {
@@ -214,7 +242,9 @@
           0,
         ]),
       ],
-      placements: [...this.placements, ...self.placements],
+      placements: [...this.placements, ...self.placements].slice(
+        -maxPlacements,
+      ),
       notices,
       crashEvidence,
       limits,
@@ -257,11 +287,16 @@
     };
   }
 
+  /** Lists the members, for another relay that gets no sums with them. */
+  listAllMembers(): FleetMember[] {
+    return [...this.members.values()].map(({member}) => member);
+  }
+
   /** Returns and clears the reports of other relays since the last call. */
   drainOtherRelays(): Array<[string, Uint8Array]> {
-    const {otherRelayDatagrams} = this;
+    const waiting = this.otherRelayDatagrams;
     this.otherRelayDatagrams = [];
-    return otherRelayDatagrams;
+    return waiting.map(({host, datagram}) => [host, datagram]);
   }
 
   private isResting(host: string): boolean {
