Tell routers that know only a small fleet of all others

Cause: routers that start while their seeds start too know only each other. With up to 24 known they report to those only, and no relay tells them that the fleet is larger.

Change: a router of a large fleet that gets a report as sent within a small one answers with its list of routers, at most every 0.5 s.

--- a/src/router/peerDiscovery.ts
+++ b/src/router/peerDiscovery.ts
@@ -54,6 +54,7 @@
   greetings = 0;
   private seeds: readonly string[];
   private readonly greetedAtMs = new Map<string, number>();
+  private readonly notifiedAtMs = new Map<string, number>();
 
   constructor(private readonly options: PeerDiscoveryOptions) {
     this.seeds = options.seeds;
@@ -106,9 +107,20 @@
   answer(host: string, wanted: WantedAnswer): void {
     if (wanted === WantedAnswer.None) return;
     this.greet(host, WantedAnswer.None);
-    if (wanted !== WantedAnswer.Roster) return;
-    const {send} = this.options;
-    send(host, {kind: DatagramKind.Roster, members: this.listRoster()});
+    if (wanted === WantedAnswer.Roster) this.sendRoster(host);
+  }
+
+  /**
+   * Sends the roster to a router that knows only some of a large fleet. Routers
+   * that start together, after all seeds were lost, would otherwise form a
+   * fleet of their own.
+   */
+  notifyOfFleet(host: string): void {
+    const nowMs = performance.now();
+    const lastMs = this.notifiedAtMs.get(host) ?? -Infinity;
+    if (nowMs - lastMs < greetingIntervalMs) return;
+    this.notifiedAtMs.set(host, nowMs);
+    this.sendRoster(host);
   }
 
   /** Records the roster of a seed. */
@@ -142,6 +154,11 @@
     return {...endpoints, contacts, wantedAnswer: WantedAnswer.None};
   }
 
+  private sendRoster(host: string): void {
+    const {send} = this.options;
+    send(host, {kind: DatagramKind.Roster, members: this.listRoster()});
+  }
+
   private greetRandomSeed(): void {
     const seeds = this.listSeeds();
     if (seeds.length === 0) return;
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -454,6 +454,10 @@
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
       this.discovery.answer(host, wantedAnswer);
     }
+    // Only greetings and the reports within a small fleet aren't for a relay.
+    if (this.usesRelays && !report.isForRelay && !report.identity) {
+      this.discovery.notifyOfFleet(host);
+    }
     if (report.isForRelay) {
       const isChanged = this.aggregator.recordMember(
         host,
