--- a/src/router/peerDiscovery.ts
+++ b/src/router/peerDiscovery.ts
@@ -28,6 +28,12 @@
  * time.
  */
 const greetingIntervalMs = 500;
+/**
+ * Time after which a router that still reports as in a small fleet is sent the
+ * roster, in milliseconds, and between rosters. Most routers of a starting
+ * fleet learn its size sooner.
+ */
+const smallViewIntervalMs = 1_000;
 /** Contacts named in a regular full report. */
 const contactsPerReport = 2;
 
@@ -54,7 +60,8 @@
   greetings = 0;
   private seeds: readonly string[];
   private readonly greetedAtMs = new Map<string, number>();
-  private readonly notifiedAtMs = new Map<string, number>();
+  /** Starts of the intervals in which routers reported as in a small fleet. */
+  private readonly smallViewAtMs = new Map<string, number>();
 
   constructor(private readonly options: PeerDiscoveryOptions) {
     this.seeds = options.seeds;
@@ -111,16 +118,16 @@
   }
 
   /**
-   * Sends the roster to a router that knows only some of a large fleet. Routers
-   * that start together, after all seeds were lost, would otherwise form a
-   * fleet of their own.
+   * Sends the roster to a router that goes on reporting as in a small fleet.
+   * Routers that start together, after all seeds were lost, would otherwise
+   * form a fleet of their own.
    */
   notifyOfFleet(host: string): void {
     const nowMs = performance.now();
-    const lastMs = this.notifiedAtMs.get(host) ?? -Infinity;
-    if (nowMs - lastMs < greetingIntervalMs) return;
-    this.notifiedAtMs.set(host, nowMs);
-    this.sendRoster(host);
+    const sinceMs = nowMs - (this.smallViewAtMs.get(host) ?? -Infinity);
+    if (sinceMs < smallViewIntervalMs) return;
+    this.smallViewAtMs.set(host, nowMs);
+    if (sinceMs < 2 * smallViewIntervalMs) this.sendRoster(host);
   }
 
   /** Records the roster of a seed. */
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -455,7 +455,7 @@
       this.discovery.answer(host, wantedAnswer);
     }
     // Only greetings and the reports within a small fleet aren't for a relay.
-    if (this.usesRelays && !report.isForRelay && !report.identity) {
+    if (this.isRelay && !report.isForRelay && !report.identity) {
       this.discovery.notifyOfFleet(host);
     }
     if (report.isForRelay) {
