--- a/src/router/peerDiscovery.ts
+++ b/src/router/peerDiscovery.ts
@@ -28,6 +28,12 @@
  * time.
  */
 const greetingIntervalMs = 500;
+/**
+ * Time after which a router that still reports as in a small fleet is sent the
+ * roster, in milliseconds, and between rosters. Most routers of a starting
+ * fleet learn its size sooner.
+ */
+const smallViewIntervalMs = 1_000;
 /** Contacts named in a regular full report. */
 const contactsPerReport = 2;
 
@@ -54,6 +60,8 @@
   greetings = 0;
   private seeds: readonly string[];
   private readonly greetedAtMs = new Map<string, number>();
+  /** Starts of the intervals in which routers reported as in a small fleet. */
+  private readonly smallViewAtMs = new Map<string, number>();
 
   constructor(private readonly options: PeerDiscoveryOptions) {
     this.seeds = options.seeds;
@@ -106,9 +114,20 @@
   answer(host: string, wanted: WantedAnswer): void {
     if (wanted === WantedAnswer.None) return;
     this.greet(host, WantedAnswer.None);
-    if (wanted !== WantedAnswer.Roster) return;
-    const {send} = this.options;
-    send(host, {kind: DatagramKind.Roster, members: this.listRoster()});
+    if (wanted === WantedAnswer.Roster) this.sendRoster(host);
+  }
+
+  /**
+   * Sends the roster to a router that goes on reporting as in a small fleet.
+   * Routers that start together, after all seeds were lost, would otherwise
+   * form a fleet of their own.
+   */
+  notifyOfFleet(host: string): void {
+    const nowMs = performance.now();
+    const sinceMs = nowMs - (this.smallViewAtMs.get(host) ?? -Infinity);
+    if (sinceMs < smallViewIntervalMs) return;
+    this.smallViewAtMs.set(host, nowMs);
+    if (sinceMs < 2 * smallViewIntervalMs) this.sendRoster(host);
   }
 
   /** Records the roster of a seed. */
@@ -142,6 +161,11 @@
     return {...endpoints, contacts, wantedAnswer: WantedAnswer.None};
   }
 
+  private sendRoster(host: string): void {
+    const {send} = this.options;
+    send(host, {kind: DatagramKind.Roster, members: this.listRoster()});
+  }
+
   private greetRandomSeed(): void {
     const seeds = this.listSeeds();
     if (seeds.length === 0) return;
