Keep what a suspect explains until the evidence changes

Each request asks, for each part of its prompt, whether it is blocked, and again whenever a server is selected for it.

--- a/src/router/crashQuarantine.ts
+++ b/src/router/crashQuarantine.ts
@@ -10,17 +10,12 @@
  * Routers share crashes, acquittals and probes, so that the whole fleet sends a
  * blocked suspect to a few servers at most.
  */
+import {mergeTimes} from './crashTimes.js';
 import {selectEvidence} from './evidenceLimit.js';
 import {isRequestKey} from './requestKey.js';
 
 /** Crashes that a suspect must explain before it is blocked. */
 export const minCrashes = 3;
-/**
- * Crashes that occur within this time count as one, in milliseconds. A rack that
- * loses power accuses every part that was in use there, but only once. Crashes
- * of different servers under the same request all count.
- */
-const crashMergeMs = 250;
 /**
  * Time from the loss of a connection until the engine counts as crashed, in
  * milliseconds. A live engine sends events of other streams within it.
@@ -188,6 +183,12 @@
   private readonly acquittedUntilMs = new Map<number, number>();
   private readonly probes = new Map<number, ProbeState>();
   private readonly requestedAtMs = new Map<number, number>();
+  /**
+   * Times of the crashes that a suspect explains best, until crashes or accusations
+   * change. Each request asks for them, and each suspect may be accused of
+   * hundreds of crashes.
+   */
+  private readonly explainedTimesMs = new Map<number, readonly number[]>();
 
   constructor(private readonly options: CrashQuarantineOptions) {}
 
@@ -352,6 +353,7 @@
   }
 
   private addCrash(id: number, crash: Crash): void {
+    this.explainedTimesMs.clear();
     // A caller may list a part more than once.
     const suspects = [...new Set(crash.suspects)];
     this.crashes.set(id, {...crash, suspects});
@@ -384,6 +386,7 @@
   }
 
   private removeCrash(id: number): void {
+    this.explainedTimesMs.clear();
     for (const suspect of this.crashes.get(id)?.suspects ?? []) {
       const accusation = this.accusations.get(suspect)!;
       accusation.ids.delete(id);
@@ -398,6 +401,7 @@
   private acquit(suspect: number): boolean {
     const accusation = this.accusations.get(suspect);
     if (!accusation) return false;
+    this.explainedTimesMs.clear();
     // The crash stays, because other routers repeat their reports of it.
     for (const id of accusation.ids) {
       const crash = this.crashes.get(id)!;
@@ -428,10 +432,7 @@
     const accusation = this.accusations.get(suspect);
     if (!accusation || accusation.timesMs.length < minCrashes) return undefined;
     const nowMs = performance.now();
-    const explained = [...accusation.ids].filter(
-      id => this.findMainSuspect(id) === suspect,
-    );
-    const timesMs = this.listTimes(suspect, explained);
+    const timesMs = this.listExplainedTimes(suspect, accusation.ids);
     const crashes = timesMs.length;
     if (crashes < minCrashes) return undefined;
     if (nowMs < timesMs[minCrashes - 1] + settleMs) return undefined;
@@ -451,6 +452,20 @@
     return {crashes, endsAtMs: startMs + durationMs};
   }
 
+  private listExplainedTimes(
+    suspect: number,
+    ids: ReadonlySet<number>,
+  ): readonly number[] {
+    const known = this.explainedTimesMs.get(suspect);
+    if (known) return known;
+    const explained = [...ids].filter(
+      id => this.findMainSuspect(id) === suspect,
+    );
+    const timesMs = this.listTimes(suspect, explained);
+    this.explainedTimesMs.set(suspect, timesMs);
+    return timesMs;
+  }
+
   /**
    * Returns the suspect that explains the most crashes. Among equals it is the
    * last, which the fewest other requests share.
@@ -512,16 +527,6 @@
   return Math.floor(Math.random() * idRange);
 }
 
-/** Sorts times and keeps the first of those that are close together. */
-function mergeTimes(timesMs: readonly number[]): number[] {
-  const merged: number[] = [];
-  for (const timeMs of [...timesMs].sort((a, b) => a - b)) {
-    const lastMs = merged.at(-1) ?? -Infinity;
-    if (timeMs - lastMs > crashMergeMs) merged.push(timeMs);
-  }
-  return merged;
-}
-
 function removeBefore(untilMs: Map<number, number>, nowMs: number): void {
   for (const [key, endMs] of untilMs) {
     if (endMs < nowMs) untilMs.delete(key);
