Refuse late requests only while connections keep coming in

The wait counts towards the refusal once each iteration has accepted a connection for as long as the route's target; then more comes in than the router takes.

--- a/src/router/acceptQueue.ts
+++ b/src/router/acceptQueue.ts
@@ -109,6 +109,14 @@
     return this.iteration - accepted.iteration <= 1 ? accepted.waitMs : 0;
   }
 
+  /**
+   * Time for which each iteration has accepted a connection, in milliseconds:
+   * connections come in at least as fast as the router accepts them.
+   */
+  measureStreakMs(): number {
+    return performance.now() - (this.streakStartedAtMs ?? performance.now());
+  }
+
   /** Time for which the next connection has waited at least, in milliseconds. */
   measureWaitMs(): number {
     for (const {joinedAtMs} of this.markers) {
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -354,9 +354,12 @@
   ): Promise<boolean> {
     const {signal, startedAtMs, acceptWaitMs} = exchange;
     const maxWaitMs = route.targetMs * maxTurnWaitRatio;
+    // After a single stall, a late request may still be answered in time.
+    const isOverloaded = this.acceptQueue.measureStreakMs() >= route.targetMs;
+    const countedMs = isOverloaded ? acceptWaitMs : 0;
     const turn = await this.turns.wait({
       rank,
-      maxWaitMs: maxWaitMs - acceptWaitMs,
+      maxWaitMs: maxWaitMs - countedMs,
       signal,
     });
     switch (turn) {
