--- a/tests/router/retryBudgetSchedules.test.ts
+++ b/tests/router/retryBudgetSchedules.test.ts
@@ -148,7 +148,7 @@
     listStops: () => [] as Array<{index: number; downSteps: number}>,
   };
 
-  // Each restarted router had a full bucket again.
+  // Guards against a full bucket at each restart of a router (BUDGET).
   it('should hold while routers restart one after the other', () => {
     const excess = measureExcess({
       ...base,
@@ -160,7 +160,7 @@
     expect(excess).to.be.at.most(0);
   });
 
-  // Each router that callers came to had a full bucket.
+  // Guards against a full bucket at each router that callers come to (BUDGET).
   it('should hold when callers move to all other routers and back', () => {
     const excess = measureExcess({
       ...base,
@@ -175,7 +175,8 @@
     expect(excess).to.be.at.most(0);
   });
 
-  // A window at the end of a burst may still spend what the burst added.
+  // Guards against any other order of restarts, moves and bursts that exceeds the
+  // budget of the fleet.
   it('should hold on random schedules', () => {
     for (let seed = 1; seed <= 40; seed++) {
       const draw = createDraw(seed);
@@ -200,7 +201,7 @@
     }
   });
 
-  // A router whose relay was lost took itself for one of six.
+  // Guards against a router that takes itself for one of six once its relay is lost.
   it('should be shared with all known routers while none is heard', () => {
     const clock = FakeTimers.install({toFake: ['performance']});
     try {
