--- a/src/router/holdQueue.ts
+++ b/src/router/holdQueue.ts
@@ -44,7 +44,6 @@
   private startsAtMs = performance.now();
   /** When requests began to wait; the rate of starts is unknown before. */
   private waitingSinceMs = Infinity;
-
   /** Most urgent rank that was refused for want of slots, and when. */
   private shortage = {rank: Infinity, atMs: -Infinity};
 
@@ -71,9 +70,7 @@
       signal.addEventListener('abort', leave, {once: true});
       this.entries.splice(this.findPosition(held), 0, entry);
       if (this.timer) return;
-      if (this.waitingSinceMs === Infinity) {
-        this.waitingSinceMs = performance.now();
-      }
+      this.waitingSinceMs = performance.now();
       this.timer = setInterval(() => this.check(), checkIntervalMs);
     });
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -332,10 +332,8 @@
     // grow with the cube of the zone.
     const joined = active.filter(isNew);
     // Resting and new members get no other report with all evidence.
-    const listAll = (): RelaySelf => ({
-      ...self,
-      crashEvidence: reports.listCrashEvidence(true),
-    });
+    const listAll = (): RelaySelf =>
+      isFull ? self : {...self, crashEvidence: reports.listCrashEvidence(true)};
     if (joined.length > 0) {
       const full = this.aggregator.buildFull(listAll());
       const fullBytes = encodeDatagram({
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -260,11 +260,11 @@
 
   /** Waits for this router's turn to restart; see `computeRestartDelayMs`. */
   async waitForRestart(): Promise<void> {
-    const {shutdown, contactBoundMs} = this.settings;
+    const {address: host, shutdown, contactBoundMs} = this.settings;
     const restartMs = shutdown.graceSeconds * 1_000 + contactBoundMs;
+    const {isOffered} = this;
     const others = listRestarting(this.fleet);
-    const offered = {...this.findOffered(), others};
-    const delayMs = computeRestartDelayMs(offered, restartMs);
+    const delayMs = computeRestartDelayMs({host, isOffered, others}, restartMs);
     this.log.warn('restart is due', {delayMs});
     await waitFor(delayMs, this.supervisor.signal);
   }
--- a/src/router/turnQueue.ts
+++ b/src/router/turnQueue.ts
@@ -155,10 +155,10 @@
 
   /**
    * Takes the most urgent request, of these one that isn't late if there is one.
-   * A request may have waited in the socket, and
-   * whether its caller has left shows only at the next poll: the end of a
-   * connection isn't read together with the data before it. So it isn't taken
-   * in the iteration in which it was read.
+   * A request may have waited in the socket, and whether its caller has left
+   * shows only at the next poll: the end of a connection isn't read together
+   * with the data before it. So it isn't taken in the iteration in which it was
+   * read.
    */
   private takeMostUrgent(): WaitingTurn | undefined {
     let best: number | undefined;
--- a/tests/router/retryBudgetSchedules.test.ts
+++ b/tests/router/retryBudgetSchedules.test.ts
@@ -6,6 +6,7 @@
   countSharingRouters,
   RetryBudgets,
 } from '../../src/router/retryBudgets.js';
+import {SeededRandom} from '../../src/standins/seededRandom.js';
 
 const limits = {ratio: 0.2, slack: 344, windowSeconds: 10};
 const service = 'catalogue';
@@ -130,15 +131,6 @@
   return excess;
 }
 
-/** Pseudorandom numbers from 0 to 1, the same for the same seed. */
-function createDraw(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 describe('retry budget of a fleet whose routers change', () => {
   const quietSteps = 100;
   const base = {
@@ -179,7 +171,8 @@
   // budget of the fleet.
   it('should hold on random schedules', () => {
     for (let seed = 1; seed <= 40; seed++) {
-      const draw = createDraw(seed);
+      const random = new SeededRandom(seed);
+      const draw = () => random.draw();
       const burstAt = Math.floor(draw() * 200);
       const burst = 14 + Math.floor(draw() * 60);
       const failsAt = Math.floor(draw() * 200);
