Add sums over the fleet to the reports between routers

The parts of docs/hard-load.md need figures that no router has alone: use by customer, work and time by server, traffic by availability zone. Each router adds its rows to its report, relays add up their members, and all routers add up the relays. Small topics are in every report, others in full ones.

Nothing contributes rows yet, so that callers see no change.

--- a/src/router/ownReportBuilder.ts
+++ b/src/router/ownReportBuilder.ts
@@ -1,4 +1,5 @@
 /** Builds the reports that this router sends about itself. */
+import type {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import type {CrashEvidence, CrashQuarantine} from './crashQuarantine.js';
 import type {
   PeerIdentity,
@@ -18,6 +19,7 @@
   readonly notices: SharedNotices;
   readonly quarantine: CrashQuarantine;
   readonly limits: ServerLimits;
+  readonly totals: FleetTotals;
   readonly getStatus: () => RouterStatus;
   readonly getVersions: () => StateVersions;
 }
@@ -105,6 +107,7 @@
       notices: this.listNotices(),
       crashEvidence: this.listCrashEvidence(identity !== undefined),
       limits: this.listLimits(identity !== undefined),
+      totals: this.options.totals.listOwn(identity !== undefined),
       identity,
     };
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -1,4 +1,5 @@
 /** Exchange of reports with the other routers over UDP. */
+import type {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {formatError, type Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
@@ -65,6 +66,7 @@
   readonly notices: SharedNotices;
   readonly quarantine: CrashQuarantine;
   readonly limits: ServerLimits;
+  readonly totals: FleetTotals;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
@@ -308,7 +310,7 @@
    * still serves members that have chosen it by an outdated view of the fleet
    */
   private sendAsRelay(relay: string | undefined, wantsFull: boolean): void {
-    const {address, reports} = this.options;
+    const {address, reports, totals} = this.options;
     const isChosen = relay === undefined;
     const isFull = wantsFull || isChosen !== this.wasRelay;
     this.wasRelay = isChosen;
@@ -335,7 +337,10 @@
     const listAll = (): RelaySelf =>
       isFull ? self : {...self, crashEvidence: reports.listCrashEvidence(true)};
     if (joined.length > 0) {
-      const full = this.aggregator.buildFull(listAll());
+      const full = this.aggregator.buildFull({
+        ...listAll(),
+        totals: totals.listRelayed(true),
+      });
       const fullBytes = encodeDatagram({
         kind: DatagramKind.Relay,
         report: full,
@@ -343,7 +348,12 @@
       this.sendBundle(joined, [[address, fullBytes], ...otherRelayDatagrams]);
     }
     this.aggregator.markInformed(active);
-    if (this.heartbeats.tryStart()) this.heartbeats.sendToResting(listAll());
+    if (this.heartbeats.tryStart()) {
+      this.heartbeats.sendToResting({
+        ...listAll(),
+        totals: totals.listRelayed(false),
+      });
+    }
   }
 
   /**
@@ -355,7 +365,7 @@
     isFull: boolean,
     own?: PeerReport,
   ): RelaySelf {
-    const {address, endpoints, reports, fleet} = this.options;
+    const {address, endpoints, reports, fleet, totals} = this.options;
     const peer = fleet.listAlive().find(({host}) => host === relay);
     const {incarnation, sequence, status, versions} = reports;
     return {
@@ -368,6 +378,7 @@
       notices: reports.listNotices(),
       crashEvidence: reports.listCrashEvidence(isFull),
       limits: reports.listLimits(true),
+      totals: totals.listRelayed(isFull),
       routers: fleet.listKnown().length + 1,
       relay: peer && toMember(peer),
     };
@@ -469,6 +480,7 @@
     this.options.notices.recordPeer(report.notices, report.isForRelay);
     this.options.quarantine.recordPeer(report.crashEvidence, report.isForRelay);
     this.options.limits.recordPeer(report.limits, report.isForRelay);
+    this.options.totals.recordPeer(host, report.totals, report.isForRelay);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
@@ -498,6 +510,7 @@
     this.options.notices.recordPeer(report.notices, false);
     this.options.quarantine.recordPeer(report.crashEvidence, false);
     this.options.limits.recordPeer(report.limits, false);
+    this.options.totals.recordRelay(host, report.totals);
   }
 
   /**
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,5 +1,11 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
+import {
+  listTotalsFields,
+  readTotalsFields,
+  totalsSchema,
+  type TopicTotals,
+} from '../fleetTotals/totalsReport.js';
 import type {CrashEvidence} from './crashQuarantine.js';
 import type {ServerLimitReport} from './serverLimits.js';
 import {emptyBacklog} from './prefillBacklog.js';
@@ -76,6 +82,7 @@
   z.array(z.number()),
   crashEvidenceSchema,
   serverLimitsSchema,
+  totalsSchema,
   identitySchema.nullable(),
 ]);
 
@@ -136,6 +143,8 @@
   readonly notices: readonly number[];
   readonly crashEvidence: CrashEvidence;
   readonly limits: readonly ServerLimitReport[];
+  /** Rows of this router for the sums of the fleet. */
+  readonly totals: readonly TopicTotals[];
   /** Present only in full reports. */
   readonly identity?: PeerIdentity;
 }
@@ -156,6 +165,7 @@
     [...report.notices],
     listEvidenceFields(report.crashEvidence),
     listLimitFields(report.limits),
+    listTotalsFields(report.totals),
     identity
       ? [
           identity.vm,
@@ -174,7 +184,7 @@
 export function readReportFields(
   fields: z.infer<typeof peerReportSchema>,
 ): PeerReport {
-  const identity = fields[10];
+  const identity = fields[11];
   return {
     incarnation: fields[0],
     sequence: fields[1],
@@ -186,6 +196,7 @@
     notices: fields[7],
     crashEvidence: readEvidenceFields(fields[8]),
     limits: readLimitFields(fields[9]),
+    totals: readTotalsFields(fields[10]),
     identity: identity
       ? {
           vm: identity[0],
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -53,6 +53,8 @@
   readonly notices: PeerReport['notices'];
   readonly crashEvidence: PeerReport['crashEvidence'];
   readonly limits: PeerReport['limits'];
+  /** Sums over this router and its members. */
+  readonly totals: RelayReport['totals'];
   /** Number of routers that it knows, including itself. */
   readonly routers: number;
   /**
@@ -226,6 +228,7 @@
     const key = computeCompactKey(self.member.host);
     const {incarnation, versions, routers, notices, crashEvidence, limits} =
       self;
+    const {totals} = self;
     return {
       incarnation,
       routers,
@@ -248,6 +251,7 @@
       notices,
       crashEvidence,
       limits,
+      totals,
     };
   }
 
@@ -269,7 +273,7 @@
     isFull: boolean,
   ): RelayReport {
     const {member, incarnation, versions, routers} = self;
-    const {notices, crashEvidence, limits} = self;
+    const {notices, crashEvidence, limits, totals} = self;
     const listed = [...alive, member];
     return {
       incarnation,
@@ -283,6 +287,7 @@
       notices,
       crashEvidence,
       limits,
+      totals,
       members: isFull ? listed : [],
     };
   }
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -3,6 +3,12 @@
  * fleet, one router in each zone is the relay of the others there.
  */
 import {z} from 'zod';
+import {
+  listTotalsFields,
+  readTotalsFields,
+  totalsSchema,
+  type TopicTotals,
+} from '../fleetTotals/totalsReport.js';
 import {
   joinServerRows,
   listEvidenceFields,
@@ -55,6 +61,8 @@
   readonly notices: readonly number[];
   readonly crashEvidence: CrashEvidence;
   readonly limits: readonly ServerLimitReport[];
+  /** Sums over the relay and its members. */
+  readonly totals: readonly TopicTotals[];
   /** New and changed members; all members in a full report. */
   readonly members: readonly FleetMember[];
 }
@@ -83,6 +91,7 @@
   z.array(z.number()),
   crashEvidenceSchema,
   serverLimitsSchema,
+  totalsSchema,
   rosterSchema,
 ]);
 
@@ -132,6 +141,7 @@
     [...report.notices],
     listEvidenceFields(report.crashEvidence),
     listLimitFields(report.limits),
+    listTotalsFields(report.totals),
     listMemberFields(report.members),
   ];
 }
@@ -152,7 +162,8 @@
     notices: fields[8],
     crashEvidence: readEvidenceFields(fields[9]),
     limits: readLimitFields(fields[10]),
-    members: readMemberFields(fields[11]),
+    totals: readTotalsFields(fields[11]),
+    members: readMemberFields(fields[12]),
   };
 }
 
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,4 +1,5 @@
 /** Assembles a router from its components and runs it. */
+import {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
 import {SignalAge} from '../node/signalAge.js';
@@ -78,6 +79,9 @@
     announce: () => this.exchange.announce(),
     getPosition: () => findPosition(this.findOffered()),
   });
+  private readonly totals = new FleetTotals({
+    usesRelays: () => this.exchange.usesRelays,
+  });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly connections = new BackendConnections();
@@ -111,7 +115,7 @@
     );
     const {directory, loads, outcomes, fleet, prompts} = this;
     const {metrics, connections, deployments, log, notices, quarantine} = this;
-    const {limits} = this;
+    const {limits, totals} = this;
     const {codec, reader} = platform;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
@@ -134,6 +138,7 @@
       notices,
       quarantine,
       limits,
+      totals,
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
     });
@@ -155,6 +160,7 @@
       notices,
       quarantine,
       limits,
+      totals,
       reader,
       log,
       leaveBoundMs: settings.leaveBoundMs,
--- a/tests/router/relays.test.ts
+++ b/tests/router/relays.test.ts
@@ -1,5 +1,6 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {TotalsTopic} from '../../src/fleetTotals/totalsReport.js';
 import {FleetView} from '../../src/router/fleetView.js';
 import {
   RouterStatus,
@@ -71,6 +72,7 @@
       probes: [{id: 6, ageMs: 30, suspect: 2}],
     },
     limits: [{key: 6, epoch: 2, perSecond: 1.5, ageMs: 70}],
+    totals: [{topic: TotalsTopic.ZoneTraffic, rows: [[4, 700, 21]]}],
     identity: {
       ...buildEndpoints(host),
       contacts: [],
@@ -95,6 +97,7 @@
       probes: [{id: 6, ageMs: 30, suspect: 2}],
     },
     limits: [{key: 6, epoch: 2, perSecond: 1.5, ageMs: 70}],
+    totals: [{topic: TotalsTopic.ZoneTraffic, rows: [[4, 700, 21]]}],
     routers: 3,
     relay: undefined,
   };
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -1,5 +1,6 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {TotalsTopic} from '../../src/fleetTotals/totalsReport.js';
 import {listAddresses} from '../../src/router/callerAddresses.js';
 import {computeCompactKey} from '../../src/router/compactKey.js';
 import {computeRequestKey} from '../../src/router/requestKey.js';
@@ -61,6 +62,7 @@
       {key: 6, epoch: 2, perSecond: 1.5, ageMs: 70},
       {key: 7, epoch: 3, perSecond: undefined, ageMs: 90},
     ],
+    totals: [{topic: TotalsTopic.ServerSpeed, rows: [[9, 12_000, 300]]}],
     identity: {
       vm: 'vm-2',
       zone: 'a',
@@ -98,6 +100,7 @@
       {key: 6, epoch: 2, perSecond: 1.5, ageMs: 70},
       {key: 7, epoch: 3, perSecond: undefined, ageMs: 90},
     ],
+    totals: [{topic: TotalsTopic.ServerSpeed, rows: [[9, 12_000, 300]]}],
     members: [
       {
         host: '127.0.0.2',
