Record the shared state of reports in a module of its own

What reports of routers and relays carry besides loads is recorded in sharedState.ts now, once for both kinds. No change of behaviour.

--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -1,5 +1,4 @@
 /** Exchange of reports with the other routers over UDP. */
-import type {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {formatError, type Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
@@ -18,15 +17,17 @@
 } from './peerReport.js';
 import {UdpPeerSocket, type PeerSocket} from './peerSocket.js';
 import {PeerStateReader} from './peerStateReader.js';
-import type {CrashQuarantine} from './crashQuarantine.js';
 import type {PublishedStateReader} from './publishedState.js';
 import {RelayHeartbeats} from './relayHeartbeats.js';
 import {RelaySelector} from './relaySelector.js';
 import {RelayAggregator, type RelaySelf} from './relayAggregator.js';
 import {hasUpdates, type RelayReport} from './relayReport.js';
 import type {ServerDirectory} from './serverDirectory.js';
-import type {ServerLimits} from './serverLimits.js';
-import type {SharedNotices} from './sharedNotices.js';
+import {
+  recordPeerState,
+  recordRelayState,
+  type SharedStateOptions,
+} from './sharedState.js';
 
 /**
  * Time between reports while the load changes, in milliseconds, in a fleet of
@@ -54,7 +55,7 @@
 const minReportsBetweenFull = 3;
 /** Time between reports of a resting router, in milliseconds. */
 const restingIntervalMs = 1_200;
-export interface PeerExchangeOptions {
+export interface PeerExchangeOptions extends SharedStateOptions {
   readonly address: string;
   /** UDP port, the same on every VM. */
   readonly port: number;
@@ -63,10 +64,6 @@
   readonly fleet: FleetView;
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
-  readonly notices: SharedNotices;
-  readonly quarantine: CrashQuarantine;
-  readonly limits: ServerLimits;
-  readonly totals: FleetTotals;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
@@ -75,8 +72,6 @@
    */
   readonly leaveBoundMs: number;
   readonly reports: OwnReportBuilder;
-  /** Records where another router has placed a prompt part, by compact keys. */
-  readonly recordPlacement: (part: number, server: number) => void;
   readonly endpoints: RouterEndpoints;
   /** A UDP socket unless given. */
   readonly socket?: PeerSocket;
@@ -467,20 +462,13 @@
     host: string,
     signal: AbortSignal,
   ): void {
-    const {fleet, recordPlacement} = this.options;
-    const peer = fleet.record(host, report);
+    const peer = this.options.fleet.record(host, report);
     const isUnknownMember = !report.identity && !this.aggregator.isMember(host);
     if (!peer || (report.isForRelay && isUnknownMember)) {
       this.discovery.greet(host, WantedAnswer.Report);
       return;
     }
-    for (const [part, server] of report.placements) {
-      recordPlacement(part, server);
-    }
-    this.options.notices.recordPeer(report.notices, report.isForRelay);
-    this.options.quarantine.recordPeer(report.crashEvidence, report.isForRelay);
-    this.options.limits.recordPeer(report.limits, report.isForRelay);
-    this.options.totals.recordPeer(host, report.totals, report.isForRelay);
+    recordPeerState(this.options, host, report);
     if (report.identity) {
       const {contacts, wantedAnswer} = report.identity;
       if (!this.usesRelays) this.discovery.greetUnknown(contacts);
@@ -502,15 +490,8 @@
   }
 
   private receiveRelayReport(report: RelayReport, host: string): void {
-    const {fleet, recordPlacement} = this.options;
-    fleet.recordRelayReport(host, report);
-    for (const [part, server] of report.placements) {
-      recordPlacement(part, server);
-    }
-    this.options.notices.recordPeer(report.notices, false);
-    this.options.quarantine.recordPeer(report.crashEvidence, false);
-    this.options.limits.recordPeer(report.limits, false);
-    this.options.totals.recordRelay(host, report.totals);
+    this.options.fleet.recordRelayReport(host, report);
+    recordRelayState(this.options, host, report);
   }
 
   /**
