Take a short answer to an unfinished upload for broken

A server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the router was still writing.

An empty write after the end of the data reveals a reset, but it queued behind the rest of the upload, and undici ends the answer meanwhile. The connection is now marked as broken at once when it ends while a part of the request is unwritten, and stays marked: a reset that was handled in another phase of the event loop could be forgotten after 1 ms.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -71,7 +71,7 @@
 export interface AttemptOptions {
   readonly connection: Pick<
     BackendConnection,
-    'isResetting' | 'pauseReading' | 'resumeReading'
+    'isBroken' | 'pauseReading' | 'resumeReading'
   > & {readonly dispatcher: Dispatcher};
   readonly method: string;
   readonly path: string;
@@ -256,7 +256,7 @@
       this.fail(new BackendServerError('answer without a head'));
     } else if (answer.isNotRun) {
       this.settleNotRun(answer);
-    } else if (this.isCloseDelimited && this.options.connection.isResetting) {
+    } else if (this.isCloseDelimited && this.options.connection.isBroken) {
       const message = 'connection reset within an answer';
       this.fail(new BackendServerError(message), true);
     } else if (!this.isStream) {
--- a/src/router/backendConnections.ts
+++ b/src/router/backendConnections.ts
@@ -29,10 +29,10 @@
   /** Client that sends the requests; limited to this one connection. */
   readonly dispatcher: Client;
   /**
-   * True while a reset of the connection is being handled. A close-delimited
-   * answer that ends in this time is truncated.
+   * True once the connection has ended by a reset or before the whole request
+   * was written. A close-delimited answer that ends with it is truncated.
    */
-  isResetting = false;
+  isBroken = false;
   /** Milliseconds for which it was idle when it was taken; 0 for a new one. */
   idleMs = 0;
   /** `performance.now()` at the end of its last request. */
@@ -45,8 +45,15 @@
     const markReset = (error: Error | null | undefined) => {
       const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
       if (code === undefined || !resetCodes.has(code)) return;
-      this.isResetting = true;
-      setTimeout(() => (this.isResetting = false), 1);
+      this.isBroken = true;
+    };
+    const handleEnd = (socket: Socket) => {
+      // While an upload is waiting to be written, a server that has closed the
+      // connection resets it, and the empty write would come behind the upload.
+      if (socket.writableLength > 0) this.isBroken = true;
+      // libuv reports a reset that arrives together with data as an end of
+      // file; an empty write then fails and reveals the reset.
+      else socket.write(Buffer.alloc(0), markReset);
     };
     this.dispatcher = new Client(`http://${host}:${port}`, {
       pipelining: 1,
@@ -56,10 +63,9 @@
           // regular end of a close-delimited answer.
           const socket = result[1];
           this.socket = socket ?? undefined;
+          this.isBroken = false;
           socket?.on('error', markReset);
-          // libuv reports a reset that arrives together with data as an end of
-          // file; an empty write then fails and reveals the reset.
-          socket?.on('end', () => socket.write(Buffer.alloc(0), markReset));
+          socket?.on('end', () => handleEnd(socket));
           callback(...result);
         }),
       keepAliveTimeout: idleTimeoutMs,
