Learn the lasting speed of each backend server

Seen: the actual time to the first event over the expected one has a median by engine from 0.39 to 1.33 in a fleet of heterogeneous engines.

Cause: one prefill rate is learned for all engines of a service, and one service time for all plain servers.

The choice of a server uses it for the prompt's prefill, the backlog and the service time; the mean is learned from samples that are scaled to it. A slow server's extra own time counts in part, so that the work spreads in proportion to speed once all engines are busy.

Samples begin when the request is written, not when a connection is looked for.

Not measured on a fleet.

--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -46,6 +46,7 @@
     fetchFrom: selection.fetchFrom,
     backlogMs: Math.round(selection.backlogMs),
     slotWaitMs: Math.round(selection.slotWaitMs) || undefined,
+    speed: Math.round(selection.speed * 100) / 100,
     viewAgeMs: Math.round(facts.viewAgeMs),
     expectedMs: Math.round(selection.expectedMs),
     admission: facts.admission,
--- a/src/router/engineModel.ts
+++ b/src/router/engineModel.ts
@@ -121,14 +121,25 @@
 /** Fixed part of the time to the first event. */
 export const firstEventOverheadMs = 20;
 /** Prefills with less work take as long as the fixed part. */
-const minSampleWork = 1_024;
+export const minSampleWork = 1_024;
+
+/** What an engine did until a first event. */
+export interface PrefillSample {
+  /** Work of the prompt. */
+  readonly prefillWork: number;
+  /** Work of the prompts before it at the engine. */
+  readonly backlogWork: number;
+  /** Lasting speed of the engine as a multiple of the mean. */
+  readonly speed: number;
+}
 
 /**
- * Learns from first events how a service's engines prefill.
+ * Learns from first events how a service's engines prefill. The rate is that of
+ * an engine of mean speed.
  *
  * @example
  * const statistics = new PrefillStatistics();
- * statistics.record({prefillWork: 9_000, backlogWork: 3_000}, 260);
+ * statistics.record({prefillWork: 9_000, backlogWork: 3_000, speed: 1}, 260);
  * statistics.tokensPerMs; // rises above 40
  */
 export class PrefillStatistics {
@@ -153,21 +164,18 @@
   /**
    * Records a first event.
    *
-   * @param prefillWork - work of the prompt
-   * @param backlogWork - work of the prompts before it at the engine
    * @param ms - time from sending the request to its first event
    */
-  record(
-    {prefillWork, backlogWork}: {prefillWork: number; backlogWork: number},
-    ms: number,
-  ): void {
+  record({prefillWork, backlogWork, speed}: PrefillSample, ms: number): void {
     this.ownWork = this.ownWork * sampleDecay + prefillWork;
     this.squaredOwnWork = this.squaredOwnWork * sampleDecay + prefillWork ** 2;
     const work = prefillWork + backlogWork;
     if (work < minSampleWork) return;
-    const maxMs = (maxSampleDelayRatio * work) / this.tokensPerMs;
+    // The work that an engine of mean speed does in the same time.
+    const meanWork = work / speed;
+    const maxMs = (maxSampleDelayRatio * meanWork) / this.tokensPerMs;
     const prefillMs = Math.min(maxMs, Math.max(1, ms - firstEventOverheadMs));
-    this.work = this.work * sampleDecay + work;
+    this.work = this.work * sampleDecay + meanWork;
     this.ms = this.ms * sampleDecay + prefillMs;
   }
 }
--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -20,6 +20,8 @@
   readonly isNear: boolean;
   readonly zone: string;
   readonly slots: number;
+  /** Lasting speed as a multiple of the mean of the service. */
+  readonly speed: number;
 }
 
 /** A request to a plain service. */
@@ -62,9 +64,12 @@
   /** Mean time for which a stream occupies a slot; 0 before the first sample. */
   readonly slotTimeMs: number;
   readonly kvTransfer: KvTransfer;
-  /** Prefill rate of an engine in tokens per millisecond. */
+  /** Mean prefill rate of the engines in tokens per millisecond. */
   readonly prefillTokensPerMs: number;
-  /** A prompt with fewer tokens left to prefill counts as short. */
+  /**
+   * At an engine of mean speed, a prompt with fewer tokens left to prefill counts
+   * as short.
+   */
   readonly shortPromptTokenLimit: number;
 }
 
@@ -81,6 +86,8 @@
   readonly prefillWork: number;
   /** True when prefilling the prompt does not delay concurrent streams. */
   readonly isShortPrompt: boolean;
+  /** Lasting speed of the engine as a multiple of the mean. */
+  readonly speed: number;
   /** Time to prefill the prompt alone, in milliseconds. */
   readonly promptPrefillMs: number;
   /** Expected time until the prompt is prefilled, in milliseconds. */
@@ -150,6 +157,12 @@
  * before any request has to wait.
  */
 const occupancyCostRatio = 0.2;
+/**
+ * Part of a plain server's difference in speed that counts. With half of the
+ * occupancy's ratio, a server that takes twice the mean time is chosen when the
+ * others have half of their slots in use.
+ */
+const plainSpeedCostRatio = occupancyCostRatio / 2;
 /** Jitter of a cost, so that routers do not all choose the same server. */
 const jitterMs = 4;
 /**
@@ -159,6 +172,23 @@
  */
 const longPromptJitterRatio = 0.5;
 
+/**
+ * Computes the cost of the own time of a request at a server. Only a part of what
+ * a slow server takes longer counts: with all of it, just the fastest servers
+ * would get work until they had long queues, and the time of a slow server isn't
+ * worth more to operators than that of a fast one.
+ *
+ * @param usualMs - time at a server of mean speed
+ * @param ratio - part that counts
+ */
+function computeOwnTimeCostMs(
+  usualMs: number,
+  speed: number,
+  ratio: number,
+): number {
+  return usualMs * (1 + (1 / speed - 1) * ratio);
+}
+
 /** Estimates the probability that a request fails at a server. */
 function estimateFailureRate(candidate: Candidate): number {
   const {failures, answers} = candidate;
@@ -179,13 +209,13 @@
   draw: () => number,
 ): Candidate | undefined {
   const computeCostMs = (candidate: Candidate) => {
-    const {requests, slots} = candidate;
+    const {requests, slots, speed} = candidate;
     const slowness = Math.max(1, candidate.slowness);
     const waiting = Math.max(0, requests + 1 - slots);
-    const serviceTimeMs = request.serviceTimeMs * slowness;
+    const usualMs = request.serviceTimeMs * slowness;
     return (
-      serviceTimeMs +
-      (waiting * serviceTimeMs) / slots +
+      computeOwnTimeCostMs(usualMs, speed, plainSpeedCostRatio) +
+      (waiting * usualMs) / (slots * speed) +
       (requests / slots) * request.serviceTimeMs * occupancyCostRatio +
       estimateFailureRate(candidate) * request.failureCostMs +
       (candidate.isNear ? 0 : crossZoneCostMsPerKb) +
@@ -215,13 +245,12 @@
   const chosen = pickCheapest(candidates, candidate => {
     const plan = planPrefill(candidate, request, copySource, maxCachedTokens);
     plans.set(candidate, plan);
-    const {promptPrefillMs, isShortPrompt} = plan.choice;
-    const jitterRatio = isShortPrompt ? 0 : longPromptJitterRatio;
+    const jitterRatio = plan.choice.isShortPrompt ? 0 : longPromptJitterRatio;
     return (
       computeLatenessCostMs(candidate, request, plan) +
       computePoolCostMs(candidate, request, plan, reserved.has(candidate)) +
       computeResourceCostMs(candidate, request, plan) +
-      draw() * (jitterMs + jitterRatio * promptPrefillMs)
+      draw() * (jitterMs + jitterRatio * plan.usualPrefillMs)
     );
   });
   return chosen && plans.get(chosen)?.choice;
@@ -230,6 +259,8 @@
 /** How an engine would prefill a prompt. */
 interface PrefillPlan {
   readonly choice: EngineChoice;
+  /** Time to prefill the prompt alone at an engine of mean speed. */
+  readonly usualPrefillMs: number;
   readonly copiedTokens: number;
   readonly copyMs: number;
   /** Tokens to prefill that another engine has cached or is prefilling. */
@@ -247,7 +278,7 @@
   copySource: CopySource | undefined,
   maxCachedTokens: number,
 ): PrefillPlan {
-  const {serverId, key} = candidate;
+  const {serverId, key, speed} = candidate;
   const cachedTokens = request.cachedTokens.get(key) ?? 0;
   const canCopy =
     copySource !== undefined &&
@@ -262,7 +293,8 @@
   const unreadTokens = Math.max(1, request.promptTokens - contextTokens);
   const prefillWork = computePrefillWork(unreadTokens, contextTokens);
   const slowness = Math.max(1, candidate.slowness);
-  const msPerToken = slowness / request.prefillTokensPerMs;
+  const usualMsPerToken = slowness / request.prefillTokensPerMs;
+  const msPerToken = usualMsPerToken / speed;
   const promptPrefillMs = prefillWork * msPerToken;
   const totalWork = sumBacklog(candidate.backlog);
   const urgentWork = sumBacklog(candidate.backlog, request.rank);
@@ -278,7 +310,8 @@
       tightStreams: candidate.tightStreams,
       unreadTokens,
       prefillWork,
-      isShortPrompt: unreadTokens < request.shortPromptTokenLimit,
+      isShortPrompt: unreadTokens < request.shortPromptTokenLimit * speed,
+      speed,
       promptPrefillMs,
       prefillEndMs: Math.max(backlogMs, copyMs, slotWaitMs) + promptPrefillMs,
       backlogMs,
@@ -286,6 +319,7 @@
       slotWaitMs,
       fetchFrom: canCopy ? copySource.key : undefined,
     },
+    usualPrefillMs: prefillWork * usualMsPerToken,
     copiedTokens,
     copyMs,
     recomputedTokens: Math.max(0, maxCachedTokens - contextTokens),
@@ -359,13 +393,13 @@
 function computeResourceCostMs(
   candidate: Candidate,
   request: PromptRequest,
-  {choice, copiedTokens, copyMs, recomputedTokens}: PrefillPlan,
+  {usualPrefillMs, copiedTokens, copyMs, recomputedTokens}: PrefillPlan,
 ): number {
-  const {requests, slots, isNear} = candidate;
+  const {requests, slots, isNear, speed} = candidate;
   const queued = Math.max(0, requests + 1 - slots);
   const bodyKb = Math.max(1, request.bodyBytes / 1_000);
   return (
-    choice.promptPrefillMs +
+    computeOwnTimeCostMs(usualPrefillMs, speed, waitCostRatio) +
     (requests / slots) * occupancyCostMs +
     queued * queueCostMs +
     (recomputedTokens / 1_000) * recomputeCostMsPerKiloToken +
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -373,10 +373,8 @@
         if (load) outcomes.recordSlowness(id, load.slowness);
         if (status < minServerErrorStatus) {
           outcomes.recordAnswer(id);
-          selector.recordServiceTime(
-            service,
-            performance.now() - attempt.sentAtMs,
-          );
+          const served = attempt.describeServed();
+          selector.recordServiceTime(selection, service, served);
         } else {
           outcomes.recordFailure(id);
           if (this.retry(selection, `status ${status}`)) return false;
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -44,6 +44,7 @@
 import {computeLimitKey, ServerSelector} from './serverSelector.js';
 import {ShutdownSchedule} from './shutdownSchedule.js';
 import {SharedNotices} from './sharedNotices.js';
+import {buildServerSpeeds} from './speedTracking.js';
 import {StateFollower} from './stateFollower.js';
 
 /** Longest time that the tasks may take to stop. */
@@ -128,6 +129,7 @@
       loads,
       outcomes,
       limits,
+      speeds: buildServerSpeeds({directory, totals, log}),
       fleet,
       prompts,
       deployments,
@@ -301,6 +303,7 @@
           outcomes: this.outcomes.get(server.id),
         })),
       },
+      serverSpeeds: this.selector.listSpeeds(),
       forgetfulServices: this.idleReuse.list(),
       limitedServers: [...directory.listAll()].flatMap(server => {
         const perSecond = this.limits.getPerSecond(computeLimitKey(server));
@@ -344,6 +347,7 @@
       deployments,
       directory,
       outcomes,
+      selector: this.selector,
       intake,
       fleet,
       exchange,
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -9,11 +9,13 @@
 import type {RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
+import type {ServerSelector} from './serverSelector.js';
 
 export interface GaugeSources {
   readonly deployments: DeploymentStore;
   readonly directory: ServerDirectory;
   readonly outcomes: ServerOutcomes;
+  readonly selector: ServerSelector;
   readonly intake: RequestIntake;
   readonly fleet: FleetView;
   readonly exchange: PeerExchange;
@@ -29,7 +31,7 @@
   sources: GaugeSources,
 ): void {
   const {deployments, directory, outcomes, intake, fleet} = sources;
-  const {exchange, budgets, calls, logCounts} = sources;
+  const {selector, exchange, budgets, calls, logCounts} = sources;
   metrics.registerGauge({
     name: 'anvilstall_active_requests',
     help: 'Requests without a whole answer',
@@ -65,6 +67,21 @@
       ];
     },
   });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_server_speed',
+    help: 'Learned speed of a backend server as a multiple of the mean of its service',
+    label: 'server',
+    measure: () => selector.listSpeeds().map(({id, speed}) => [id, speed]),
+  });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_server_speed_age_ms',
+    help: 'Time since this router last measured the speed of a backend server',
+    label: 'server',
+    measure: () =>
+      selector
+        .listSpeeds()
+        .flatMap(({id, ageMs}) => (ageMs === undefined ? [] : [[id, ageMs]])),
+  });
   metrics.registerLabelledGauge({
     name: 'anvilstall_retry_budget',
     help: 'Requests that this router may send again now',
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -14,6 +14,7 @@
 import type {RequestForwarderOptions} from './forwarderOptions.js';
 import type {LoadTicket} from './serverLoads.js';
 import {computeLimitKey, type Selection} from './serverSelector.js';
+import type {ServedRequest} from './speedSamples.js';
 
 /** What an attempt needs to know about its request. */
 export interface SentAttemptOptions {
@@ -58,6 +59,8 @@
   private readonly attempt: BackendAttempt;
   private firstEventAtMs: number | undefined;
   private receivedHead: StreamHead | undefined;
+  /** Slowness of the moment that the head of the answer stated. */
+  private slowness = 1;
 
   constructor(
     private readonly options: SentAttemptOptions,
@@ -106,8 +109,10 @@
       attemptId: exchange.request.attemptId,
       codec,
       stream: isStream ? this : undefined,
-      receiveAnswer: answer =>
-        components.answerNotices.record(server, answer, this.sentAtMs),
+      receiveAnswer: answer => {
+        this.slowness = answer.load?.slowness || 1;
+        components.answerNotices.record(server, answer, this.sentAtMs);
+      },
       maxAnswerBytes,
     });
   }
@@ -127,6 +132,11 @@
     return this.attempt.measureSentMs();
   }
 
+  /** Describes what the server has done up to now. */
+  describeServed(): ServedRequest {
+    return {ms: this.measureSentMs(), slowness: this.slowness};
+  }
+
   /** Closes the connection, which cancels the request at the server. */
   abort(reason: AnvilstallError): void {
     this.attempt.abort(reason);
@@ -191,7 +201,7 @@
     components.selector.recordFirstEvent(
       selection,
       request.service,
-      performance.now() - this.sentAtMs,
+      this.describeServed(),
     );
   }
 }
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -1,5 +1,9 @@
 /** Selects backend servers by the load and outcomes that routers report. */
 import {sortByWeight} from '../node/rendezvous.js';
+import type {
+  ServerSpeeds,
+  ServerSpeedState,
+} from '../serverSpeed/serverSpeeds.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -29,6 +33,11 @@
 import type {ServerLimits} from './serverLimits.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
+import {
+  buildAnswerSample,
+  buildFirstEventSample,
+  type ServedRequest,
+} from './speedSamples.js';
 
 /** Weight of a new sample in the moving average of the service time. */
 const sampleWeight = 0.05;
@@ -69,6 +78,10 @@
   readonly prefillWork: number;
   /** True when prefilling the prompt does not delay concurrent streams. */
   readonly isShortPrompt: boolean;
+  /** Lasting speed of the server as a multiple of the mean of its service. */
+  readonly speed: number;
+  /** Time to prefill the prompt alone, in milliseconds. */
+  readonly promptPrefillMs: number;
   /** `host:port` of the engine to copy KV cache from. */
   readonly fetchFrom?: string;
   /** Expected time to the answer or to the first event, in milliseconds. */
@@ -93,6 +106,7 @@
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
+  readonly speeds: ServerSpeeds<BackendServer>;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -128,13 +142,18 @@
   }
 
   /**
-   * Updates the prefill rate of a service from the time to the first event.
-   *
-   * @param ms - time from sending the request to its first event
+   * Updates the prefill rate of a service and the speed of the engine from the
+   * time to the first event.
    */
-  recordFirstEvent(selection: Selection, service: string, ms: number): void {
-    const prefillMs = ms - selection.slotWaitMs;
+  recordFirstEvent(
+    selection: Selection,
+    service: string,
+    served: ServedRequest,
+  ): void {
+    const prefillMs = served.ms - selection.slotWaitMs;
     this.getPrefillStatistics(service).record(selection, prefillMs);
+    const sample = buildFirstEventSample(selection, served);
+    if (sample) this.options.speeds.record(selection.server, sample);
   }
 
   /**
@@ -147,13 +166,23 @@
     this.slotTimesMs.set(service, meanMs + (ms - meanMs) * sampleWeight);
   }
 
-  /** Updates the average service time after an answer of a plain service. */
-  recordServiceTime(service: string, ms: number): void {
+  /**
+   * Updates the average service time, and the speed of the server, after an
+   * answer of a plain service.
+   */
+  recordServiceTime(
+    selection: Selection,
+    service: string,
+    served: ServedRequest,
+  ): void {
     const serviceTimeMs = this.getServiceTimeMs(service);
+    const meanMs = served.ms * selection.speed;
     this.serviceTimesMs.set(
       service,
-      serviceTimeMs + (ms - serviceTimeMs) * sampleWeight,
+      serviceTimeMs + (meanMs - serviceTimeMs) * sampleWeight,
     );
+    const sample = buildAnswerSample(selection, served);
+    if (sample) this.options.speeds.record(selection.server, sample);
   }
 
   /**
@@ -189,14 +218,14 @@
    * @param server - compact key of the engine
    */
   recordPeerPlacement(partKey: number, server: number): void {
-    const {prompts, fleet, loads, directory} = this.options;
+    const {prompts, fleet, loads, directory, speeds} = this.options;
     const backend = directory.findByKey(server);
     if (!backend) return;
     const work =
       sumBacklog(fleet.sumLoad(server)?.backlog ?? emptyBacklog) +
       sumBacklog(loads.get(backend.id).backlog);
     const {tokensPerMs} = this.getPrefillStatistics(backend.service);
-    const readyInMs = work / tokensPerMs;
+    const readyInMs = work / (tokensPerMs * speeds.getSpeed(backend));
     prompts.record(partKey, server, readyInMs);
   }
 
@@ -240,6 +269,13 @@
     return limits.computeIntervalMs(servers.map(computeLimitKey));
   }
 
+  /** Describes the speeds of the servers that were measured lately. */
+  listSpeeds(): ServerSpeedState[] {
+    const {directory, speeds} = this.options;
+    const services = [...directory.listAll()].map(({service}) => service);
+    return [...new Set(services)].flatMap(name => speeds.listStates(name));
+  }
+
   /** Average service time of a plain service in milliseconds. */
   getServiceTimeMs(service: string): number {
     return this.serviceTimesMs.get(service) ?? initialServiceTimeMs;
@@ -286,7 +322,7 @@
   }
 
   private buildCandidate(server: BackendServer): Candidate {
-    const {loads, outcomes, fleet, zone} = this.options;
+    const {loads, outcomes, fleet, zone, speeds} = this.options;
     const own = loads.get(server.id);
     const recent = outcomes.get(server.id);
     const key = computeCompactKey(server.id);
@@ -297,6 +333,7 @@
       isNear: server.zone === zone,
       zone: server.zone,
       slots: server.slots,
+      speed: speeds.getSpeed(server),
       requests: own.requests + (others?.requests ?? 0),
       backlog: addBacklogs(own.backlog, others?.backlog ?? emptyBacklog, 1),
       tightStreams: own.tightStreams + (others?.tightStreams ?? 0),
@@ -313,26 +350,24 @@
     const serviceTimeMs = this.getServiceTimeMs(service);
     const request = {serviceTimeMs, failureCostMs};
     const chosen = choosePlainServer(candidates, request, Math.random);
-    return (
-      chosen &&
-      this.buildSelection(
-        {
-          serverId: chosen.serverId,
-          requests: chosen.requests,
-          tightStreams: chosen.tightStreams,
-          unreadTokens: 0,
-          prefillWork: 0,
-          backlogWork: 0,
-          slotWaitMs: 0,
-          isShortPrompt: true,
-          promptPrefillMs: 0,
-          prefillEndMs: serviceTimeMs,
-          backlogMs: 0,
-        },
-        serviceTimeMs,
-        0,
-      )
-    );
+    if (!chosen) return undefined;
+    const {serverId, requests, tightStreams, speed} = chosen;
+    const expectedMs = serviceTimeMs / speed;
+    const choice: EngineChoice = {
+      serverId,
+      requests,
+      tightStreams,
+      speed,
+      unreadTokens: 0,
+      prefillWork: 0,
+      backlogWork: 0,
+      slotWaitMs: 0,
+      isShortPrompt: true,
+      promptPrefillMs: 0,
+      prefillEndMs: expectedMs,
+      backlogMs: 0,
+    };
+    return this.buildSelection(choice, expectedMs, 0);
   }
 
   private selectEngine(
@@ -404,6 +439,8 @@
       backlogWork: choice.backlogWork,
       slotWaitMs: choice.slotWaitMs,
       isShortPrompt: choice.isShortPrompt,
+      speed: choice.speed,
+      promptPrefillMs: choice.promptPrefillMs,
       fetchFrom: source && `${source.host}:${source.port}`,
       expectedMs,
       backlogMs: choice.backlogMs,
--- /dev/null
+++ b/src/router/speedTracking.ts
@@ -0,0 +1,33 @@
+/** Connects the speeds of backend servers with the rest of a router. */
+import type {FleetTotals} from '../fleetTotals/fleetTotals.js';
+import {TotalsTopic} from '../fleetTotals/totalsReport.js';
+import type {Log} from '../node/log.js';
+import {ServerSpeeds} from '../serverSpeed/serverSpeeds.js';
+import {computeCompactKey} from './compactKey.js';
+import {formatProcess, type BackendServer} from './deployment.js';
+import type {ServerDirectory} from './serverDirectory.js';
+
+export interface SpeedTrackingOptions {
+  readonly directory: ServerDirectory;
+  readonly totals: FleetTotals;
+  readonly log: Log;
+}
+
+/**
+ * Builds the speeds of the servers in a directory, and makes this router's
+ * samples a part of the totals of the fleet.
+ */
+export function buildServerSpeeds({
+  directory,
+  totals,
+  log,
+}: SpeedTrackingOptions): ServerSpeeds<BackendServer> {
+  const speeds = new ServerSpeeds<BackendServer>({
+    listServers: service => directory.listUsable(service),
+    computeKey: server => computeCompactKey(formatProcess(server)),
+    listFleet: () => totals.list(TotalsTopic.ServerSpeed),
+    log,
+  });
+  totals.register(TotalsTopic.ServerSpeed, () => speeds.listOwn());
+  return speeds;
+}
--- a/tests/router/engineModel.test.ts
+++ b/tests/router/engineModel.test.ts
@@ -50,7 +50,7 @@
     const statistics = new PrefillStatistics();
     const actualTokensPerMs = 20;
     for (let i = 0; i < 20; i++) {
-      const work = {prefillWork: 9_000, backlogWork: 12_000};
+      const work = {prefillWork: 9_000, backlogWork: 12_000, speed: 1};
       statistics.record(work, 20 + 21_000 / actualTokensPerMs);
     }
     expect(statistics.tokensPerMs).to.be.within(19, 21);
@@ -60,7 +60,7 @@
   // be late for the next twenty, and hold them.
   it('should keep most of the rate after a first event that stalled', () => {
     const statistics = new PrefillStatistics();
-    const work = {prefillWork: 3_000, backlogWork: 0};
+    const work = {prefillWork: 3_000, backlogWork: 0, speed: 1};
     for (let i = 0; i < 40; i++) statistics.record(work, 20 + 3_000 / 50);
     expect(statistics.tokensPerMs).to.be.within(48, 52);
     statistics.record(work, 8_000);
@@ -72,7 +72,7 @@
     expect(statistics.residualWork).to.equal(0);
     for (let i = 0; i < 200; i++) {
       const prefillWork = i % 10 === 0 ? 20_000 : 1_000;
-      statistics.record({prefillWork, backlogWork: 0}, 100);
+      statistics.record({prefillWork, backlogWork: 0, speed: 1}, 100);
     }
     const meanWork = (20_000 + 9 * 1_000) / 10;
     expect(statistics.residualWork).to.be.greaterThan(meanWork);
--- a/tests/router/placement.test.ts
+++ b/tests/router/placement.test.ts
@@ -29,6 +29,7 @@
     isNear: true,
     zone: 'a',
     slots: 64,
+    speed: 1,
     requests: 0,
     backlog: [],
     tightStreams: 0,
@@ -230,6 +231,7 @@
       tightStreams: 0,
       unreadTokens: 3_000,
       prefillWork: 3_375,
+      speed: 1,
       isShortPrompt: false,
       promptPrefillMs: 67.5,
       prefillEndMs: 67.5,
@@ -352,6 +354,54 @@
     expect(choice.unreadTokens).to.equal(9_000);
   });
 
+  it('should choose the faster of two engines with equal backlogs', () => {
+    const engines = buildCandidates(2, index => ({
+      speed: index === 0 ? 0.8 : 1.6,
+      backlog: [0, 0, 0, 0, 0, 6_000],
+    }));
+    const random = new SeededRandom(4);
+    const choices = Array.from({length: 100}, () =>
+      chooseEngine(engines, buildPromptRequest(), () => random.draw()),
+    );
+    const isFast = (id?: string) => id === 'engine-1';
+    const fast = choices.filter(choice => isFast(choice?.serverId));
+    expect(fast.length).to.be.greaterThan(75);
+  });
+
+  // Guards against fast engines with long queues beside idle slow ones.
+  it('should spread prompts in proportion to speed at full load', () => {
+    const engines = buildCandidates(6, index => ({
+      speed: [0.5, 0.5, 1, 1, 2, 2][index],
+    })).map(engine => ({...engine}));
+    const request = buildPromptRequest();
+    const random = new SeededRandom(5);
+    const works = new Map(engines.map(engine => [engine.serverId, 0]));
+    const tickMs = 10;
+    const placedPerMs = 7 * request.prefillTokensPerMs;
+    let owedWork = 0;
+    for (let ms = 0; ms < 20_000; ms += tickMs) {
+      for (const engine of engines) {
+        const doneWork = tickMs * request.prefillTokensPerMs * engine.speed;
+        const leftWork = sumBacklog(engine.backlog) - doneWork;
+        engine.backlog = addWork([], 5, Math.max(0, leftWork));
+      }
+      owedWork += placedPerMs * tickMs;
+      while (owedWork > 0) {
+        const choice = chooseEngine(engines, request, () => random.draw())!;
+        const {serverId, prefillWork} = choice;
+        const chosen = engines.find(engine => engine.serverId === serverId)!;
+        chosen.backlog = addWork(chosen.backlog, 5, prefillWork);
+        works.set(serverId, works.get(serverId)! + prefillWork);
+        owedWork -= prefillWork;
+      }
+    }
+    const total = [...works.values()].reduce((sum, work) => sum + work, 0);
+    for (const {serverId, speed} of engines) {
+      const ratio = works.get(serverId)! / total / (speed / 7);
+      expect(ratio, serverId).to.be.within(0.75, 1.25);
+    }
+  });
+
   it('should choose nothing without engines', () => {
     expect(chooseEngine([], buildPromptRequest(), noJitter)).to.equal(
       undefined,
@@ -381,6 +431,21 @@
     expect(chosen?.serverId).to.equal('engine-1');
   });
 
+  // Guards against a fast server whose slots are all taken beside idle ones.
+  it('should give a fast server more without taking all its slots', () => {
+    const servers = buildCandidates(3, index => ({
+      slots: 8,
+      speed: [0.6, 1, 1.4][index],
+    })).map(server => ({...server}));
+    for (let i = 0; i < 12; i++) {
+      const chosen = choosePlainServer(servers, request, noJitter)!;
+      servers.find(({key}) => key === chosen.key)!.requests += 1;
+    }
+    const [slow, usual, fast] = servers.map(({requests}) => requests);
+    expect(fast).to.be.within(usual + 1, 7);
+    expect(slow).to.be.within(1, usual - 1);
+  });
+
   it('should prefer the own zone among equals', () => {
     const servers = buildCandidates(3, index => ({isNear: index === 1}));
     const chosen = choosePlainServer(servers, request, noJitter);
