Exclude servers in evacuated availability zones

Seen on: requests reach servers in a zone that the operator has asked to evacuate. Cause: nothing reads that request.

The read and the watch of the configuration cover all of "op/" now, so that the evacuations cost no further call to the store. src/evacuation keeps which zones are evacuated: the newest position wins, an evacuation outlasts an outage of the store, and after a restore it is kept for 6 s unless it is seen to be deleted. The selector excludes evacuated servers as candidates and as sources of KV cache copies. A starting router isn't ready before it knows the evacuations; where evacuationBoundMs is set, it also waits up to 600 ms for those of another router.

PublishedPosition moves to src/protocol, because src/evacuation may not import src/router. The test of the store client that compared a whole answer compares the evacuations as well.

Result: tests of the store client, of restored stores, of starts beside stale peers, of peer reads and of the codec pass.

--- a/src/router/describeBlock.ts
+++ b/src/router/describeBlock.ts
@@ -12,3 +12,12 @@
   const what = isRequestKey(suspect) ? 'the request' : 'a part of the prompt';
   return `${what} crashed ${crashes} backend servers`;
 }
+
+/** Describes a blocked suspect in the state dump. */
+export function describeBlocked([key, crashes]: readonly [
+  suspect: number,
+  crashes: number,
+]): object {
+  const kind = isRequestKey(key) ? 'request' : 'promptPart';
+  return {kind, key, crashes};
+}
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -211,6 +211,16 @@
     return [...this.peers.values()];
   }
 
+  /** Describes the known routers for operators. */
+  describePeers(): object[] {
+    return this.listKnown().map(({host, identity, status, heardAtMs}) => ({
+      host,
+      vm: identity.vm,
+      status: RouterStatus[status],
+      heardAgoMs: Math.round(performance.now() - heardAtMs),
+    }));
+  }
+
   isKnown(host: string): boolean {
     return this.peers.has(host);
   }
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -1,4 +1,5 @@
 /** Exchange of reports with the other routers over UDP. */
+import type {Evacuations} from '../evacuation/evacuations.js';
 import {waitFor} from '../node/delay.js';
 import {formatError, type Log} from '../node/log.js';
 import {assertNever} from '../protocol/assertNever.js';
@@ -64,6 +65,7 @@
   readonly fleet: FleetView;
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
+  readonly evacuations: Evacuations;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -1,5 +1,11 @@
 /** Reports of a router about itself, and their encoding. */
 import {z} from 'zod';
+import {
+  evacuationReportSchema,
+  listEvacuationFields,
+  readEvacuationFields,
+  type EvacuationReport,
+} from '../evacuation/evacuationReport.js';
 import {
   listTotalsFields,
   readTotalsFields,
@@ -57,6 +63,7 @@
   z.number(),
   z.number(),
   z.number(),
+  evacuationReportSchema,
 ]);
 /**
  * Rows of id, age, server and suspects of a crash; then the acquitted suspects;
@@ -120,6 +127,8 @@
   readonly serversDigest: number;
   /** Age of the view of backend servers, in milliseconds; -1 without one. */
   readonly serversAgeMs: number;
+  /** Undefined from a router that doesn't know them. */
+  readonly evacuations?: EvacuationReport;
 }
 
 /** Report of one router. */
@@ -274,6 +283,7 @@
     versions.serversRevision,
     versions.serversDigest,
     versions.serversAgeMs,
+    listEvacuationFields(versions.evacuations),
   ];
 }
 
@@ -287,6 +297,7 @@
     serversRevision: fields[2],
     serversDigest: fields[3],
     serversAgeMs: fields[4],
+    evacuations: readEvacuationFields(fields[5]),
   };
 }
 
--- a/src/router/peerStateReader.ts
+++ b/src/router/peerStateReader.ts
@@ -3,11 +3,13 @@
 import {z} from 'zod';
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
+import type {Evacuations} from '../evacuation/evacuations.js';
 import {assertNever} from '../protocol/assertNever.js';
+import {isBefore} from '../protocol/publishedPosition.js';
 import {ServerState, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {StateVersions} from './peerReport.js';
-import {isBefore, type PublishedStateReader} from './publishedState.js';
+import type {PublishedStateReader} from './publishedState.js';
 import type {ServerDirectory} from './serverDirectory.js';
 
 /** Paths of the published state at each router. */
@@ -46,6 +48,7 @@
 export interface PeerStateReaderOptions {
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
+  readonly evacuations: Evacuations;
   readonly reader: PublishedStateReader;
   readonly log: Log;
   /**
@@ -83,8 +86,12 @@
 
   /** Compares versions with a peer, and reads what is newer there. */
   syncFrom(versions: StateVersions, peer: string, signal: AbortSignal): void {
-    const {deployments, servers} = this.options;
+    const {deployments, servers, evacuations} = this.options;
     if (this.isUninitialised() && !this.isTrusted(versions)) return;
+    const {evacuations: reported, serversAgeMs} = versions;
+    if (reported && evacuations.recordPeer(reported, serversAgeMs, peer)) {
+      this.options.announce();
+    }
     if (versions.deploymentVersion > deployments.version) {
       this.pull(PeerPath.Deployment, peer, signal);
     }
@@ -102,8 +109,12 @@
   }
 
   private isUninitialised(): boolean {
-    const {deployments, servers} = this.options;
-    return deployments.version === 0 || servers.measureAgeMs() === Infinity;
+    const {deployments, servers, evacuations} = this.options;
+    return (
+      deployments.version === 0 ||
+      evacuations.position === undefined ||
+      servers.measureAgeMs() === Infinity
+    );
   }
 
   /**
@@ -187,6 +198,9 @@
         const read = await reader.readDeployment(signal);
         if (read.isErr()) throw read.error;
         const {published} = read.value;
+        if (this.options.evacuations.apply(read.value, platformSource)) {
+          this.options.announce();
+        }
         if (!published) return false;
         if (deployments.adopt(published, platformSource, measureMs())) {
           this.options.announce();
--- a/src/router/publishedState.ts
+++ b/src/router/publishedState.ts
@@ -1,33 +1,10 @@
 /** Read access to the state that the platform publishes. */
 import type {ResultAsync} from 'neverthrow';
+import type {EvacuationUpdate} from '../evacuation/evacuationUpdate.js';
 import {PlatformError} from '../protocol/errors.js';
+import type {PublishedPosition} from '../protocol/publishedPosition.js';
 import type {BackendServer, Deployment} from './deployment.js';
 
-/**
- * A state of what the platform publishes. When the platform is restored from an
- * old copy, its epoch rises, and revisions go back and are given out again.
- */
-export interface PublishedPosition {
-  readonly epoch: number;
-  /** Grows with each change within an epoch. */
-  readonly revision: number;
-}
-
-/**
- * True if a position is older than another.
- *
- * @example
- * isBefore({epoch: 1, revision: 900}, {epoch: 2, revision: 40}) === true
- */
-export function isBefore(
-  position: PublishedPosition,
-  other: PublishedPosition,
-): boolean {
-  return position.epoch === other.epoch
-    ? position.revision < other.revision
-    : position.epoch < other.epoch;
-}
-
 /** The platform no longer has the history since the requested revision. */
 export class HistoryLostError extends PlatformError {}
 
@@ -43,6 +20,8 @@
  */
 export interface DeploymentChange extends PublishedPosition {
   readonly published?: PublishedDeployment;
+  /** Evacuations of availability zones, from the same answer. */
+  readonly evacuations: EvacuationUpdate;
 }
 
 export interface PublishedServers extends PublishedPosition {
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -49,6 +49,8 @@
 export interface RequestIntakeOptions {
   readonly codec: MessageCodec;
   readonly deployments: DeploymentStore;
+  /** Whether the router knows which zones are evacuated. */
+  readonly evacuations: {readonly isKnown: boolean};
   readonly forwarder: RequestForwarder;
   readonly metrics: RouterMetrics;
   readonly log: Log;
@@ -400,13 +402,11 @@
     if (table && performance.now() >= this.refusesAtMs) {
       return buildStopRefusal();
     }
-    if (!table) {
-      const message = 'no deployment yet';
+    if (!table || !this.options.evacuations.isKnown) {
+      const message = table ? 'evacuations not known yet' : 'no deployment yet';
+      const sinceMs = table ? 0 : performance.now() - this.createdAtMs;
       return new Refusal(RefusalReason.NotReady, Outcome.NotRun, message, {
-        retryAfterMs: estimateStartRetryAfterMs(
-          performance.now() - this.createdAtMs,
-          Math.random,
-        ),
+        retryAfterMs: estimateStartRetryAfterMs(sinceMs, Math.random),
       });
     }
     const {limits} = table.deployment;
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,4 +1,5 @@
 /** Assembles a router from its components and runs it. */
+import type {Evacuations} from '../evacuation/evacuations.js';
 import {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
@@ -10,9 +11,10 @@
 import {BackendConnections} from './backendConnections.js';
 import {ControlServers} from './controlServers.js';
 import {CrashQuarantine} from './crashQuarantine.js';
-import {isRequestKey} from './requestKey.js';
+import {describeBlocked} from './describeBlock.js';
 import {formatProcess} from './deployment.js';
 import {DeploymentStore} from './deploymentStore.js';
+import {createEvacuations} from './evacuationStart.js';
 import {FleetView} from './fleetView.js';
 import {IdleReuseSuspensions} from './forgetfulServices.js';
 import {LeavingServers} from './leavingServers.js';
@@ -82,6 +84,7 @@
   private readonly totals = new FleetTotals({
     usesRelays: () => this.exchange.usesRelays,
   });
+  private readonly evacuations: Evacuations;
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly connections = new BackendConnections();
@@ -107,6 +110,7 @@
     this.log = new Log({vm});
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
+    this.evacuations = createEvacuations(settings, this.log);
     this.fleet = new FleetView(address);
     this.budgets = new RetryBudgets(
       () => this.settings.retries,
@@ -115,7 +119,7 @@
     );
     const {directory, loads, outcomes, fleet, prompts} = this;
     const {metrics, connections, deployments, log, notices, quarantine} = this;
-    const {limits, totals} = this;
+    const {limits, totals, evacuations} = this;
     const {codec, reader} = platform;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
@@ -128,6 +132,7 @@
       loads,
       outcomes,
       limits,
+      evacuations,
       fleet,
       prompts,
       deployments,
@@ -157,6 +162,7 @@
       fleet,
       deployments,
       servers: directory,
+      evacuations,
       notices,
       quarantine,
       limits,
@@ -186,6 +192,7 @@
     this.intake = new RequestIntake({
       codec,
       deployments,
+      evacuations,
       forwarder,
       metrics,
       log,
@@ -301,27 +308,19 @@
           outcomes: this.outcomes.get(server.id),
         })),
       },
+      evacuations: this.evacuations.describe(),
       forgetfulServices: this.idleReuse.list(),
       limitedServers: [...directory.listAll()].flatMap(server => {
         const perSecond = this.limits.getPerSecond(computeLimitKey(server));
         return perSecond === undefined ? [] : [{id: server.id, perSecond}];
       }),
-      quarantine: this.quarantine.listBlocked().map(([key, crashes]) => ({
-        kind: isRequestKey(key) ? 'request' : 'promptPart',
-        key,
-        crashes,
-      })),
+      quarantine: this.quarantine.listBlocked().map(describeBlocked),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
         greetings: this.exchange.greetings,
       },
-      peers: fleet.listKnown().map(({host, identity, status, heardAtMs}) => ({
-        host,
-        vm: identity.vm,
-        status: RouterStatus[status],
-        heardAgoMs: Math.round(performance.now() - heardAtMs),
-      })),
+      peers: fleet.describePeers(),
       active: this.intake.active,
       tasks: this.supervisor.describe(),
     };
@@ -330,7 +329,9 @@
   private get status(): RouterStatus {
     if (this.isLeaving) return RouterStatus.Leaving;
     const isInformed =
-      this.deployments.version > 0 && this.directory.measureAgeMs() < Infinity;
+      this.deployments.version > 0 &&
+      this.evacuations.isKnown &&
+      this.directory.measureAgeMs() < Infinity;
     if (!isInformed) return RouterStatus.Starting;
     return this.isOffered ? RouterStatus.Ready : RouterStatus.Resting;
   }
@@ -343,6 +344,7 @@
     registerGauges(this.metrics, {
       deployments,
       directory,
+      evacuations: this.evacuations,
       outcomes,
       intake,
       fleet,
@@ -373,12 +375,14 @@
       reader,
       deployments: this.deployments,
       servers: this.directory,
+      evacuations: this.evacuations,
       log: this.log,
       getReadRank: () => this.computeReadRank(),
       seedIndex: settings.seeds.indexOf(settings.listen.peers),
       isFirstStart: settings.isFirstStart,
       leaveBoundMs: settings.leaveBoundMs,
       contactBoundMs: settings.contactBoundMs,
+      evacuationBoundMs: settings.evacuationBoundMs,
       announce: () => this.exchange.announce(),
     });
     const spawn = (name: string, run: (signal: AbortSignal) => Promise<void>) =>
@@ -510,6 +514,7 @@
       serversRevision: position.revision,
       serversDigest: this.directory.digest,
       serversAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+      evacuations: this.evacuations.buildReport(),
     };
   }
 }
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of a router's state, evaluated at each scrape. */
+import type {Evacuations} from '../evacuation/evacuations.js';
 import type {LogSinkCounts} from '../node/logSink.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
@@ -13,6 +14,7 @@
 export interface GaugeSources {
   readonly deployments: DeploymentStore;
   readonly directory: ServerDirectory;
+  readonly evacuations: Evacuations;
   readonly outcomes: ServerOutcomes;
   readonly intake: RequestIntake;
   readonly fleet: FleetView;
@@ -29,7 +31,7 @@
   sources: GaugeSources,
 ): void {
   const {deployments, directory, outcomes, intake, fleet} = sources;
-  const {exchange, budgets, calls, logCounts} = sources;
+  const {exchange, budgets, calls, logCounts, evacuations} = sources;
   metrics.registerGauge({
     name: 'anvilstall_active_requests',
     help: 'Requests without a whole answer',
@@ -58,13 +60,26 @@
       const servers = [...directory.listAll()];
       const count = (isPassedOver: (id: string) => boolean) =>
         servers.filter(({id}) => isPassedOver(id)).length;
+      const evacuated = servers.filter(({zone}) =>
+        evacuations.isEvacuated(zone),
+      );
       return [
         ['usable', servers.length],
+        ['evacuated', evacuated.length],
         ['unreachable', count(id => outcomes.isUnreachable(id))],
         ['unwilling', count(id => outcomes.isUnwilling(id))],
       ];
     },
   });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_evacuated_zones',
+    help: '1 for an evacuated zone, 0 for one that has returned to service',
+    label: 'zone',
+    measure: () =>
+      evacuations
+        .listZones()
+        .map(({zone}) => [zone, Number(evacuations.isEvacuated(zone))]),
+  });
   metrics.registerLabelledGauge({
     name: 'anvilstall_retry_budget',
     help: 'Requests that this router may send again now',
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -9,6 +9,8 @@
   /** Name of the VM in logs. */
   vm: z.string().min(1),
   zone: z.string().min(1),
+  /** Availability zones of the deployment; empty if they aren't stated. */
+  zones: z.array(z.string()).default([]),
   /** IP address of the VM. */
   address: z.ipv4(),
   /** Bandwidth of the VM's link in Mbit/s. */
@@ -54,6 +56,11 @@
    * in milliseconds.
    */
   contactBoundMs: z.number().positive().default(3_000),
+  /**
+   * Time within which all routers stop sending requests to an evacuated zone, in
+   * milliseconds; undefined where zones aren't evacuated.
+   */
+  evacuationBoundMs: z.number().positive().optional(),
   /** Longest time for which callers keep an address answer, in seconds. */
   maxAddressTtlSeconds: secondsSchema.default(5),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
--- a/src/router/serverDirectory.ts
+++ b/src/router/serverDirectory.ts
@@ -1,12 +1,12 @@
 /** Directory of the backend servers that may be sent requests. */
 import {h32} from '../node/hashFunctions.js';
-import {computeCompactKey} from './compactKey.js';
-import {formatProcess, ServerState, type BackendServer} from './deployment.js';
 import {
   isBefore,
   type PublishedPosition,
-  type PublishedServers,
-} from './publishedState.js';
+} from '../protocol/publishedPosition.js';
+import {computeCompactKey} from './compactKey.js';
+import {formatProcess, ServerState, type BackendServer} from './deployment.js';
+import type {PublishedServers} from './publishedState.js';
 
 /**
  * A gap between views longer than this counts as an outage of the platform, in
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -35,6 +35,13 @@
 /** Assumed service time of a plain service before the first sample. */
 const initialServiceTimeMs = 80;
 
+/**
+ * Time after which a caller should retry whose service has servers in evacuated
+ * zones only, in milliseconds. Evacuations last for minutes, but a server may
+ * start in another zone at any time.
+ */
+const evacuatedRetryMs = 2_000;
+
 /** Properties of a request that affect the choice of its server. */
 export interface SelectionRequest {
   readonly service: string;
@@ -87,12 +94,18 @@
   readonly pauseWeight: number;
 }
 
+/** Tells which availability zones get no requests. */
+export interface ZoneEvacuations {
+  isEvacuated(zone: string): boolean;
+}
+
 export interface ServerSelectorOptions {
   readonly zone: string;
   readonly directory: ServerDirectory;
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
+  readonly evacuations: ZoneEvacuations;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -209,12 +222,15 @@
 
   /**
    * Returns the time until the first server of the service accepts requests
-   * again, in milliseconds; 0 unless all its servers are in backoff.
+   * again, in milliseconds; 0 unless all its servers are in backoff or in
+   * evacuated zones.
    */
   getBackoffMs(service: string): number {
     const {directory, outcomes} = this.options;
-    const servers = directory.listUsable(service);
-    if (servers.length === 0) return 0;
+    const all = directory.listUsable(service);
+    if (all.length === 0) return 0;
+    const servers = this.excludeEvacuated(all);
+    if (servers.length === 0) return evacuatedRetryMs;
     return Math.min(...servers.map(({id}) => outcomes.getBackoffMs(id)));
   }
 
@@ -236,7 +252,7 @@
   getLimitIntervalMs(service: string): number {
     const {directory, limits} = this.options;
     if (limits.isEmpty) return 0;
-    const servers = directory.listUsable(service);
+    const servers = this.excludeEvacuated(directory.listUsable(service));
     return limits.computeIntervalMs(servers.map(computeLimitKey));
   }
 
@@ -269,11 +285,17 @@
   /** Lists the servers that may be sent the request, apart from limits. */
   private listEligible(request: SelectionRequest): BackendServer[] {
     const {outcomes} = this.options;
-    return this.rankServers(request.service).filter(
+    const ranked = this.rankServers(request.service);
+    return this.excludeEvacuated(ranked).filter(
       ({id}) => !request.excluded.has(id) && outcomes.getBackoffMs(id) === 0,
     );
   }
 
+  private excludeEvacuated(servers: readonly BackendServer[]): BackendServer[] {
+    const {evacuations} = this.options;
+    return servers.filter(({zone}) => !evacuations.isEvacuated(zone));
+  }
+
   /** Returns the servers of a service in the same order on all routers. */
   private rankServers(service: string): BackendServer[] {
     const servers = this.options.directory.listUsable(service);
@@ -341,14 +363,15 @@
   ): Selection | undefined {
     const {service, promptParts, promptTokens, bodyBytes, failureCostMs} =
       request;
-    const {prompts, directory} = this.options;
+    const {prompts, directory, evacuations} = this.options;
     const statistics = this.getPrefillStatistics(service);
     const prefillTokensPerMs = statistics.tokensPerMs;
     const shortestPauseMs = this.pauses.get(service) ?? defaultMaxPauseMs;
     const pauseWeight = computePauseWeight(shortestPauseMs, request.maxPauseMs);
     const prefixes = prompts.findCachedPrefixes(promptParts);
     for (const key of prefixes.cachedTokens.keys()) {
-      if (directory.findByKey(key)) continue;
+      const holder = directory.findByKey(key);
+      if (holder && !evacuations.isEvacuated(holder.zone)) continue;
       prefixes.cachedTokens.delete(key);
       prefixes.copyableTokens.delete(key);
     }
--- a/src/router/stateFollower.ts
+++ b/src/router/stateFollower.ts
@@ -3,14 +3,15 @@
  * it, and the others learn of changes from that router. If they don't hear of a
  * read in time, the next router in order takes over.
  */
+import type {Evacuations} from '../evacuation/evacuations.js';
 import {waitFor} from '../node/delay.js';
 import type {Log} from '../node/log.js';
 import type {PlatformError} from '../protocol/errors.js';
+import type {PublishedPosition} from '../protocol/publishedPosition.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import {
   HistoryLostError,
   type DeploymentChange,
-  type PublishedPosition,
   type PublishedStateReader,
 } from './publishedState.js';
 import {computeRetryDelayMs, computeTakeoverAgeMs} from './readOrder.js';
@@ -23,7 +24,8 @@
  */
 const readIntervalRatio = 0.4;
 /**
- * Wait of one watch of the deployment, as a ratio of `contactBoundMs`. A dead
+ * Wait of one watch of the deployment and the evacuations, as a ratio of the
+ * shorter of `contactBoundMs` and `evacuationBoundMs`. A dead
  * connection hides a new deployment for this wait, the time-out after it and
  * perhaps one failed read. Then it still has to reach the other routers.
  */
@@ -49,6 +51,7 @@
   readonly reader: PublishedStateReader;
   readonly deployments: DeploymentStore;
   readonly servers: ServerDirectory;
+  readonly evacuations: Evacuations;
   readonly log: Log;
   /** Position of this router in the order in which routers read. */
   readonly getReadRank: () => number;
@@ -66,6 +69,11 @@
    * in milliseconds.
    */
   readonly contactBoundMs: number;
+  /**
+   * Time within which all routers stop sending requests to an evacuated zone, in
+   * milliseconds; undefined where none is stated.
+   */
+  readonly evacuationBoundMs?: number;
   /** Notifies peers of newer state. */
   readonly announce: () => void;
 }
@@ -128,7 +136,9 @@
    */
   async runDeployments(signal: AbortSignal): Promise<void> {
     const {reader, contactBoundMs, log} = this.options;
-    const watchWaitMs = Math.round(contactBoundMs * watchWaitRatio);
+    const {evacuationBoundMs = Infinity} = this.options;
+    const boundMs = Math.min(contactBoundMs, evacuationBoundMs);
+    const watchWaitMs = Math.round(boundMs * watchWaitRatio);
     let position: PublishedPosition | undefined;
     let retryMs = initialRetryMs;
     let historyLostAtMs = -Infinity;
@@ -185,8 +195,8 @@
    * deployment.
    */
   private async readFirstDeployment(signal: AbortSignal): Promise<void> {
-    const {reader, deployments} = this.options;
-    if (deployments.version > 0) return;
+    const {reader, deployments, evacuations} = this.options;
+    if (deployments.version > 0 && evacuations.position) return;
     const read = await reader.readDeployment(signal);
     read.match(
       change => this.adopt(change),
@@ -229,10 +239,12 @@
     return freshAtMs <= this.readAtMs || getReadRank() === 0;
   }
 
-  private adopt({published}: DeploymentChange): void {
+  private adopt(change: DeploymentChange): void {
     this.recordSuccess();
+    const {deployments, evacuations, announce} = this.options;
+    if (evacuations.apply(change, 'platform')) announce();
+    const {published} = change;
     if (!published) return;
-    const {deployments, announce} = this.options;
     if (deployments.adopt(published, 'platform')) announce();
   }
 
--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -2,6 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {StoreClient} from '../../platform/storeClient.js';
+import {ItemKind, UpdateKind} from '../../src/evacuation/evacuationUpdate.js';
 import {PlatformBusyError} from '../../src/protocol/errors.js';
 import {RouteKind, ServerState} from '../../src/router/deployment.js';
 import {HistoryLostError} from '../../src/router/publishedState.js';
@@ -121,7 +122,8 @@
       sendJson(response, {entries: [], at: 9});
     };
     const change = (await client.readDeployment(signal))._unsafeUnwrap();
-    expect(change).to.deep.equal({epoch: 3, revision: 9});
+    const evacuations = {kind: UpdateKind.Complete, items: []};
+    expect(change).to.deep.equal({evacuations, epoch: 3, revision: 9});
     const view = (await client.readServers(signal))._unsafeUnwrap();
     expect(view).to.deep.equal({servers: [], epoch: 3, revision: 9});
   });
@@ -213,6 +215,80 @@
     });
   }
 
+  // Guards against a read or watch more than before, and against a malformed item
+  // that hides the configuration or the other evacuations.
+  it('should read evacuations together with the configuration', async () => {
+    const paths: string[] = [];
+    const entries = [
+      {key: 'op/config', value: encode(config), revision: 3},
+      {key: 'op/evacuate/kaap-a', value: encode({}), revision: 4},
+      {key: 'op/evacuate/kaap-b', value: encode('gone'), revision: 5},
+      {key: 'op/evacuate/', value: encode({}), revision: 6},
+      {key: 'op/evacuate/a/b', value: encode({}), revision: 6},
+      {key: 'op/evacuate/kaap-c', value: 7, revision: 'odd'},
+      {key: 'op/other', value: encode({}), revision: 6},
+      {key: 5},
+      null,
+    ];
+    handle = (url, response) => {
+      paths.push(url.pathname + url.search);
+      sendJson(response, {entries, at: 9});
+    };
+    const change = (await client.readDeployment(signal))._unsafeUnwrap();
+    expect(paths).to.deep.equal(['/-/kv-range?prefix=op%2F']);
+    expect(change.published?.deployment.version).to.equal(7);
+    const kind = ItemKind.Unreadable;
+    expect(change.evacuations).to.deep.equal({
+      kind: UpdateKind.Complete,
+      items: [
+        {kind: ItemKind.Written, zone: 'kaap-a'},
+        {kind, name: 'op/evacuate/kaap-b', zone: 'kaap-b'},
+        {kind, name: 'op/evacuate/'},
+        {kind, name: 'op/evacuate/a/b'},
+        {kind, name: 'op/evacuate/kaap-c', zone: 'kaap-c'},
+      ],
+    });
+  });
+
+  it('should keep the order of changes in a watch', async () => {
+    const events = [
+      {key: 'op/evacuate/kaap-a', value: encode({}), revision: 4},
+      {key: 'op/evacuate/kaap-a', deleted: true, revision: 5},
+    ];
+    handle = (_url, response) => sendJson(response, {events, at: 5});
+    const change = await client.watchDeployment(3, 100, signal);
+    expect(change._unsafeUnwrap()).to.deep.equal({
+      evacuations: {
+        kind: UpdateKind.Changes,
+        items: [
+          {kind: ItemKind.Written, zone: 'kaap-a'},
+          {kind: ItemKind.Deleted, zone: 'kaap-a'},
+        ],
+      },
+      epoch: 0,
+      revision: 5,
+    });
+  });
+
+  // Guards against an evacuation that is lost on a second page, and against a
+  // change between two pages that the next watch skips.
+  it('should read all pages of evacuations from the first position', async () => {
+    const build = (zone: string) => ({
+      key: `op/evacuate/${zone}`,
+      value: encode({}),
+    });
+    handle = (url, response) =>
+      url.searchParams.get('after') === 'op/evacuate/a'
+        ? sendJson(response, {entries: [build('b')], at: 6})
+        : sendJson(response, {entries: [build('a')], hasMore: true, at: 5});
+    const change = (await client.readDeployment(signal))._unsafeUnwrap();
+    expect(change.revision).to.equal(5);
+    expect(change.evacuations.items.map(({zone}) => zone)).to.deep.equal([
+      'a',
+      'b',
+    ]);
+  });
+
   // A connection may go dead permanently while new connections work.
   it('should give up a watch that is never answered', async () => {
     handle = () => undefined;
--- a/tests/router/closingIntake.test.ts
+++ b/tests/router/closingIntake.test.ts
@@ -26,6 +26,7 @@
     intake = new RequestIntake({
       codec: new PlainCodec(),
       deployments: new DeploymentStore(log),
+      evacuations: {isKnown: true},
       forwarder: {} as RequestForwarder,
       metrics: new RouterMetrics(),
       log,
--- a/tests/router/fakePublishedState.ts
+++ b/tests/router/fakePublishedState.ts
@@ -1,5 +1,11 @@
 /** In-memory platform state with injected faults. */
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {
+  ItemKind,
+  UpdateKind,
+  type EvacuationItem,
+  type EvacuationUpdate,
+} from '../../src/evacuation/evacuationUpdate.js';
 import {waitFor} from '../../src/node/delay.js';
 import {PlatformError} from '../../src/protocol/errors.js';
 import {HistoryLostError} from '../../src/router/publishedState.js';
@@ -18,6 +24,7 @@
   readonly calls = {reads: 0, watches: 0, failed: 0};
   servers: BackendServer[] = [];
   deployment: Deployment | undefined;
+  private readonly evacuatedZones = new Set<string>();
   /** Names of readers whose calls fail. */
   readonly failingReaders = new Set<string>();
   isDown = false;
@@ -72,6 +79,16 @@
     this.revision += 1;
   }
 
+  evacuate(zone: string): void {
+    this.evacuatedZones.add(zone);
+    this.revision += 1;
+  }
+
+  endEvacuation(zone: string): void {
+    this.evacuatedZones.delete(zone);
+    this.revision += 1;
+  }
+
   /** Raises the revision as writes that change nothing do. */
   writeHeartbeats(count: number): void {
     this.revision += count;
@@ -81,6 +98,7 @@
   resetTo(copy: {servers: BackendServer[]; deployment: Deployment}): void {
     this.servers = copy.servers;
     this.deployment = copy.deployment;
+    this.evacuatedZones.clear();
     this.revision = 1;
     this.epoch += 1;
   }
@@ -90,10 +108,19 @@
   ): ResultAsync<DeploymentChange, PlatformError> {
     this.deploymentReads += 1;
     const {deployment, revision, epoch} = this;
-    if (!deployment) return okAsync({revision, epoch});
+    const evacuations = this.listEvacuations();
+    if (!deployment) return okAsync({evacuations, revision, epoch});
     const document = JSON.stringify(deployment);
     const published = {deployment, document};
-    return okAsync({published, revision, epoch});
+    return okAsync({published, evacuations, revision, epoch});
+  }
+
+  listEvacuations(): EvacuationUpdate {
+    const items = [...this.evacuatedZones].map((zone): EvacuationItem => ({
+      kind: ItemKind.Written,
+      zone,
+    }));
+    return {kind: UpdateKind.Complete, items};
   }
 
   watchDeployment(
--- a/tests/router/peerStateReader.test.ts
+++ b/tests/router/peerStateReader.test.ts
@@ -1,6 +1,7 @@
 import net from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {expect} from 'chai';
+import {Evacuations} from '../../src/evacuation/evacuations.js';
 import {Log} from '../../src/node/log.js';
 import {DeploymentStore} from '../../src/router/deploymentStore.js';
 import type {StateVersions} from '../../src/router/peerReport.js';
@@ -21,6 +22,7 @@
   let platform: FakePublishedState;
   let deployments: DeploymentStore;
   let servers: ServerDirectory;
+  let evacuations: Evacuations;
   let reader: PeerStateReader;
   let peers: net.Server[];
 
@@ -31,6 +33,10 @@
     platform.servers = [sampleServer];
     deployments = new DeploymentStore(log);
     servers = new ServerDirectory();
+    evacuations = new Evacuations({zones: [], peerWaitMs: 0, log});
+    const update = platform.listEvacuations();
+    const position = {epoch: 1, revision: 1};
+    evacuations.apply({...position, evacuations: update}, 'platform');
     peers = [];
     const {deployment} = platform;
     deployments.adopt({deployment, document: ''}, 'platform');
@@ -38,6 +44,7 @@
     reader = new PeerStateReader({
       deployments,
       servers,
+      evacuations,
       reader: platform.openReader('vm-1'),
       log,
       leaveBoundMs: 2_000,
--- a/tests/router/requestIntake.test.ts
+++ b/tests/router/requestIntake.test.ts
@@ -51,6 +51,7 @@
     const intake = new RequestIntake({
       codec: new PlainCodec(),
       deployments: new DeploymentStore(log),
+      evacuations: {isKnown: true},
       forwarder: {} as RequestForwarder,
       metrics: new RouterMetrics(),
       log,
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -145,6 +145,8 @@
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps?: number;
   readonly codec?: MessageCodec;
+  readonly zones?: string[];
+  readonly evacuationBoundMs?: number;
 }
 
 /** Starts and stops the routers and backend servers of a test. */
@@ -199,6 +201,8 @@
       {
         vm: name,
         zone: options.zone ?? 'a',
+        zones: options.zones ?? [],
+        evacuationBoundMs: options.evacuationBoundMs,
         address,
         linkMbps: options.linkMbps ?? 490,
         listen,
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -1,5 +1,6 @@
 import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {ZoneStatus} from '../../src/evacuation/evacuationReport.js';
 import {TotalsTopic} from '../../src/fleetTotals/totalsReport.js';
 import {listAddresses} from '../../src/router/callerAddresses.js';
 import {computeCompactKey} from '../../src/router/compactKey.js';
@@ -50,6 +51,14 @@
     serversRevision: 19,
     serversDigest: 4_000_000_000,
     serversAgeMs: 120,
+    evacuations: {
+      position: {epoch: 2, revision: 18},
+      zones: [
+        {zone: 'a', status: ZoneStatus.Evacuated},
+        {zone: 'b', status: ZoneStatus.Retained, remainingMs: 700},
+        {zone: 'c', status: ZoneStatus.Returned, sinceMs: 90, epoch: 1},
+      ],
+    },
     servers: [buildServerReport({})],
     placements: [[1, 2]],
     notices: [8],
@@ -87,6 +96,7 @@
     serversRevision: 19,
     serversDigest: 4_000_000_000,
     serversAgeMs: 120,
+    evacuations: undefined,
     servers: [buildServerReport({requests: 6})],
     sequences: [],
     placements: [[1, 2]],
--- a/tests/support/simulatedRouters.ts
+++ b/tests/support/simulatedRouters.ts
@@ -1,6 +1,7 @@
 /** Runs the report exchange of many routers in one process with a fake clock. */
 import {install, type Clock} from '@sinonjs/fake-timers';
 import prand from 'pure-rand';
+import {Evacuations} from '../../src/evacuation/evacuations.js';
 import {Log} from '../../src/node/log.js';
 import {listAddresses} from '../../src/router/callerAddresses.js';
 import {CrashQuarantine} from '../../src/router/crashQuarantine.js';
@@ -132,6 +133,11 @@
       reports,
       deployments: {version: 1},
       servers: new SimulatedDirectory(this),
+      evacuations: new Evacuations({
+        zones: [],
+        peerWaitMs: 0,
+        log: new Log({vm: host}),
+      }),
       notices,
       quarantine,
       limits: nothing,
