Pace the requests to cold backend servers

Seen: cold servers got up to 25 requests in a second where 20 are allowed. They crash, are back under their id after 2 s, empty, and all routers prefer them. Cause: nothing limits what the routers send together to a server that has just started, and its entry in the store is up to 2 s old.

Change: src/serverPace/ tells which servers are cold (entry, evidence of a restart, returned zone, old view, router just started) and which few routers may send to one, and how often. Evidence of a restart is shared as notices, and taken back when an older request goes on. In effect only with the setting coldServers and a cold start in the configuration.

The tests found two faults on the way: evidence was removed while the view listed no server, and routers that started during a partition formed groups of their own.

--- a/src/router/deployment.ts
+++ b/src/router/deployment.ts
@@ -1,4 +1,5 @@
 /** Types of a deployment: the versioned configuration of a router. */
+import type {ColdStart} from '../serverPace/pacedServer.js';
 
 /** Whether requests of a route may be retried, and how answers arrive. */
 export enum RouteKind {
@@ -57,6 +58,8 @@
   readonly maxConnections: number;
   /** Present when the backend servers are model engines. */
   readonly engine?: EngineLimits;
+  /** Present where servers that have just started bear few requests. */
+  readonly coldStart?: ColdStart;
 }
 
 /** Size limits and timeouts for callers. */
--- a/src/router/forwarderOptions.ts
+++ b/src/router/forwarderOptions.ts
@@ -1,5 +1,6 @@
 /** Components that the forwarding of requests needs. */
 import type {Log} from '../node/log.js';
+import type {ServerPace} from '../serverPace/serverPace.js';
 import type {AnswerNotices} from './answerNotices.js';
 import type {BackendConnections} from './backendConnections.js';
 import type {CrashQuarantine} from './crashQuarantine.js';
@@ -21,6 +22,7 @@
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
+  readonly pace: ServerPace;
   readonly quarantine: CrashQuarantine;
   readonly answerNotices: AnswerNotices;
   readonly idleReuse: IdleReuseSuspensions;
--- /dev/null
+++ b/src/router/pacing.ts
@@ -0,0 +1,154 @@
+/** Connects the pace of cold servers with the other parts of a router. */
+import type {Log, LogFields} from '../node/log.js';
+import type {ColdCause, ColdServersOptions} from '../serverPace/coldServers.js';
+import type {ColdStart} from '../serverPace/pacedServer.js';
+import {ServerPace, type ColdServerState} from '../serverPace/serverPace.js';
+import type {DeploymentStore} from './deploymentStore.js';
+import type {FleetView} from './fleetView.js';
+import type {OfferedRouters} from './offeredRouters.js';
+import {RouterStatus} from './peerReport.js';
+import type {RouterMetrics} from './routerMetrics.js';
+import type {RouteTable} from './routeTable.js';
+import type {RouterSettings} from './routerSettings.js';
+import type {ServerDirectory} from './serverDirectory.js';
+import {NoticeResult, type SharedNotices} from './sharedNotices.js';
+
+/** Most servers that one log line names. */
+const maxNamedServers = 8;
+
+export interface PacingOptions extends Pick<
+  ColdServersOptions,
+  'measureSinceReturnMs'
+> {
+  readonly settings: RouterSettings;
+  readonly directory: ServerDirectory;
+  readonly deployments: DeploymentStore;
+  readonly fleet: FleetView;
+  readonly notices: SharedNotices;
+  readonly metrics: RouterMetrics;
+  readonly log: Log;
+  readonly findOffered: () => OfferedRouters;
+}
+
+interface SeenCold {
+  readonly cause: ColdCause;
+  readonly sinceMs: number;
+}
+
+/**
+ * Holds the pace of a router, and logs which servers become cold and warm.
+ *
+ * @example
+ * const pacing = new Pacing(options);
+ * const selector = new ServerSelector({...others, pace: pacing.pace});
+ */
+export class Pacing {
+  readonly pace: ServerPace;
+  private coldStarts: ReadonlyMap<string, ColdStart> = new Map();
+  /** Cold servers at the last update, by id. */
+  private seen = new Map<string, SeenCold>();
+
+  /**
+   * Must be created before a listener of the notices that accepts every key.
+   */
+  constructor(private readonly options: PacingOptions) {
+    const {settings, directory, deployments, fleet} = options;
+    const {notices, findOffered, measureSinceReturnMs} = options;
+    this.pace = new ServerPace({
+      bounds: settings.coldServers,
+      getColdStart: service => this.coldStarts.get(service),
+      measureViewAgeMs: () => directory.measureAgeMs(),
+      measureSinceReturnMs,
+      announce: key => notices.announce(key),
+      viewSenders: () => ({
+        ...findOffered(),
+        seeds: settings.seeds.map(seed => seed.split(':')[0]),
+        retired: fleet
+          .listKnown()
+          .filter(({status}) => status !== RouterStatus.Ready)
+          .map(({host}) => host),
+      }),
+    });
+    if (!this.pace.isEnabled) return;
+    deployments.watch(table => this.useDeployment(table));
+    directory.watchReads((servers, ageMs) =>
+      this.pace.recordRead(servers, ageMs),
+    );
+    notices.watch(key => toNoticeResult(this.pace.recordNotice(key)));
+    this.registerGauges();
+  }
+
+  /** Lists the cold servers, for the dump. */
+  list(): ColdServerState[] {
+    return this.pace.listCold(this.options.directory.listAll());
+  }
+
+  /** Updates the routers that the pace knows, and logs changes. */
+  update(): void {
+    if (!this.pace.isEnabled) return;
+    const {directory} = this.options;
+    this.pace.update(id => directory.findUsable(id) !== undefined);
+    const nowMs = performance.now();
+    const cold = new Map<string, SeenCold>();
+    const began = new Map<ColdCause, string[]>();
+    for (const {id, cause} of this.list()) {
+      const known = this.seen.get(id);
+      const isSame = known?.cause === cause;
+      cold.set(id, isSame ? known : {cause, sinceMs: nowMs});
+      if (!isSame) began.set(cause, [...(began.get(cause) ?? []), id]);
+    }
+    const ended = [...this.seen].filter(([id]) => !cold.has(id));
+    this.seen = cold;
+    for (const [cause, ids] of began) {
+      this.logChange('backend servers cold', ids, {cause});
+    }
+    if (ended.length === 0) return;
+    const sinceMs = Math.min(...ended.map(([, state]) => state.sinceMs));
+    const ids = ended.map(([id]) => id);
+    const ms = Math.round(nowMs - sinceMs);
+    this.logChange('backend servers warm', ids, {ms});
+  }
+
+  private useDeployment({deployment}: RouteTable): void {
+    this.coldStarts = new Map(
+      deployment.services.flatMap(({name, coldStart}) =>
+        coldStart ? [[name, coldStart] as const] : [],
+      ),
+    );
+    const {directory} = this.options;
+    const ageMs = directory.measureAgeMs();
+    if (ageMs === Infinity) return;
+    this.pace.recordRead(directory.getView().servers, ageMs);
+  }
+
+  private logChange(event: string, ids: string[], fields: LogFields): void {
+    const servers = ids.slice(0, maxNamedServers).join(' ');
+    this.options.log.logInfo(event, {...fields, count: ids.length, servers});
+  }
+
+  private registerGauges(): void {
+    const {metrics} = this.options;
+    metrics.registerLabelledGauge({
+      name: 'anvilstall_cold_servers',
+      help: 'Backend servers to which requests are paced, by cause',
+      label: 'cause',
+      measure: () => {
+        const counts = new Map<string, number>();
+        for (const {cause} of this.list()) {
+          counts.set(cause, (counts.get(cause) ?? 0) + 1);
+        }
+        return counts;
+      },
+    });
+    metrics.registerGauge({
+      name: 'anvilstall_cold_servers_passed_over',
+      help: 'Times that a request passed over a cold server, since the start',
+      measure: () => this.pace.deferred,
+    });
+  }
+}
+
+function toNoticeResult(isNew: boolean | undefined): NoticeResult {
+  if (isNew === undefined) return NoticeResult.Unrecognised;
+  return isNew ? NoticeResult.New : NoticeResult.Known;
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -27,6 +27,7 @@
 import {computeRequestKey} from './requestKey.js';
 import {RetryCause} from './routerMetrics.js';
 import {minRemainingMs, SendLimit} from './sendLimit.js';
+import {recordRestartSigns} from './restartSigns.js';
 import {SentAttempt, type AttemptListener} from './sentAttempt.js';
 import type {Selection, SelectionRequest} from './serverSelector.js';
 
@@ -227,8 +228,9 @@
    */
   private measureLimitWaitMs(): number | undefined {
     const {route} = this.request;
-    const {limits} = this.options;
-    if (limits.isEmpty || !this.canSend || this.hasEvents) return;
+    const {limits, pace} = this.options;
+    const isOpen = limits.isEmpty && !pace.hasCold();
+    if (isOpen || !this.canSend || this.hasEvents) return;
     const request = this.buildSelectionRequest();
     return computeLimitWaitMs({
       waitMs: this.options.selector.measureLimitWaitMs(request),
@@ -459,8 +461,10 @@
     }
   }
 
-  private countSend({wasUnreachable}: SentAttempt, {kind}: AttemptResult) {
-    const isReached = kind !== AttemptKind.Unreachable;
+  private countSend(attempt: SentAttempt, result: AttemptResult) {
+    recordRestartSigns(this.options.pace, attempt, result);
+    const {wasUnreachable} = attempt;
+    const isReached = result.kind !== AttemptKind.Unreachable;
     this.sendLimit.record({isReached, wasUnreachable});
     if (!isReached) this.log.unreached += 1;
   }
--- /dev/null
+++ b/src/router/restartSigns.ts
@@ -0,0 +1,47 @@
+/** What the end of an attempt shows about a restart of its server. */
+import {assertNever} from '../protocol/assertNever.js';
+import {EvidenceKind} from '../serverPace/restartEvidence.js';
+import type {ServerPace} from '../serverPace/serverPace.js';
+import {AttemptKind, type AttemptResult} from './backendAttempt.js';
+import {isStaleConnection} from './connectionReuse.js';
+import type {SentAttempt} from './sentAttempt.js';
+
+/**
+ * Records that a server may have restarted, or that its process has gone on.
+ *
+ * @example
+ * recordRestartSigns(pace, attempt, {kind: AttemptKind.Streamed});
+ */
+export function recordRestartSigns(
+  pace: ServerPace,
+  attempt: Pick<SentAttempt, 'selection' | 'sentAtMs' | 'connectionIdleMs'>,
+  result: AttemptResult,
+): void {
+  const {server} = attempt.selection;
+  const {sentAtMs} = attempt;
+  switch (result.kind) {
+    case AttemptKind.Answered:
+    case AttemptKind.Streamed:
+      pace.recordLife(server, sentAtMs);
+      break;
+    case AttemptKind.NotRun:
+      if (!result.isOtherProcess) pace.recordLife(server, sentAtMs);
+      break;
+    case AttemptKind.Unreachable:
+      pace.recordEvidence(server, EvidenceKind.Strong);
+      break;
+    case AttemptKind.Broken: {
+      if (!result.isConnectionLost) break;
+      const isStale = isStaleConnection({
+        isUnanswered: result.isUnanswered,
+        idleMs: attempt.connectionIdleMs,
+        elapsedMs: performance.now() - sentAtMs,
+      });
+      const kind = isStale ? EvidenceKind.Weak : EvidenceKind.Strong;
+      pace.recordEvidence(server, kind);
+      break;
+    }
+    default:
+      assertNever(result);
+  }
+}
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -26,7 +26,8 @@
 } from './offeredRouters.js';
 import {PeerExchange} from './peerExchange.js';
 import {OwnReportBuilder} from './ownReportBuilder.js';
-import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
+import {Pacing} from './pacing.js';
+import {isServing, RouterStatus} from './peerReport.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
@@ -45,6 +46,7 @@
 import {ShutdownSchedule} from './shutdownSchedule.js';
 import {SharedNotices} from './sharedNotices.js';
 import {StateFollower} from './stateFollower.js';
+import {describeVersions} from './stateVersions.js';
 
 /** Longest time that the tasks may take to stop. */
 const taskStopTimeoutMs = 100;
@@ -84,6 +86,7 @@
   });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
+  private readonly pacing: Pacing;
   private readonly connections = new BackendConnections();
   private readonly budgets: RetryBudgets;
   private readonly deployments: DeploymentStore;
@@ -121,6 +124,11 @@
       notices,
       () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
     );
+    this.pacing = new Pacing({
+      ...{settings, directory, deployments, fleet, notices, metrics, log},
+      findOffered: () => this.findOffered(),
+    });
+    const {pace} = this.pacing;
     const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
@@ -128,6 +136,7 @@
       loads,
       outcomes,
       limits,
+      pace,
       fleet,
       prompts,
       deployments,
@@ -140,7 +149,7 @@
       limits,
       totals,
       getStatus: () => this.status,
-      getVersions: () => this.describeVersions(),
+      getVersions: () => describeVersions(this.deployments, this.directory),
     });
     this.exchange = new PeerExchange({
       address,
@@ -176,6 +185,7 @@
       loads,
       outcomes,
       limits,
+      pace,
       quarantine,
       answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
@@ -306,6 +316,7 @@
         const perSecond = this.limits.getPerSecond(computeLimitKey(server));
         return perSecond === undefined ? [] : [{id: server.id, perSecond}];
       }),
+      coldServers: this.pacing.list(),
       quarantine: this.quarantine.listBlocked().map(([key, crashes]) => ({
         kind: isRequestKey(key) ? 'request' : 'promptPart',
         key,
@@ -404,6 +415,7 @@
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
       this.removeEndedServers();
+      this.pacing.update();
     }
   }
 
@@ -500,16 +512,4 @@
     if (isLong && !this.exchange.usesRelays) this.exchange.announce();
     else this.exchange.scheduleReport();
   }
-
-  private describeVersions(): StateVersions {
-    const ageMs = this.directory.measureAgeMs();
-    const {position} = this.directory;
-    return {
-      deploymentVersion: this.deployments.version,
-      serversEpoch: position.epoch,
-      serversRevision: position.revision,
-      serversDigest: this.directory.digest,
-      serversAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
-    };
-  }
 }
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -56,6 +56,20 @@
   contactBoundMs: z.number().positive().default(3_000),
   /** Longest time for which callers keep an address answer, in seconds. */
   maxAddressTtlSeconds: secondsSchema.default(5),
+  /**
+   * Bounds on the requests to servers that have just started; absent where they
+   * aren't limited.
+   */
+  coldServers: z
+    .object({
+      /** Allowed ratio of requests to what such a server bears. */
+      overrun: ratioSchema,
+      /** Requests allowed beyond that in any second. */
+      slack: ratioSchema,
+    })
+    .optional(),
+  /** True if requests to servers grow with their answers after a failure. */
+  slowStart: z.boolean().default(false),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
 });
 export type RouterSettings = z.infer<typeof routerSettingsSchema>;
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -70,6 +70,7 @@
     this.selection = selection;
     this.wasUnreachable = components.outcomes.isUnreachable(server.id);
     components.limits.recordSend(computeLimitKey(server));
+    components.pace.recordSend(server);
     const isEngine = exchange.request.promptParts.length > 0;
     this.ticket = loads.add(server.id, {
       prefillWork,
@@ -172,6 +173,7 @@
   ): boolean {
     const {components, selection} = this.options;
     components.outcomes.recordEvent(selection.server.id);
+    components.pace.recordLife(selection.server, this.sentAtMs);
     if (!this.hasEvents) this.recordFirstEvent();
     return this.listener.receiveEvents(this, events, resume);
   }
--- a/src/router/serverDirectory.ts
+++ b/src/router/serverDirectory.ts
@@ -40,6 +40,12 @@
  */
 const minFreshnessGainMs = 200;
 
+/** @param ageMs - time since the read */
+export type ServerReadListener = (
+  servers: readonly BackendServer[],
+  ageMs: number,
+) => void;
+
 /** Most removed processes remembered; the platform drops them in seconds. */
 const maxRemovedProcesses = 20_000;
 
@@ -62,6 +68,7 @@
   /** Compact keys of processes that are no longer used, oldest first. */
   private readonly removedProcesses = new Set<number>();
   private usableByService = new Map<string, BackendServer[]>();
+  private readonly readListeners: ServerReadListener[] = [];
 
   /** Position of the newest view that was read. */
   get position(): PublishedPosition {
@@ -69,11 +76,19 @@
     return {epoch, revision};
   }
 
-  /** Changes with the servers and their states, not with their heartbeats. */
+  /**
+   * Changes with the servers and their states, not with their heartbeats. Where
+   * reads are watched, it also changes when a server becomes warm or cold.
+   */
   get digest(): number {
     return this.viewDigest;
   }
 
+  /** Adds a listener that is called with each newer view. */
+  watchReads(listener: ServerReadListener): void {
+    this.readListeners.push(listener);
+  }
+
   /** Milliseconds since the last read; Infinity before the first one. */
   measureAgeMs(): number {
     return performance.now() - this.freshAtMs;
@@ -87,7 +102,8 @@
   /** Applies a view read `ageMs` ago; returns whether servers changed. */
   apply(view: ServerView, ageMs: number): boolean {
     if (isBefore(view, this.view)) return false;
-    const digest = computeDigest(view.servers);
+    for (const listener of this.readListeners) listener(view.servers, ageMs);
+    const digest = computeDigest(view.servers, this.readListeners.length > 0);
     this.updateFreshness(view, ageMs);
     this.view = view;
     const isSettled = !this.isReregistering() && !this.isRestored();
@@ -225,9 +241,13 @@
   }
 }
 
-function computeDigest(servers: readonly BackendServer[]): number {
-  const lines = servers.map(
-    server => `${formatProcess(server)} ${server.service} ${server.state}`,
-  );
+function computeDigest(
+  servers: readonly BackendServer[],
+  includesCold: boolean,
+): number {
+  const lines = servers.map(server => {
+    const line = `${formatProcess(server)} ${server.service} ${server.state}`;
+    return includesCold && server.warmUpMs > 0 ? `${line} cold` : line;
+  });
   return h32(lines.sort().join('\n'));
 }
--- a/src/router/serverLimits.ts
+++ b/src/router/serverLimits.ts
@@ -24,6 +24,19 @@
  */
 const repeatPeriodMs = 1_500;
 
+/**
+ * Returns the mean time between two requests that servers take together, in
+ * milliseconds; 0 without servers, or if one of them has no limit.
+ *
+ * @param limits - requests a second by server, Infinity for none
+ * @example
+ * computeIntervalMs([3, 1]) === 250
+ */
+export function computeIntervalMs(limits: readonly number[]): number {
+  const perSecond = limits.reduce((sum, limit) => sum + limit, 0);
+  return limits.length === 0 ? 0 : 1_000 / Math.max(minPerSecond, perSecond);
+}
+
 /** Position of this router among those that take turns. */
 export interface TurnPosition {
   readonly index: number;
@@ -104,9 +117,9 @@
    * milliseconds; 0 unless all of them have limits.
    */
   computeIntervalMs(keys: readonly number[]): number {
-    const limits = keys.map(key => this.getPerSecond(key) ?? Infinity);
-    const perSecond = limits.reduce((sum, limit) => sum + limit, 0);
-    return limits.length === 0 ? 0 : 1_000 / Math.max(minPerSecond, perSecond);
+    return computeIntervalMs(
+      keys.map(key => this.getPerSecond(key) ?? Infinity),
+    );
   }
 
   /**
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -1,5 +1,6 @@
 /** Selects backend servers by the load and outcomes that routers report. */
 import {sortByWeight} from '../node/rendezvous.js';
+import type {ServerPace} from '../serverPace/serverPace.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -26,7 +27,7 @@
 import type {PrefixCacheDirectory} from './promptDirectory.js';
 import type {RouteTable} from './routeTable.js';
 import type {ServerDirectory} from './serverDirectory.js';
-import type {ServerLimits} from './serverLimits.js';
+import {computeIntervalMs, type ServerLimits} from './serverLimits.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 
@@ -93,6 +94,7 @@
   readonly loads: ServerLoadTracker;
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
+  readonly pace: ServerPace;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -220,23 +222,37 @@
 
   /**
    * Returns the time until this router may send the request to a server that
-   * only its limit excludes now, in milliseconds; Infinity if there is none.
+   * only its limit or pace excludes now, in milliseconds; Infinity if there is
+   * none.
    */
   measureLimitWaitMs(request: SelectionRequest): number {
+    const {limits, pace} = this.options;
     const waits = this.listEligible(request).map(server =>
-      this.options.limits.measureWaitMs(computeLimitKey(server), request),
+      Math.max(
+        limits.measureWaitMs(computeLimitKey(server), request),
+        pace.measureWaitMs(server),
+      ),
     );
     return Math.min(Infinity, ...waits);
   }
 
   /**
    * Returns the mean time between two requests that a service takes from the
-   * whole fleet, in milliseconds; 0 unless all its servers have limits.
+   * whole fleet, in milliseconds; 0 unless all its servers have limits or are
+   * cold.
    */
   getLimitIntervalMs(service: string): number {
-    const {directory, limits} = this.options;
-    if (limits.isEmpty) return 0;
+    const {directory, limits, pace} = this.options;
     const servers = directory.listUsable(service);
+    if (pace.hasCold()) {
+      return computeIntervalMs(
+        servers.map(server => {
+          const limit = limits.getPerSecond(computeLimitKey(server));
+          return Math.min(limit ?? Infinity, pace.getPerSecond(server));
+        }),
+      );
+    }
+    if (limits.isEmpty) return 0;
     return limits.computeIntervalMs(servers.map(computeLimitKey));
   }
 
@@ -246,7 +262,7 @@
   }
 
   private listCandidates(request: SelectionRequest): BackendServer[] {
-    const {outcomes, limits} = this.options;
+    const {outcomes, limits, pace} = this.options;
     limits.recordRequest(request);
     const eligible = this.listEligible(request);
     const allowed = limits.isEmpty
@@ -256,7 +272,7 @@
             limits.measureWaitMs(computeLimitKey(server), request) === 0,
         );
     const reachable = selectPreferred(
-      allowed,
+      pace.listOpen(allowed),
       ({id}) => !outcomes.isUnreachable(id),
     );
     const notFailed = selectPreferred(
@@ -266,7 +282,7 @@
     return selectPreferred(notFailed, ({id}) => !outcomes.isUnwilling(id));
   }
 
-  /** Lists the servers that may be sent the request, apart from limits. */
+  /** Lists the servers that may be sent the request, apart from their limits. */
   private listEligible(request: SelectionRequest): BackendServer[] {
     const {outcomes} = this.options;
     return this.rankServers(request.service).filter(
--- /dev/null
+++ b/src/serverPace/restartEvidence.ts
@@ -0,0 +1,256 @@
+/**
+ * Evidence that a backend server has restarted under its id.
+ *
+ * A server that crashes may be back within 2 s, while its entry in the store is
+ * up to 2 s old, so its clients know first: they can't connect, or lose a
+ * connection during a request. The router that sees this tells all others. The
+ * server counts as restarted until
+ *
+ * - its entry shows a later start, and then says how long it is cold;
+ * - its entry shows the same start, and was read so late that the process wrote
+ *   it after the evidence;
+ * - a request from before the evidence gets a further part of its answer, which
+ *   shows that the process has gone on. The router that sees this tells all
+ *   others, too: a server with more connections than it accepts loses some
+ *   while others go on, and must not count as restarted for seconds; or
+ * - a restarted process would be warm again.
+ *
+ * A reset of a connection that was idle is ordinary, and only weak evidence: it
+ * isn't shared, and counts for a short time and not again soon.
+ */
+import {h32} from '../node/hashFunctions.js';
+
+/** Kinds of evidence. */
+export enum EvidenceKind {
+  /** No connection to the server could be opened, or one was lost in use. */
+  Strong = 'strong',
+  /** A connection was reset that had been idle. */
+  Weak = 'weak',
+}
+
+/**
+ * An entry with the same start that is read this long after the evidence, in
+ * milliseconds, was written after it: entries expire after 3.6 s, and a read may
+ * be 2 s behind.
+ */
+const sameAfterMs = 5_600;
+/** After a restart before the evidence, a read shows it after this time. */
+const shownAfterMs = 2_000;
+/** Weak evidence counts at most once in this time, in milliseconds. */
+const weakIntervalMs = 10_000;
+/**
+ * A part of an answer that arrives this long after the evidence can't have been
+ * under way before it, in milliseconds.
+ */
+const transitMs = 250;
+/**
+ * Evidence may come this much later than a restart, in milliseconds: a time-out
+ * of a connection, or a notice that is under way for up to a second. Requests
+ * that were sent in this time may be the restarted process's.
+ */
+const evidenceDelayMs = 1_000;
+/** Evidence is shared again after this time, in milliseconds. */
+const shareIntervalMs = 1_000;
+/**
+ * Notices have numbers, so that a repeated one differs from a new one. All are
+ * used up in more than the time for which a notice is remembered.
+ */
+const noticeNumbers = 8;
+/** Routers and relays repeat a notice for less than this, in milliseconds. */
+const noticeMemoryMs = 5_000;
+
+/** What a notice says about a process. */
+enum NoticeTopic {
+  Restarted = 'restarted',
+  Same = 'same',
+}
+
+interface ProcessEvidence {
+  /** When the process was last found restarted; -Infinity if never. */
+  strongAtMs: number;
+  weakAtMs: number;
+  /** Only requests from before this time can show that the process is the same. */
+  sinceMs: number;
+  /** Number of the latest notice of a restart. */
+  number: number;
+  sharedAtMs: number;
+  /** When each notice was seen, by topic and number. */
+  readonly seenAtMs: Map<string, number>;
+}
+
+/** State of the view of a process, for `isRestarted`. */
+export interface ProcessView {
+  readonly process: string;
+  readonly hasStartTime: boolean;
+  /** `performance.now()` of the newest read that listed the process. */
+  readonly freshAtMs: number;
+  /** Time for which a process is cold after its start, in milliseconds. */
+  readonly coldMs: number;
+}
+
+/** Keeps evidence by process; see `formatPacedProcess`. */
+export class RestartEvidence {
+  private readonly evidence = new Map<string, ProcessEvidence>();
+  /** Notices about listed processes, by key. */
+  private notices = new Map<number, [string, NoticeTopic, number]>();
+
+  /** @param announce - sends a compact key to all other routers */
+  constructor(private readonly announce: (key: number) => void) {}
+
+  /** True while there is no evidence against any process. */
+  get isEmpty(): boolean {
+    return this.evidence.size === 0;
+  }
+
+  /** Sets the processes about which notices are understood. */
+  setProcesses(processes: readonly string[]): void {
+    this.notices = new Map();
+    for (const process of processes) {
+      for (const topic of [NoticeTopic.Restarted, NoticeTopic.Same]) {
+        for (let number = 0; number < noticeNumbers; number++) {
+          const key = computeNoticeKey(process, topic, number);
+          this.notices.set(key, [process, topic, number]);
+        }
+      }
+    }
+  }
+
+  /** Records evidence that this router has seen. */
+  record(process: string, kind: EvidenceKind): void {
+    const nowMs = performance.now();
+    const known = this.getEvidence(process);
+    if (kind === EvidenceKind.Weak) {
+      if (nowMs - known.weakAtMs >= weakIntervalMs) known.weakAtMs = nowMs;
+      return;
+    }
+    setStrong(known);
+    if (nowMs - known.sharedAtMs < shareIntervalMs) return;
+    known.sharedAtMs = nowMs;
+    known.number = (known.number + 1) % noticeNumbers;
+    this.publish(process, known, NoticeTopic.Restarted);
+  }
+
+  /**
+   * Records a part of an answer, which shows that the process has gone on if
+   * its request is older than the evidence.
+   *
+   * @param sentAtMs - `performance.now()` when the request was sent
+   */
+  recordLife(process: string, sentAtMs: number): void {
+    const known = this.evidence.get(process);
+    if (!known) return;
+    const nowMs = performance.now();
+    const {strongAtMs, weakAtMs, sinceMs} = known;
+    if (sentAtMs < weakAtMs && nowMs - weakAtMs > transitMs) {
+      known.weakAtMs = Math.min(weakAtMs, nowMs - shownAfterMs);
+    }
+    if (strongAtMs === -Infinity || sentAtMs >= sinceMs) return;
+    if (nowMs - strongAtMs <= transitMs) return;
+    known.strongAtMs = -Infinity;
+    this.publish(process, known, NoticeTopic.Same);
+  }
+
+  /**
+   * Handles a notice of another router.
+   *
+   * @returns true if it is new; undefined if it isn't about a listed process
+   */
+  recordNotice(key: number): boolean | undefined {
+    const notice = this.notices.get(key);
+    if (!notice) return undefined;
+    const [process, topic, number] = notice;
+    const nowMs = performance.now();
+    const known = this.getEvidence(process);
+    const seenAtMs = known.seenAtMs.get(`${topic}${number}`) ?? -Infinity;
+    if (nowMs - seenAtMs < noticeMemoryMs) return false;
+    known.seenAtMs.set(`${topic}${number}`, nowMs);
+    switch (topic) {
+      case NoticeTopic.Restarted:
+        setStrong(known);
+        known.sharedAtMs = nowMs;
+        known.number = number;
+        break;
+      case NoticeTopic.Same:
+        // Evidence that was found since then still counts.
+        if (number === known.number) known.strongAtMs = -Infinity;
+        break;
+    }
+    return true;
+  }
+
+  /** True while the process may have been replaced by a cold one. */
+  isRestarted({process, ...view}: ProcessView): boolean {
+    const known = this.evidence.get(process);
+    if (!known) return false;
+    return (
+      isValid(known.strongAtMs, sameAfterMs, view) ||
+      isValid(known.weakAtMs, shownAfterMs, view)
+    );
+  }
+
+  /**
+   * Removes evidence that no longer counts.
+   *
+   * @param coldMs - longest time for which a process is cold
+   */
+  forgetOld(coldMs: number): void {
+    const sinceMs = performance.now() - weakIntervalMs - coldMs;
+    for (const [process, {strongAtMs, weakAtMs, sharedAtMs}] of this.evidence) {
+      const lastAtMs = Math.max(strongAtMs, weakAtMs, sharedAtMs);
+      if (lastAtMs < sinceMs) this.evidence.delete(process);
+    }
+  }
+
+  private publish(
+    process: string,
+    {number, seenAtMs}: ProcessEvidence,
+    topic: NoticeTopic,
+  ): void {
+    seenAtMs.set(`${topic}${number}`, performance.now());
+    this.announce(computeNoticeKey(process, topic, number));
+  }
+
+  private getEvidence(process: string): ProcessEvidence {
+    let known = this.evidence.get(process);
+    if (!known) {
+      known = {
+        strongAtMs: -Infinity,
+        weakAtMs: -Infinity,
+        sinceMs: -Infinity,
+        number: 0,
+        sharedAtMs: -Infinity,
+        seenAtMs: new Map(),
+      };
+      this.evidence.set(process, known);
+    }
+    return known;
+  }
+}
+
+function setStrong(evidence: ProcessEvidence): void {
+  const nowMs = performance.now();
+  if (evidence.strongAtMs === -Infinity) {
+    evidence.sinceMs = nowMs - evidenceDelayMs;
+  }
+  evidence.strongAtMs = nowMs;
+}
+
+/** @param readAfterMs - time after which a read of the entry settles it */
+function isValid(
+  atMs: number,
+  readAfterMs: number,
+  {hasStartTime, freshAtMs, coldMs}: Omit<ProcessView, 'process'>,
+): boolean {
+  if (atMs === -Infinity) return false;
+  if (hasStartTime && freshAtMs >= atMs + readAfterMs) return false;
+  return performance.now() < atMs + readAfterMs + coldMs;
+}
+
+/** All routers must use the same prefixes. */
+function computeNoticeKey(
+  process: string,
+  topic: NoticeTopic,
+  number: number,
+): number {
+  return h32(`${topic} ${number} ${process}`);
+}
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -11,6 +11,7 @@
 } from '../../src/router/deployment.js';
 import type {MessageCodec} from '../../src/router/messageCodec.js';
 import {RouterDaemon} from '../../src/router/routerDaemon.js';
+import type {ColdServerBounds} from '../../src/serverPace/pacedServer.js';
 import {FakePublishedState} from './fakePublishedState.js';
 import {PlainCodec} from './plainCodec.js';
 import {RawServer, type ConnectionScript} from '../gateway/rawServer.js';
@@ -145,6 +146,8 @@
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps?: number;
   readonly codec?: MessageCodec;
+  readonly coldServers?: ColdServerBounds;
+  readonly slowStart?: boolean;
 }
 
 /** Starts and stops the routers and backend servers of a test. */
@@ -214,6 +217,8 @@
         leaveBoundMs: 2_000,
         contactBoundMs: 3_000,
         maxAddressTtlSeconds: 5,
+        slowStart: options.slowStart ?? false,
+        coldServers: options.coldServers,
         logLevel: 'info',
       },
       {
