--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -28,7 +28,8 @@
 } from './offeredRouters.js';
 import {PeerExchange} from './peerExchange.js';
 import {OwnReportBuilder} from './ownReportBuilder.js';
-import {isServing, RouterStatus, type StateVersions} from './peerReport.js';
+import {Pacing} from './pacing.js';
+import {isServing, RouterStatus} from './peerReport.js';
 import {PrefixCacheDirectory} from './promptDirectory.js';
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
@@ -48,6 +49,7 @@
 import {SharedNotices} from './sharedNotices.js';
 import {buildServerSpeeds} from './speedTracking.js';
 import {StateFollower} from './stateFollower.js';
+import {describeVersions} from './stateVersions.js';
 
 /** Longest time that the tasks may take to stop. */
 const taskStopTimeoutMs = 100;
@@ -88,6 +90,7 @@
   private readonly evacuations: Evacuations;
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
+  private readonly pacing: Pacing;
   private readonly connections = new BackendConnections();
   private readonly budgets: RetryBudgets;
   private readonly deployments: DeploymentStore;
@@ -126,6 +129,12 @@
       notices,
       () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
     );
+    this.pacing = new Pacing({
+      ...{settings, directory, deployments, fleet, notices, metrics, log},
+      measureSinceReturnMs: zone => evacuations.measureSinceReturnMs(zone),
+      findOffered: () => this.findOffered(),
+    });
+    const {pace} = this.pacing;
     const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
@@ -135,6 +144,7 @@
       limits,
       speeds: buildServerSpeeds({directory, totals, log}),
       evacuations,
+      pace,
       fleet,
       prompts,
       deployments,
@@ -147,7 +157,8 @@
       limits,
       totals,
       getStatus: () => this.status,
-      getVersions: () => this.describeVersions(),
+      getVersions: () =>
+        describeVersions({deployments, directory, evacuations}),
     });
     this.exchange = new PeerExchange({
       address,
@@ -184,6 +195,7 @@
       loads,
       outcomes,
       limits,
+      pace,
       quarantine,
       answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
@@ -317,6 +329,7 @@
         const perSecond = this.limits.getPerSecond(computeLimitKey(server));
         return perSecond === undefined ? [] : [{id: server.id, perSecond}];
       }),
+      coldServers: this.pacing.list(),
       quarantine: this.quarantine.listBlocked().map(describeBlocked),
       relays: fleet.listRelays(),
       datagrams: {
@@ -412,6 +425,7 @@
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
       this.removeEndedServers();
+      this.pacing.update();
     }
   }
 
@@ -508,17 +522,4 @@
     if (isLong && !this.exchange.usesRelays) this.exchange.announce();
     else this.exchange.scheduleReport();
   }
-
-  private describeVersions(): StateVersions {
-    const ageMs = this.directory.measureAgeMs();
-    const {position} = this.directory;
-    return {
-      deploymentVersion: this.deployments.version,
-      serversEpoch: position.epoch,
-      serversRevision: position.revision,
-      serversDigest: this.directory.digest,
-      serversAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
-      evacuations: this.evacuations.buildReport(),
-    };
-  }
 }
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -4,6 +4,7 @@
   ServerSpeeds,
   ServerSpeedState,
 } from '../serverSpeed/serverSpeeds.js';
+import type {ServerPace} from '../serverPace/serverPace.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -30,7 +31,7 @@
 import type {PrefixCacheDirectory} from './promptDirectory.js';
 import type {RouteTable} from './routeTable.js';
 import type {ServerDirectory} from './serverDirectory.js';
-import type {ServerLimits} from './serverLimits.js';
+import {computeIntervalMs, type ServerLimits} from './serverLimits.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 import {
@@ -120,6 +121,7 @@
   readonly limits: ServerLimits;
   readonly speeds: ServerSpeeds<BackendServer>;
   readonly evacuations: ZoneEvacuations;
+  readonly pace: ServerPace;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -265,24 +267,38 @@
 
   /**
    * Returns the time until this router may send the request to a server that
-   * only its limit excludes now, in milliseconds; Infinity if there is none.
+   * only its limit or pace excludes now, in milliseconds; Infinity if there is
+   * none.
    */
   measureLimitWaitMs(request: SelectionRequest): number {
+    const {limits, pace} = this.options;
     const waits = this.listEligible(request).map(server =>
-      this.options.limits.measureWaitMs(computeLimitKey(server), request),
+      Math.max(
+        limits.measureWaitMs(computeLimitKey(server), request),
+        pace.measureWaitMs(server),
+      ),
     );
     return Math.min(Infinity, ...waits);
   }
 
   /**
    * Returns the mean time between two requests that a service takes from the
-   * whole fleet, in milliseconds; 0 unless all its servers have limits.
+   * whole fleet, in milliseconds; 0 unless all its servers have limits or are
+   * cold.
    */
   getLimitIntervalMs(service: string): number {
-    const {directory, limits} = this.options;
-    if (limits.isEmpty) return 0;
+    const {directory, limits, pace} = this.options;
+    if (limits.isEmpty && !pace.hasCold()) return 0;
     const servers = this.excludeEvacuated(directory.listUsable(service));
-    return limits.computeIntervalMs(servers.map(computeLimitKey));
+    if (!pace.hasCold()) {
+      return limits.computeIntervalMs(servers.map(computeLimitKey));
+    }
+    return computeIntervalMs(
+      servers.map(server => {
+        const limit = limits.getPerSecond(computeLimitKey(server));
+        return Math.min(limit ?? Infinity, pace.getPerSecond(server));
+      }),
+    );
   }
 
   /** Describes the speeds of the servers that were measured lately. */
@@ -298,7 +314,7 @@
   }
 
   private listCandidates(request: SelectionRequest): BackendServer[] {
-    const {outcomes, limits} = this.options;
+    const {outcomes, limits, pace} = this.options;
     limits.recordRequest(request);
     const eligible = this.listEligible(request);
     const allowed = limits.isEmpty
@@ -308,7 +324,7 @@
             limits.measureWaitMs(computeLimitKey(server), request) === 0,
         );
     const reachable = selectPreferred(
-      allowed,
+      pace.listOpen(allowed),
       ({id}) => !outcomes.isUnreachable(id),
     );
     const notFailed = selectPreferred(
@@ -318,7 +334,7 @@
     return selectPreferred(notFailed, ({id}) => !outcomes.isUnwilling(id));
   }
 
-  /** Lists the servers that may be sent the request, apart from limits. */
+  /** Lists the servers that may be sent the request, apart from their limits. */
   private listEligible(request: SelectionRequest): BackendServer[] {
     const {outcomes} = this.options;
     const ranked = this.rankServers(request.service);
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -11,6 +11,7 @@
 } from '../../src/router/deployment.js';
 import type {MessageCodec} from '../../src/router/messageCodec.js';
 import {RouterDaemon} from '../../src/router/routerDaemon.js';
+import type {ColdServerBounds} from '../../src/serverPace/pacedServer.js';
 import {FakePublishedState} from './fakePublishedState.js';
 import {PlainCodec} from './plainCodec.js';
 import {RawServer, type ConnectionScript} from '../gateway/rawServer.js';
@@ -147,6 +148,8 @@
   readonly codec?: MessageCodec;
   readonly zones?: string[];
   readonly evacuationBoundMs?: number;
+  readonly coldServers?: ColdServerBounds;
+  readonly slowStart?: boolean;
 }
 
 /** Starts and stops the routers and backend servers of a test. */
@@ -218,6 +221,8 @@
         leaveBoundMs: 2_000,
         contactBoundMs: 3_000,
         maxAddressTtlSeconds: 5,
+        slowStart: options.slowStart ?? false,
+        coldServers: options.coldServers,
         logLevel: 'info',
       },
       {
