Size the routers that callers are sent to by demand

Cause: the rule compared bandwidths with a constant, not with what callers ask for.

Change: src/callerRouting/ measures the callers' traffic and the use of the event loop, sums them up over the zone (topic ZoneTraffic), and offers the smallest number of routers, the fast ones first, of which the smallest uses at most half of its capacity. Reports carry the processor share. vmLinks and callerAddresses move there.

--- /dev/null
+++ b/src/callerRouting/demandMeter.ts
@@ -0,0 +1,119 @@
+/** Measures what callers ask of this router. */
+import {performance as hooks, type EventLoopUtilization} from 'node:perf_hooks';
+import type {ZoneDemand} from './routerSizing.js';
+
+/**
+ * Connections that wait longer than this to be accepted show that the processor
+ * is fully used, in milliseconds.
+ */
+const maxAcceptWaitMs = 50;
+/** Time over which the demand is averaged, in milliseconds. */
+const averagePeriodMs = 1_000;
+
+/** The part of a socket that is needed. */
+export interface CountingSocket {
+  readonly bytesRead: number;
+  readonly bytesWritten: number;
+  once(event: 'close', listener: () => void): unknown;
+}
+
+/**
+ * Counts the bytes of connections, without any work for each request.
+ *
+ * @example
+ * server.on('connection', socket => traffic.add(socket));
+ * traffic.countBytes();
+ */
+export class CallerTraffic {
+  private readonly open = new Set<CountingSocket>();
+  /** Bytes of connections that have closed. */
+  private closedBytes = 0;
+
+  add(socket: CountingSocket): void {
+    this.open.add(socket);
+    socket.once('close', () => {
+      this.open.delete(socket);
+      this.closedBytes += countSocketBytes(socket);
+    });
+  }
+
+  /** Returns the bytes read and written since the start. */
+  countBytes(): number {
+    let bytes = this.closedBytes;
+    for (const socket of this.open) bytes += countSocketBytes(socket);
+    return bytes;
+  }
+}
+
+function countSocketBytes({bytesRead, bytesWritten}: CountingSocket): number {
+  return bytesRead + bytesWritten;
+}
+
+export interface DemandMeterOptions {
+  readonly countBytes: () => number;
+  readonly measureAcceptWaitMs: () => number;
+  /** See `RouterCapacity`. */
+  readonly processorShare: number;
+  /** Ratio of time for which the event loop was busy since a reading. */
+  readonly readLoop?: () => EventLoopUtilization;
+}
+
+interface Reading {
+  readonly atMs: number;
+  readonly bytes: number;
+  readonly loop: EventLoopUtilization;
+}
+
+/**
+ * Averages the traffic of callers and the use of the processor.
+ *
+ * @example
+ * meter.sample(); // about twice a second
+ * meter.demand.kbps;
+ */
+export class DemandMeter {
+  private readings: Reading[] = [];
+  private latest: ZoneDemand = {kbps: 0, milliCores: 0};
+
+  constructor(private readonly options: DemandMeterOptions) {}
+
+  /** Demand in about the last second. */
+  get demand(): ZoneDemand {
+    return this.latest;
+  }
+
+  /** Measures the demand since the readings before. */
+  sample(): void {
+    const reading = this.read();
+    const oldest = this.readings.at(0);
+    this.readings.push(reading);
+    if (!oldest) return;
+    while (reading.atMs - this.readings[1].atMs >= averagePeriodMs) {
+      this.readings.shift();
+    }
+    const [base] = this.readings;
+    this.latest = this.computeDemand(base, reading);
+  }
+
+  private read(): Reading {
+    const {countBytes, readLoop} = this.options;
+    const loop = readLoop ? readLoop() : hooks.eventLoopUtilization();
+    return {atMs: performance.now(), bytes: countBytes(), loop};
+  }
+
+  /**
+   * A router without callers reports no processor use: its work for reports
+   * between routers wouldn't move to the offered routers with the callers.
+   */
+  private computeDemand(from: Reading, to: Reading): ZoneDemand {
+    const bytes = to.bytes - from.bytes;
+    if (bytes <= 0 || to.atMs <= from.atMs) return {kbps: 0, milliCores: 0};
+    const kbps = (bytes * 8) / (to.atMs - from.atMs);
+    const {processorShare, measureAcceptWaitMs} = this.options;
+    const activeMs = to.loop.active - from.loop.active;
+    const totalMs = activeMs + to.loop.idle - from.loop.idle;
+    const isFull = measureAcceptWaitMs() > maxAcceptWaitMs;
+    const ratio = isFull ? 1 : activeMs / Math.max(1, totalMs);
+    return {kbps, milliCores: ratio * processorShare * 1_000};
+  }
+}
--- a/src/router/vmLinks.ts
+++ b/src/callerRouting/vmLinks.ts
@@ -30,10 +30,3 @@
 export function isFastLink(linkMbps: number, fastestMbps: number): boolean {
   return linkMbps >= fastestMbps * minLinkRatio;
 }
-
-/** Returns the total bandwidth of the VMs' links in Mbit/s. */
-export function sumLinkMbps(
-  vms: ReadonlyArray<{readonly linkMbps: number}>,
-): number {
-  return vms.reduce((sum, {linkMbps}) => sum + linkMbps, 0);
-}
--- a/src/router/peerDiscovery.ts
+++ b/src/router/peerDiscovery.ts
@@ -190,11 +190,11 @@
 export function toMember({
   host,
   status,
-  identity: {vm, zone, callers, peers, linkMbps},
+  identity: {vm, zone, callers, peers, linkMbps, processorShare},
 }: {
   readonly host: string;
   readonly status: FleetMember['status'];
   readonly identity: RouterEndpoints;
 }): FleetMember {
-  return {host, status, vm, zone, callers, peers, linkMbps};
+  return {host, status, vm, zone, callers, peers, linkMbps, processorShare};
 }
--- a/src/router/peerReport.ts
+++ b/src/router/peerReport.ts
@@ -48,6 +48,7 @@
   z.string(),
   z.string(),
   z.number(),
+  z.number(),
   z.array(z.ipv4()),
   z.enum(WantedAnswer),
 ]);
@@ -102,6 +103,8 @@
   readonly peers: string;
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps: number;
+  /** Processor time per second, in cores of the reference machine. */
+  readonly processorShare: number;
 }
 
 /** Sender of a full report. */
@@ -173,6 +176,7 @@
           identity.callers,
           identity.peers,
           identity.linkMbps,
+          identity.processorShare,
           [...identity.contacts],
           identity.wantedAnswer,
         ]
@@ -204,8 +208,9 @@
           callers: identity[2],
           peers: identity[3],
           linkMbps: identity[4],
-          contacts: identity[5],
-          wantedAnswer: identity[6],
+          processorShare: identity[5],
+          contacts: identity[6],
+          wantedAnswer: identity[7],
         }
       : undefined,
   };
--- a/src/router/relayAggregator.ts
+++ b/src/router/relayAggregator.ts
@@ -120,7 +120,7 @@
   ): boolean {
     const {status, sequence, servers, identity} = report;
     const known = this.members.get(host);
-    const {vm, zone, callers, peers, linkMbps} = endpoints;
+    const {vm, zone, callers, peers, linkMbps, processorShare} = endpoints;
     const member: FleetMember = {
       host,
       status,
@@ -129,6 +129,7 @@
       callers,
       peers,
       linkMbps,
+      processorShare,
     };
     const heardAtMs = performance.now();
     const isChanged = known?.member.status !== status;
--- a/src/router/relayReport.ts
+++ b/src/router/relayReport.ts
@@ -75,6 +75,7 @@
   z.string(),
   z.string(),
   z.number(),
+  z.number(),
 ]);
 /** Schema of a list of routers. */
 export const rosterSchema = z.array(memberSchema);
@@ -107,6 +108,7 @@
     member.callers,
     member.peers,
     member.linkMbps,
+    member.processorShare,
   ]);
 }
 
@@ -122,6 +124,7 @@
     callers: row[4],
     peers: row[5],
     linkMbps: row[6],
+    processorShare: row[7],
   }));
 }
 
--- a/src/router/relaySelector.ts
+++ b/src/router/relaySelector.ts
@@ -7,7 +7,11 @@
 import {pickByWeight} from '../node/rendezvous.js';
 import type {FleetView} from './fleetView.js';
 import {isServing, RouterStatus} from './peerReport.js';
-import {findFastestMbps, isFastLink, selectFastVms} from './vmLinks.js';
+import {
+  findFastestMbps,
+  isFastLink,
+  selectFastVms,
+} from '../callerRouting/vmLinks.js';
 
 /**
  * A relay silent for longer than this is replaced, in milliseconds. Three times
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -4,6 +4,7 @@
  */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {CallerTraffic} from '../callerRouting/demandMeter.js';
 import {waitFor} from '../node/delay.js';
 import type {Log, LogFields} from '../node/log.js';
 import {requestArrivalGraceMs, stopListening} from '../node/stopListening.js';
@@ -65,6 +66,7 @@
 
 /** Accepts callers' connections and hands their requests to the forwarder. */
 export class RequestIntake {
+  readonly traffic = new CallerTraffic();
   private readonly server: http.Server;
   /** Connections without a request, with the bytes read until then. */
   private readonly idleSockets = new Map<Socket, number>();
@@ -221,6 +223,7 @@
       return;
     }
     socket.setNoDelay(true);
+    this.traffic.add(socket);
     this.idleSockets.set(socket, socket.bytesRead);
     socket.once('close', () => this.idleSockets.delete(socket));
   }
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -5,7 +5,7 @@
 import {SignalAge} from '../node/signalAge.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
-import {listAddresses} from './callerAddresses.js';
+import {CallerRouting} from './callerRouting.js';
 import {computeCompactKey} from './compactKey.js';
 import {BackendConnections} from './backendConnections.js';
 import {ControlServers} from './controlServers.js';
@@ -90,6 +90,7 @@
   private readonly selector: ServerSelector;
   private readonly exchange: PeerExchange;
   private readonly intake: RequestIntake;
+  private readonly callerRouting: CallerRouting;
   private readonly loop: LoopMonitor;
   private readonly control: ControlServers;
   /** Processes of the usable servers, by server id; see `formatProcess`. */
@@ -104,6 +105,7 @@
     private readonly platform: RouterPlatform,
   ) {
     const {address, listen, seeds, vm, zone, linkMbps} = settings;
+    const processorShare = settings.processorShare * settings.processorSpeed;
     this.log = new Log({vm});
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
@@ -142,16 +144,12 @@
       getStatus: () => this.status,
       getVersions: () => this.describeVersions(),
     });
+    const {callers, peers} = listen;
+    const endpoints = {vm, zone, callers, peers, linkMbps, processorShare};
     this.exchange = new PeerExchange({
       address,
       port: listen.exchangePort,
-      endpoints: {
-        vm,
-        zone,
-        callers: listen.callers,
-        peers: listen.peers,
-        linkMbps,
-      },
+      endpoints,
       reports,
       seeds,
       fleet,
@@ -190,6 +188,15 @@
       metrics,
       log,
     });
+    this.callerRouting = new CallerRouting({
+      host: address,
+      endpoints,
+      intake: this.intake,
+      fleet,
+      totals,
+      log,
+      getStatus: () => this.status,
+    });
     this.loop = new LoopMonitor({intake: this.intake, metrics, log});
     this.control = new ControlServers({
       codec,
@@ -199,7 +206,8 @@
       log,
       maxAddressTtlSeconds: settings.maxAddressTtlSeconds,
       isReady: () => isServing(this.status),
-      listAddresses: callerZone => this.listAddresses(callerZone),
+      listAddresses: callerZone =>
+        this.callerRouting.addresses.list(callerZone),
       dump: () => this.describe(),
     });
   }
@@ -322,6 +330,7 @@
         status: RouterStatus[status],
         heardAgoMs: Math.round(performance.now() - heardAtMs),
       })),
+      callerRouting: this.callerRouting.addresses.describe(),
       active: this.intake.active,
       tasks: this.supervisor.describe(),
     };
@@ -350,6 +359,7 @@
       budgets,
       calls: platform.reader.calls,
       logCounts: platform.logCounts,
+      callerAddresses: this.callerRouting.addresses,
     });
     this.control.addReady(listen.ready);
     this.control.addAddresses(listen.addresses);
@@ -401,6 +411,7 @@
       await waitFor(sweepIntervalMs, signal);
       this.loop.record(performance.now() - startedAtMs - sweepIntervalMs);
       this.fleet.expireSilent();
+      this.callerRouting.meter.sample();
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
       this.removeEndedServers();
@@ -415,7 +426,7 @@
     const {zone, listen} = this.settings;
     const isOffered =
       !isServing(this.status) ||
-      this.listAddresses(zone).includes(listen.callers);
+      this.callerRouting.addresses.list(zone).includes(listen.callers);
     if (isOffered === this.isOffered) return;
     this.isOffered = isOffered;
     this.log.logInfo('listing in address answers changed', {isOffered});
@@ -483,14 +494,6 @@
     return {host: settings.address, isOffered, others};
   }
 
-  private listAddresses(zone: string | undefined): string[] {
-    const {listen, zone: ownZone, linkMbps} = this.settings;
-    const isReady = isServing(this.status);
-    const {callers} = listen;
-    const own = {callers, zone: ownZone, linkMbps, isReady};
-    return listAddresses(own, this.fleet, zone);
-  }
-
   /**
    * Reports a long prompt at once, before other routers choose the same engine.
    * In a fleet with relays, it is part of the next regular report.
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of a router's state, evaluated at each scrape. */
+import type {CallerAddresses} from '../callerRouting/callerAddresses.js';
 import type {LogSinkCounts} from '../node/logSink.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
@@ -19,6 +20,7 @@
   readonly exchange: PeerExchange;
   readonly budgets: RetryBudgets;
   readonly calls: PublishedStateCalls;
+  readonly callerAddresses: CallerAddresses;
   /** Absent where log lines don't go through a `LogSink`. */
   readonly logCounts?: Readonly<LogSinkCounts>;
 }
@@ -95,6 +97,7 @@
       ['bytes', exchange.counts.sentBytes],
     ],
   });
+  registerCallerRouting(metrics, sources.callerAddresses);
   metrics.registerGauge({
     name: 'anvilstall_memory_bytes',
     help: 'Resident memory of the process',
@@ -108,3 +111,30 @@
     measure: () => Object.entries(logCounts),
   });
 }
+
+/** Registers the gauges of the routers that callers of this zone are sent to. */
+function registerCallerRouting(
+  metrics: RouterMetrics,
+  callerAddresses: CallerAddresses,
+): void {
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_caller_routers',
+    help: 'Routers of the zone, and those of them that callers are sent to',
+    label: 'state',
+    measure: () => {
+      const {offered, routers, fast, reporting} = callerAddresses.describe();
+      return Object.entries({offered, routers, fast, reporting});
+    },
+  });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_caller_demand',
+    help: 'Demand of the callers of the zone, summed over its routers',
+    label: 'unit',
+    measure: () => Object.entries(callerAddresses.describe().demand),
+  });
+  metrics.registerGauge({
+    name: 'anvilstall_caller_use_ratio',
+    help: 'Ratio of its capacity that the smallest offered router would use',
+    measure: () => callerAddresses.describe().use?.use ?? 0,
+  });
+}
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -13,6 +13,10 @@
   address: z.ipv4(),
   /** Bandwidth of the VM's link in Mbit/s. */
   linkMbps: z.number().positive(),
+  /** Ratio of time for which the VM has its processor. */
+  processorShare: z.number().positive().default(1),
+  /** Speed of the processor relative to the reference machine. */
+  processorSpeed: z.number().positive().default(1),
   listen: z.object({
     /** Endpoint for requests of callers. */
     callers: endpointSchema,
--- a/tests/router/offeredRouters.test.ts
+++ b/tests/router/offeredRouters.test.ts
@@ -72,6 +72,7 @@
           callers: `${other}:80`,
           peers: `${other}:81`,
           linkMbps: 490,
+          processorShare: 1,
         })),
       );
       const view = {host, isOffered: true, others: listRestarting(fleet)};
--- a/tests/router/peerDiscovery.test.ts
+++ b/tests/router/peerDiscovery.test.ts
@@ -15,6 +15,7 @@
   callers: `${address}:80`,
   peers: `${address}:81`,
   linkMbps: 490,
+  processorShare: 1,
 };
 
 function buildMembers(count: number): FleetMember[] {
--- a/tests/router/retryBudgetSchedules.test.ts
+++ b/tests/router/retryBudgetSchedules.test.ts
@@ -206,6 +206,7 @@
         callers: `10.0.1.${index}:80`,
         peers: `10.0.1.${index}:81`,
         linkMbps: 10,
+        processorShare: 1,
         status: RouterStatus.Ready,
       }));
       fleet.recordRoster(members);
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -144,6 +144,7 @@
   readonly isFirstStart?: boolean;
   /** Bandwidth of the VM's link in Mbit/s. */
   readonly linkMbps?: number;
+  readonly processorShare?: number;
   readonly codec?: MessageCodec;
 }
 
@@ -201,6 +202,8 @@
         zone: options.zone ?? 'a',
         address,
         linkMbps: options.linkMbps ?? 490,
+        processorShare: options.processorShare ?? 1,
+        processorSpeed: 1,
         listen,
         seeds: number === 1 ? [listen.peers] : ['127.0.0.11:1'],
         store: '127.0.0.1:1',
