--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -6,7 +6,7 @@
 import {SignalAge} from '../node/signalAge.js';
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
-import {listAddresses} from './callerAddresses.js';
+import {CallerRouting} from './callerRouting.js';
 import {computeCompactKey} from './compactKey.js';
 import {BackendConnections} from './backendConnections.js';
 import {ControlServers} from './controlServers.js';
@@ -40,6 +40,7 @@
 import type {RouterPlatform} from './routerPlatform.js';
 import type {RouterSettings} from './routerSettings.js';
 import {ServerDirectory} from './serverDirectory.js';
+import {describeServers, listLimited} from './serverDump.js';
 import {ServerLimits} from './serverLimits.js';
 import {ServerLoadTracker} from './serverLoads.js';
 import {ServerOutcomes} from './serverOutcomes.js';
@@ -97,6 +98,7 @@
   private readonly selector: ServerSelector;
   private readonly exchange: PeerExchange;
   private readonly intake: RequestIntake;
+  private readonly callerRouting: CallerRouting;
   private readonly loop: LoopMonitor;
   private readonly control: ControlServers;
   /** Processes of the usable servers, by server id; see `formatProcess`. */
@@ -111,6 +113,7 @@
     private readonly platform: RouterPlatform,
   ) {
     const {address, listen, seeds, vm, zone, linkMbps} = settings;
+    const processorShare = settings.processorShare * settings.processorSpeed;
     this.log = new Log({vm});
     this.supervisor = new Supervisor('router', this.log);
     this.deployments = new DeploymentStore(this.log);
@@ -160,16 +163,12 @@
       getVersions: () =>
         describeVersions({deployments, directory, evacuations}),
     });
+    const {callers, peers} = listen;
+    const endpoints = {vm, zone, callers, peers, linkMbps, processorShare};
     this.exchange = new PeerExchange({
       address,
       port: listen.exchangePort,
-      endpoints: {
-        vm,
-        zone,
-        callers: listen.callers,
-        peers: listen.peers,
-        linkMbps,
-      },
+      endpoints,
       reports,
       seeds,
       fleet,
@@ -211,6 +210,15 @@
       metrics,
       log,
     });
+    this.callerRouting = new CallerRouting({
+      host: address,
+      endpoints,
+      intake: this.intake,
+      fleet,
+      totals,
+      log,
+      getStatus: () => this.status,
+    });
     this.loop = new LoopMonitor({intake: this.intake, metrics, log});
     this.control = new ControlServers({
       codec,
@@ -220,7 +228,8 @@
       log,
       maxAddressTtlSeconds: settings.maxAddressTtlSeconds,
       isReady: () => isServing(this.status),
-      listAddresses: callerZone => this.listAddresses(callerZone),
+      listAddresses: callerZone =>
+        this.callerRouting.addresses.list(callerZone),
       dump: () => this.describe(),
     });
   }
@@ -305,30 +314,16 @@
 
   /** Builds the state dump for operators. */
   describe(): object {
-    const {settings, deployments, directory, fleet} = this;
+    const {settings, deployments, directory, fleet, loads, outcomes} = this;
     return {
       vm: settings.vm,
       status: RouterStatus[this.status],
       deployment: deployments.version,
-      servers: {
-        ...directory.position,
-        ageMs: Math.round(directory.measureAgeMs()),
-        usable: [...directory.listAll()].map(server => ({
-          id: server.id,
-          service: server.service,
-          zone: server.zone,
-          own: this.loads.get(server.id),
-          fleet: fleet.sumLoad(computeCompactKey(server.id)),
-          outcomes: this.outcomes.get(server.id),
-        })),
-      },
+      servers: describeServers({directory, loads, outcomes, fleet}),
       serverSpeeds: this.selector.listSpeeds(),
       evacuations: this.evacuations.describe(),
       forgetfulServices: this.idleReuse.list(),
-      limitedServers: [...directory.listAll()].flatMap(server => {
-        const perSecond = this.limits.getPerSecond(computeLimitKey(server));
-        return perSecond === undefined ? [] : [{id: server.id, perSecond}];
-      }),
+      limitedServers: listLimited(directory, this.limits),
       coldServers: this.pacing.list(),
       quarantine: this.quarantine.listBlocked().map(describeBlocked),
       relays: fleet.listRelays(),
@@ -337,6 +332,7 @@
         greetings: this.exchange.greetings,
       },
       peers: fleet.describePeers(),
+      callerRouting: this.callerRouting.addresses.describe(),
       active: this.intake.active,
       tasks: this.supervisor.describe(),
     };
@@ -369,6 +365,7 @@
       budgets,
       calls: platform.reader.calls,
       logCounts: platform.logCounts,
+      callerAddresses: this.callerRouting.addresses,
     });
     this.control.addReady(listen.ready);
     this.control.addAddresses(listen.addresses);
@@ -422,6 +419,7 @@
       await waitFor(sweepIntervalMs, signal);
       this.loop.record(performance.now() - startedAtMs - sweepIntervalMs);
       this.fleet.expireSilent();
+      this.callerRouting.meter.sample();
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
       this.removeEndedServers();
@@ -437,7 +435,7 @@
     const {zone, listen} = this.settings;
     const isOffered =
       !isServing(this.status) ||
-      this.listAddresses(zone).includes(listen.callers);
+      this.callerRouting.addresses.list(zone).includes(listen.callers);
     if (isOffered === this.isOffered) return;
     this.isOffered = isOffered;
     this.log.logInfo('listing in address answers changed', {isOffered});
@@ -505,14 +503,6 @@
     return {host: settings.address, isOffered, others};
   }
 
-  private listAddresses(zone: string | undefined): string[] {
-    const {listen, zone: ownZone, linkMbps} = this.settings;
-    const isReady = isServing(this.status);
-    const {callers} = listen;
-    const own = {callers, zone: ownZone, linkMbps, isReady};
-    return listAddresses(own, this.fleet, zone);
-  }
-
   /**
    * Reports a long prompt at once, before other routers choose the same engine.
    * In a fleet with relays, it is part of the next regular report.
