Keep an evacuation whose item becomes unreadable at all routers

Found by reading: a router that starts beside an unreadable item doesn't know whether the zone was evacuated, and as the reader would have ended the evacuation at the others. Its reports now say that the item is unreadable.

--- a/src/evacuation/evacuationReport.ts
+++ b/src/evacuation/evacuationReport.ts
@@ -13,11 +13,19 @@
   Retained = 1,
   /** Returned to service. */
   Returned = 2,
+  /**
+   * The published item can't be read, and this router doesn't know what it was
+   * before. It tells routers that know it to keep the evacuation.
+   */
+  Unreadable = 3,
 }
 
 /** What a router knows of one zone. */
 export type ZoneReport =
-  | {readonly status: ZoneStatus.Evacuated; readonly zone: string}
+  | {
+      readonly status: ZoneStatus.Evacuated | ZoneStatus.Unreadable;
+      readonly zone: string;
+    }
   | {
       readonly status: ZoneStatus.Retained;
       readonly zone: string;
@@ -82,6 +90,7 @@
   const {zone, status} = report;
   switch (status) {
     case ZoneStatus.Evacuated:
+    case ZoneStatus.Unreadable:
       return [zone, status, 0, 0];
     case ZoneStatus.Retained:
       return [zone, status, report.remainingMs, 0];
@@ -93,6 +102,7 @@
 function readZoneFields([zone, status, ms, epoch]: ZoneFields): ZoneReport {
   switch (status) {
     case ZoneStatus.Evacuated:
+    case ZoneStatus.Unreadable:
       return {zone, status};
     case ZoneStatus.Retained:
       return {zone, status, remainingMs: ms};
--- a/src/evacuation/evacuations.ts
+++ b/src/evacuation/evacuations.ts
@@ -56,7 +56,7 @@
 
 /** What is known of a zone; nothing of one that was never evacuated. */
 type ZoneRecord =
-  | {readonly status: ZoneStatus.Evacuated}
+  | {readonly status: ZoneStatus.Evacuated | ZoneStatus.Unreadable}
   | {readonly status: ZoneStatus.Retained; readonly untilMs: number}
   | {
       readonly status: ZoneStatus.Returned;
@@ -113,9 +113,10 @@
    */
   measureSinceReturnMs(zone: string): number {
     const record = this.records.get(zone);
-    if (!record) return Infinity;
-    if (record.status !== ZoneStatus.Returned) return 0;
-    return performance.now() - record.atMs;
+    if (record?.status === ZoneStatus.Returned) {
+      return performance.now() - record.atMs;
+    }
+    return this.isEvacuated(zone) ? 0 : Infinity;
   }
 
   /** Lists the zones that are or were evacuated. */
@@ -125,6 +126,7 @@
       const {status} = record;
       switch (status) {
         case ZoneStatus.Evacuated:
+        case ZoneStatus.Unreadable:
           return {zone, status};
         case ZoneStatus.Retained: {
           const remainingMs = Math.max(0, Math.round(record.untilMs - nowMs));
@@ -200,10 +202,7 @@
       return this.takeHasChanged() || !wasKnown;
     }
     if (!this.known || isBefore(this.known, position)) {
-      const items = zones
-        .filter(({status}) => status === ZoneStatus.Evacuated)
-        .map(({zone}): EvacuationItem => ({kind: ItemKind.Written, zone}));
-      this.replace(items, change);
+      this.replace(zones.flatMap(listPublished), change);
     }
     for (const zone of zones) this.mergeZone(zone, change);
     return this.takeHasChanged() || !wasKnown;
@@ -245,17 +244,23 @@
     change: ChangeSource,
   ): void {
     const {position} = change;
-    if (this.known && position.epoch > this.known.epoch) this.retainAll(change);
+    const kept = new Set(items.map(({zone}) => zone));
+    const isRestored = this.known && position.epoch > this.known.epoch;
+    if (isRestored) this.retainMissing(kept, change);
     this.knownSinceMs = Math.min(this.knownSinceMs, performance.now());
     this.known = position;
-    const kept = new Set<string | undefined>();
-    for (const item of items) {
-      kept.add(item.zone);
-      if (item.kind === ItemKind.Written) this.evacuate(item.zone, change);
+    for (const {kind, zone} of items) {
+      if (zone === undefined) continue;
+      if (kind === ItemKind.Written) this.evacuate(zone, change);
+      else if (!this.records.has(zone)) {
+        this.records.set(zone, {status: ZoneStatus.Unreadable});
+      }
     }
     for (const [zone, {status}] of this.records) {
-      if (status !== ZoneStatus.Evacuated || kept.has(zone)) continue;
-      this.returnZone(zone, 'deleted', change);
+      if (kept.has(zone)) continue;
+      if (status === ZoneStatus.Evacuated) {
+        this.returnZone(zone, 'deleted', change);
+      } else if (status === ZoneStatus.Unreadable) this.records.delete(zone);
     }
     this.endRetention(change);
   }
@@ -272,19 +277,25 @@
     for (const {kind, zone} of items) {
       if (zone === undefined || kind === ItemKind.Unreadable) continue;
       if (kind === ItemKind.Written) this.evacuate(zone, change);
-      else if (!this.isReturnedIn(zone, change.position.epoch)) {
-        this.returnZone(zone, 'deleted', change);
-      }
+      else if (this.isEvacuated(zone)) this.returnZone(zone, 'deleted', change);
     }
     if (change.position.epoch !== this.known.epoch) return;
     this.known = change.position;
     this.endRetention(change);
   }
 
-  /** Keeps what was evacuated before a restore of the platform. */
-  private retainAll(change: ChangeSource): void {
+  /**
+   * Retains what was evacuated before a restore of the platform.
+   *
+   * @param published - zones with an item in the new epoch
+   */
+  private retainMissing(
+    published: ReadonlySet<string | undefined>,
+    change: ChangeSource,
+  ): void {
     for (const zone of [...this.records.keys()]) {
-      if (this.isEvacuated(zone)) this.retain(zone, restoredPeriodMs, change);
+      if (published.has(zone) || !this.isEvacuated(zone)) continue;
+      this.retain(zone, restoredPeriodMs, change);
     }
   }
 
@@ -301,8 +312,9 @@
     const remainingMs = restoredPeriodMs - ageMs;
     if (ageMs < 0 || remainingMs <= 0) return;
     for (const {zone, status} of zones) {
-      const isReturned = status === ZoneStatus.Returned;
-      if (isReturned || this.records.has(zone)) continue;
+      const wasEvacuated =
+        status === ZoneStatus.Evacuated || status === ZoneStatus.Retained;
+      if (!wasEvacuated || this.records.has(zone)) continue;
       this.retain(zone, remainingMs, change);
     }
   }
@@ -313,7 +325,13 @@
     const {epoch} = change.position;
     const record = this.records.get(zone);
     switch (status) {
+      case ZoneStatus.Unreadable:
+        return;
       case ZoneStatus.Evacuated:
+        // Otherwise, the newer of the two positions has decided.
+        if (record?.status === ZoneStatus.Unreadable) {
+          this.evacuate(zone, change);
+        }
         return;
       case ZoneStatus.Retained: {
         // A zone that was returned in this epoch doesn't become evacuated again.
@@ -397,3 +415,16 @@
     return hasChanged;
   }
 }
+
+/** Lists the item that the platform publishes for a zone, if there is one. */
+function listPublished({zone, status}: ZoneReport): EvacuationItem[] {
+  switch (status) {
+    case ZoneStatus.Evacuated:
+      return [{kind: ItemKind.Written, zone}];
+    case ZoneStatus.Unreadable:
+      return [{kind: ItemKind.Unreadable, name: zone, zone}];
+    case ZoneStatus.Retained:
+    case ZoneStatus.Returned:
+      return [];
+  }
+}
--- a/tests/evacuation/evacuations.test.ts
+++ b/tests/evacuation/evacuations.test.ts
@@ -134,6 +134,13 @@
       expectEvacuated('a');
     });
 
+    it('should not be retained if the backup has them', () => {
+      lines = [];
+      read(3, 4, ['a']);
+      expectEvacuated('a');
+      expect(lines).to.deep.equal([]);
+    });
+
     it('should end when they are not written again', () => {
       clock.tick(restoredPeriodMs);
       watch(2, 6, []);
@@ -233,6 +240,41 @@
     expect(evacuations.measureSinceReturnMs('a')).to.equal(300);
   });
 
+  // Guards against a router that starts, finds the item of an evacuated zone
+  // unreadable, and ends the evacuation at the others as the reader.
+  it('should outlast an unreadable item beside a router that starts', () => {
+    const status = ZoneStatus.Unreadable as const;
+    read(1, 5, ['a']);
+    evacuations.recordPeer(
+      buildReport(1, 7, [{zone: 'a', status}]),
+      10,
+      'peer',
+    );
+    expectEvacuated('a');
+    evacuations = create();
+    const kind = ItemKind.Unreadable as const;
+    const items = [{kind, name: 'item-a', zone: 'a'}];
+    const update = {kind: UpdateKind.Complete, items};
+    evacuations.apply({epoch: 1, revision: 7, evacuations: update}, 'store');
+    expectEvacuated();
+    expect(evacuations.buildReport()?.zones).to.deep.equal([
+      {zone: 'a', status},
+    ]);
+    evacuations.recordPeer(buildReport(1, 5, [evacuatedA]), 10, 'peer');
+    expectEvacuated('a');
+    read(1, 8);
+    expectEvacuated();
+  });
+
+  // Guards against cold servers for the deletion of an item that had no effect.
+  it('should not count the end of an unreadable item as a return', () => {
+    read(1, 5);
+    const kind = ItemKind.Unreadable;
+    watch(1, 6, [{kind, name: 'item-b', zone: 'b'}]);
+    watch(1, 7, [{kind: ItemKind.Deleted, zone: 'b'}]);
+    expect(evacuations.measureSinceReturnMs('b')).to.equal(Infinity);
+  });
+
   it('should log an unusable item once and leave all else as it is', () => {
     read(1, 5, ['a']);
     for (const revision of [6, 7]) {
--- a/tests/router/routerParts.test.ts
+++ b/tests/router/routerParts.test.ts
@@ -57,6 +57,7 @@
         {zone: 'a', status: ZoneStatus.Evacuated},
         {zone: 'b', status: ZoneStatus.Retained, remainingMs: 700},
         {zone: 'c', status: ZoneStatus.Returned, sinceMs: 90, epoch: 1},
+        {zone: 'd', status: ZoneStatus.Unreadable},
       ],
     },
     servers: [buildServerReport({})],
