Keep the number of offered routers while a relay is lost and callers move

Seen in a simulated fleet with relays (26 routers, 0.3 cores of demand): after the sudden end of the fast router that was the relay, resting routers offered all 24 slow ones; after the loss of either, the number went from 4 to 3 and back.

Cause: members hear of nobody until they have another relay, and took the other fast router for lost. The sums count callers that have moved at the router they left, too, until its next report.

Change: while a member has lost its relay, FleetView.listReady takes the routers of the last report, without the relay, for live (up to 3 s). For 2.5 s after a change the number grows only if the use is above the capacity.

--- a/src/callerRouting/offeredSize.ts
+++ b/src/callerRouting/offeredSize.ts
@@ -3,6 +3,7 @@
   chooseSize,
   isEnough,
   listUses,
+  maxUse,
   type RouterCapacity,
   type SizeUse,
   type ZoneDemand,
@@ -20,6 +21,16 @@
  */
 const minStepRatio = 0.5;
 
+/**
+ * For this long after a change, the sums may count callers that have moved
+ * twice, in milliseconds: at the routers they left, whose last reports are that
+ * old, and at those they use now. A step would otherwise be taken back at once,
+ * again and again.
+ */
+const settleMs = 2_500;
+/** Growth in that time needs a use that counting twice doesn't explain. */
+const settleMaxUse = 2 * maxUse;
+
 /** Why the number of offered routers has changed. */
 export enum SizeReason {
   /** The routers with fast links are always offered, and at least two. */
@@ -68,6 +79,8 @@
   private current = 0;
   private reason = SizeReason.Minimum;
   private changedAtMs = performance.now();
+  /** When callers were last made to move for another reason than the minimum. */
+  private movedAtMs = -Infinity;
   private readonly startedAtMs = performance.now();
   private samples: Sample[] = [];
 
@@ -82,7 +95,10 @@
     const from = this.current;
     const known = Math.min(from, uses.length);
     const floor = Math.max(known, input.minSize);
-    const grown = chooseSize(uses, floor);
+    const isSettling = performance.now() - this.movedAtMs < settleMs;
+    const floorUse = uses.at(floor - 1);
+    const isHeld = isSettling && floorUse && floorUse.use <= settleMaxUse;
+    const grown = isHeld ? floorUse : chooseSize(uses, floor);
     if (!grown) {
       this.current = 0;
       return undefined;
@@ -103,6 +119,7 @@
     this.current = to.size;
     this.reason = reason;
     this.changedAtMs = performance.now();
+    if (reason !== SizeReason.Minimum) this.movedAtMs = this.changedAtMs;
     return {reason, from, to};
   }
 
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -19,6 +19,11 @@
  * if there are no others.
  */
 const restingAliveTimeoutMs = 10_000;
+/**
+ * A member without reports for this long no longer takes that for a failure of
+ * its relay, in milliseconds. Resting members select another one after 1.5 s.
+ */
+const relayLossTimeoutMs = 3_000;
 /** Load reported by a router or relay expires after this silence. */
 const loadExpiryMs = 1_500;
 /** A router silent for longer than this is removed from the view. */
@@ -68,6 +73,8 @@
   private readonly ownReports = new Map<number, readonly ServerReport[]>();
   /** When this router last received a report, from any router or relay. */
   private lastReportAtMs = -Infinity;
+  /** The relay whose report this was; undefined if it was no relay's. */
+  private lastRelay: string | undefined;
   private ownContribution: OwnContribution | undefined;
 
   /** @param host - IP address of this router */
@@ -86,6 +93,7 @@
     if (!endpoints) return undefined;
     const heardAtMs = performance.now();
     this.lastReportAtMs = heardAtMs;
+    this.lastRelay = undefined;
     const peer = this.storePeer(host, endpoints, {
       incarnation,
       status,
@@ -105,6 +113,7 @@
     const {isFull} = report;
     const heardAtMs = performance.now();
     this.lastReportAtMs = heardAtMs;
+    this.lastRelay = host;
     for (const member of members) this.recordEndpoints(member, -Infinity);
     for (const [key, sequence] of sequences) {
       const member = this.hostsByKey.get(key);
@@ -195,9 +204,21 @@
     return this.listAliveAt(Math.min(performance.now(), this.lastReportAtMs));
   }
 
-  /** Live routers that take requests from callers. */
+  /**
+   * Live routers that take requests from callers. While a member has lost its
+   * relay, those of the last report are listed without the relay: the silence of
+   * the others would otherwise make all slow routers take their place.
+   */
   listReady(): Peer[] {
-    return this.listAlive().filter(({status}) => isServing(status));
+    const silentMs = performance.now() - this.lastReportAtMs;
+    const hasLostRelay =
+      this.lastRelay !== undefined &&
+      silentMs > aliveTimeoutMs &&
+      silentMs <= relayLossTimeoutMs;
+    const alive = hasLostRelay
+      ? this.listAliveAtLastReport().filter(({host}) => host !== this.lastRelay)
+      : this.listAlive();
+    return alive.filter(({status}) => isServing(status));
   }
 
   /** Removes expired routers and returns the rest, including silent ones. */
--- a/tests/callerRouting/offeredSize.test.ts
+++ b/tests/callerRouting/offeredSize.test.ts
@@ -140,6 +140,18 @@
     for (const size of [offered, late, young]) expect(size?.size).to.equal(2);
   });
 
+  // Guards against steps that are taken back every 5 s: the sums count callers
+  // who move at the router that they left and at the one that they use now.
+  it('should not grow when callers who have moved count twice', () => {
+    run(1, () => 780);
+    expect(offered.size).to.equal(7);
+    expect(run(5, () => 390).at(-1)?.to.size).to.equal(4);
+    expect(run(2, () => 585)).to.deep.equal([]);
+    expect(run(1, () => 390)).to.deep.equal([]);
+    const [grown] = run(1, () => 585);
+    expect(grown.to.size).to.equal(6);
+  });
+
   it('should offer all routers in an overload, and keep them', () => {
     run(10, () => 300);
     const changes = run(20, second => 8_000 + 1_000 * (second % 2));
