Leave the wait for KV cache copies out of the prefill rate

Seen: when a prompt waited longer for a copy than for the prompts before it, the copy's time counted as prefill. When it waited for a slot, the whole wait was taken off although the work before it, which was done meanwhile, was counted.

Cause: the expected time has the longest of the three waits, but samples left out only that for a slot.

The effect on a fleet wasn't measured.

--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -36,6 +36,7 @@
 import {
   buildAnswerSample,
   buildFirstEventSample,
+  computeOtherWaitMs,
   type ServedRequest,
 } from './speedSamples.js';
 
@@ -150,7 +151,7 @@
     service: string,
     served: ServedRequest,
   ): void {
-    const prefillMs = served.ms - selection.slotWaitMs;
+    const prefillMs = served.ms - computeOtherWaitMs(selection);
     this.getPrefillStatistics(service).record(selection, prefillMs);
     const sample = buildFirstEventSample(selection, served);
     if (sample) this.options.speeds.record(selection.server, sample);
