Let servers grow with their responses after a start or a failure

Seen: a server that is back after a failure is empty, all routers prefer it, and its earlier failures weigh on it for seconds although it works again. Cause: nothing ties what a router sends to what the server's responses show, and failures only decay, with a half-life of 3 s.

Change: SlowStart, off by default (setting slowStart). A window of requests in flight for each router and server, from one up; it doubles in each round of responses on time and is halved by trouble. Three responses on time in a row end the weight of earlier failures. It yields where no other server is left, and the limit for cold servers is applied before it.

Evidence found after a disproved one is shared again.

--- a/src/router/forwarderOptions.ts
+++ b/src/router/forwarderOptions.ts
@@ -1,6 +1,7 @@
 /** Components that the forwarding of requests needs. */
 import type {Log} from '../node/log.js';
 import type {ServerPace} from '../serverPace/serverPace.js';
+import type {SlowStart} from '../serverPace/slowStart.js';
 import type {AnswerNotices} from './answerNotices.js';
 import type {BackendConnections} from './backendConnections.js';
 import type {CrashQuarantine} from './crashQuarantine.js';
@@ -23,6 +24,7 @@
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
   readonly pace: ServerPace;
+  readonly slowStart: SlowStart;
   readonly quarantine: CrashQuarantine;
   readonly answerNotices: AnswerNotices;
   readonly idleReuse: IdleReuseSuspensions;
--- a/src/router/pacing.ts
+++ b/src/router/pacing.ts
@@ -3,6 +3,8 @@
 import type {ColdCause, ColdServersOptions} from '../serverPace/coldServers.js';
 import type {ColdStart} from '../serverPace/pacedServer.js';
 import {ServerPace, type ColdServerState} from '../serverPace/serverPace.js';
+import {SlowStart} from '../serverPace/slowStart.js';
+import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
 import type {OfferedRouters} from './offeredRouters.js';
@@ -13,6 +15,8 @@
 import type {ServerDirectory} from './serverDirectory.js';
 import {NoticeResult, type SharedNotices} from './sharedNotices.js';
 
+/** A zone has just returned for this long, in milliseconds; some updates. */
+const returnPeriodMs = 2_000;
 /** Most servers that one log line names. */
 const maxNamedServers = 8;
 
@@ -44,6 +48,13 @@
  */
 export class Pacing {
   readonly pace: ServerPace;
+  readonly slowStart: SlowStart;
+  /** Processes in the last view, by server id; undefined before the first. */
+  private processes: ReadonlyMap<string, string> | undefined;
+  /** Routers that callers are sent to, at the last update. */
+  private routerCount = 1;
+  /** Zones that have returned to service lately. */
+  private returnedZones: ReadonlySet<string> = new Set();
   private coldStarts: ReadonlyMap<string, ColdStart> = new Map();
   /** Cold servers at the last update, by id. */
   private seen = new Map<string, SeenCold>();
@@ -60,6 +71,7 @@
       measureViewAgeMs: () => directory.measureAgeMs(),
       measureSinceReturnMs,
       announce: key => notices.announce(key),
+      repeat: key => notices.repeat(key),
       viewSenders: () => ({
         ...findOffered(),
         seeds: settings.seeds.map(seed => seed.split(':')[0]),
@@ -69,11 +81,18 @@
           .map(({host}) => host),
       }),
     });
-    if (!this.pace.isEnabled) return;
+    this.slowStart = new SlowStart({
+      isEnabled: settings.slowStart,
+      countRouters: () => this.routerCount,
+    });
+    const {pace, slowStart} = this;
+    if (!pace.isEnabled && !slowStart.isEnabled) return;
+    directory.watchReads((servers, ageMs) => {
+      pace.recordRead(servers, ageMs);
+      this.recordStarts(servers);
+    });
+    if (!pace.isEnabled) return;
     deployments.watch(table => this.useDeployment(table));
-    directory.watchReads((servers, ageMs) =>
-      this.pace.recordRead(servers, ageMs),
-    );
     notices.watch(key => toNoticeResult(this.pace.recordNotice(key)));
     this.registerGauges();
   }
@@ -85,9 +104,15 @@
 
   /** Updates the routers that the pace knows, and logs changes. */
   update(): void {
-    if (!this.pace.isEnabled) return;
     const {directory} = this.options;
-    this.pace.update(id => directory.findUsable(id) !== undefined);
+    const isListed = (id: string) => directory.findUsable(id) !== undefined;
+    if (this.slowStart.isEnabled) {
+      this.routerCount = this.options.findOffered().others.length + 1;
+      this.slowStart.forgetEnded(isListed);
+      this.recordReturns();
+    }
+    if (!this.pace.isEnabled) return;
+    this.pace.update(isListed);
     const nowMs = performance.now();
     const cold = new Map<string, SeenCold>();
     const began = new Map<ColdCause, string[]>();
@@ -109,6 +134,30 @@
     this.logChange('backend servers warm', ids, {ms});
   }
 
+  /** Begins slow start for processes that weren't in the view before. */
+  private recordStarts(servers: readonly BackendServer[]): void {
+    if (!this.slowStart.isEnabled) return;
+    const known = this.processes;
+    this.processes = new Map(servers.map(s => [s.id, formatProcess(s)]));
+    for (const {id, warmUpMs} of servers) {
+      const isNew = known && known.get(id) !== this.processes.get(id);
+      if (isNew || (!known && warmUpMs > 0)) this.slowStart.begin(id);
+    }
+  }
+
+  /** Begins slow start for the servers of zones that have just returned. */
+  private recordReturns(): void {
+    const {directory, measureSinceReturnMs} = this.options;
+    if (!measureSinceReturnMs) return;
+    const returned = new Set<string>();
+    for (const {id, zone} of directory.listAll()) {
+      if (measureSinceReturnMs(zone) > returnPeriodMs) continue;
+      returned.add(zone);
+      if (!this.returnedZones.has(zone)) this.slowStart.begin(id);
+    }
+    this.returnedZones = returned;
+  }
+
   private useDeployment({deployment}: RouteTable): void {
     this.coldStarts = new Map(
       deployment.services.flatMap(({name, coldStart}) =>
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -25,11 +25,12 @@
 import {getFailureCostMs, RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {computeRequestKey} from './requestKey.js';
+import {recordRestartSigns} from './restartSigns.js';
 import {RetryCause} from './routerMetrics.js';
 import {minRemainingMs, SendLimit} from './sendLimit.js';
-import {recordRestartSigns} from './restartSigns.js';
 import {SentAttempt, type AttemptListener} from './sentAttempt.js';
 import type {Selection, SelectionRequest} from './serverSelector.js';
+import {recordAttemptEnd} from './slowStartSigns.js';
 
 /** Answers with this status or a higher one count as server failures. */
 const minServerErrorStatus = 500;
@@ -463,6 +464,7 @@
 
   private countSend(attempt: SentAttempt, result: AttemptResult) {
     recordRestartSigns(this.options.pace, attempt, result);
+    recordAttemptEnd(this.options, attempt, result);
     const {wasUnreachable} = attempt;
     const isReached = result.kind !== AttemptKind.Unreachable;
     this.sendLimit.record({isReached, wasUnreachable});
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -128,7 +128,7 @@
       ...{settings, directory, deployments, fleet, notices, metrics, log},
       findOffered: () => this.findOffered(),
     });
-    const {pace} = this.pacing;
+    const {pace, slowStart} = this.pacing;
     const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
@@ -137,6 +137,7 @@
       outcomes,
       limits,
       pace,
+      slowStart,
       fleet,
       prompts,
       deployments,
@@ -186,6 +187,7 @@
       outcomes,
       limits,
       pace,
+      slowStart,
       quarantine,
       answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
@@ -317,6 +319,7 @@
         return perSecond === undefined ? [] : [{id: server.id, perSecond}];
       }),
       coldServers: this.pacing.list(),
+      slowStarts: this.pacing.slowStart.list(),
       quarantine: this.quarantine.listBlocked().map(([key, crashes]) => ({
         kind: isRequestKey(key) ? 'request' : 'promptPart',
         key,
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -14,6 +14,7 @@
 import type {RequestForwarderOptions} from './forwarderOptions.js';
 import type {LoadTicket} from './serverLoads.js';
 import {computeLimitKey, type Selection} from './serverSelector.js';
+import {recordResponse} from './slowStartSigns.js';
 
 /** What an attempt needs to know about its request. */
 export interface SentAttemptOptions {
@@ -52,6 +53,8 @@
   readonly connectionIdleMs: number;
   /** True if the server was known to accept no connections. */
   readonly wasUnreachable: boolean;
+  /** Time that is left of the caller's target, in milliseconds. */
+  readonly targetLeftMs: number;
   private readonly connection: BackendConnection;
   private readonly ticket: LoadTicket;
   private readonly withdrawPlacement: () => void;
@@ -69,6 +72,8 @@
     const {server, prefillWork, fetchFrom} = selection;
     this.selection = selection;
     this.wasUnreachable = components.outcomes.isUnreachable(server.id);
+    const waitedMs = this.sentAtMs - exchange.startedAtMs;
+    this.targetLeftMs = route.targetMs - waitedMs;
     components.limits.recordSend(computeLimitKey(server));
     components.pace.recordSend(server);
     const isEngine = exchange.request.promptParts.length > 0;
@@ -190,6 +195,7 @@
     this.firstEventAtMs = performance.now();
     components.quarantine.recordStart(sharedParts);
     this.ticket.finishPrefill();
+    recordResponse(components, this);
     components.selector.recordFirstEvent(
       selection,
       request.service,
--- a/src/router/serverOutcomes.ts
+++ b/src/router/serverOutcomes.ts
@@ -43,6 +43,11 @@
     this.decay(serverId).failures += 1;
   }
 
+  /** Removes the weight of earlier failures of a server that works again. */
+  clearFailures(serverId: string): void {
+    this.decay(serverId).failures = 0;
+  }
+
   /** Records that no connection to the server could be opened. */
   recordUnreachable(serverId: string): void {
     const outcomes = this.decay(serverId);
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -1,6 +1,7 @@
 /** Selects backend servers by the load and outcomes that routers report. */
 import {sortByWeight} from '../node/rendezvous.js';
 import type {ServerPace} from '../serverPace/serverPace.js';
+import type {SlowStart} from '../serverPace/slowStart.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -95,6 +96,7 @@
   readonly outcomes: ServerOutcomes;
   readonly limits: ServerLimits;
   readonly pace: ServerPace;
+  readonly slowStart: SlowStart;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -279,7 +281,12 @@
       reachable,
       ({id}) => !request.failed.has(id),
     );
-    return selectPreferred(notFailed, ({id}) => !outcomes.isUnwilling(id));
+    const willing = selectPreferred(
+      notFailed,
+      ({id}) => !outcomes.isUnwilling(id),
+    );
+    const {slowStart, loads} = this.options;
+    return slowStart.listOpen(willing, id => loads.get(id).requests);
   }
 
   /** Lists the servers that may be sent the request, apart from their limits. */
--- a/src/router/sharedNotices.ts
+++ b/src/router/sharedNotices.ts
@@ -45,10 +45,15 @@
 
   /** Sends a key to all other routers, at once and repeatedly. */
   announce(key: number): void {
-    this.scheduleRepeat(key);
+    this.repeat(key);
     this.sendNow();
   }
 
+  /** Sends a key with the next reports for a while. */
+  repeat(key: number): void {
+    this.repeatUntilMs.set(key, performance.now() + repeatPeriodMs);
+  }
+
   /**
    * Handles the keys in a report.
    *
@@ -57,8 +62,7 @@
   recordPeer(keys: readonly number[], shouldRelay: boolean): void {
     for (const key of keys) {
       const noticeResult = this.dispatch(key);
-      if (noticeResult === NoticeResult.New && shouldRelay)
-        this.scheduleRepeat(key);
+      if (noticeResult === NoticeResult.New && shouldRelay) this.repeat(key);
     }
   }
 
@@ -78,8 +82,4 @@
     }
     return NoticeResult.Unrecognised;
   }
-
-  private scheduleRepeat(key: number): void {
-    this.repeatUntilMs.set(key, performance.now() + repeatPeriodMs);
-  }
 }
--- a/src/serverPace/coldServers.ts
+++ b/src/serverPace/coldServers.ts
@@ -9,8 +9,8 @@
  * - for the duration of a cold start after its zone has returned to service;
  * - while this router's view of the servers is old: any of them may have been
  *   restarted since; and
- * - for the first seconds of this router, which doesn't know the evidence that
- *   the others found before.
+ * - for the first seconds of this router, until it hears the others and the
+ *   evidence that they found before.
  *
  * Only servers of services with a `ColdStart` can be cold.
  */
@@ -19,7 +19,11 @@
   type ColdStart,
   type PacedServer,
 } from './pacedServer.js';
-import {RestartEvidence, type EvidenceKind} from './restartEvidence.js';
+import {
+  RestartEvidence,
+  type EvidenceKind,
+  type NoticeChannel,
+} from './restartEvidence.js';
 
 /** Why a server is cold. */
 export enum ColdCause {
@@ -31,7 +35,7 @@
   ZoneReturned = 'zoneReturned',
   /** This router's view of the servers is old. */
   StaleView = 'staleView',
-  /** This router has just started, and may have missed a restart. */
+  /** This router has just started, hears few others, and may miss a restart. */
   RouterStarted = 'routerStarted',
 }
 
@@ -48,7 +52,7 @@
 /** Entries that are missing from the view are remembered for this long. */
 const memoryMs = 60_000;
 
-export interface ColdServersOptions {
+export interface ColdServersOptions extends NoticeChannel {
   /** Returns the cold start of a service; undefined if it has none. */
   readonly getColdStart: (service: string) => ColdStart | undefined;
   /** Returns the time since the newest read of the servers. */
@@ -58,8 +62,8 @@
    * out of service.
    */
   readonly measureSinceReturnMs?: (zone: string) => number;
-  /** Sends a compact key to all other routers. */
-  readonly announce: (key: number) => void;
+  /** True once this router has heard enough of the others since its start. */
+  readonly hasContact: () => boolean;
 }
 
 interface KnownEntry {
@@ -88,7 +92,7 @@
   private lastEntryEndsAtMs = -Infinity;
 
   constructor(private readonly options: ColdServersOptions) {
-    this.evidence = new RestartEvidence(key => options.announce(key));
+    this.evidence = new RestartEvidence(options);
   }
 
   /** Records the entries of a view that was read `ageMs` ago. */
@@ -172,13 +176,17 @@
     return coldStart && coldStart.requestsPerSecond > 0 ? coldStart : undefined;
   }
 
-  /** Removes evidence that no longer counts. */
-  forgetOld(): void {
+  /** Repeats evidence to the other routers, and removes what is old. */
+  update(): void {
+    this.evidence.repeat();
     this.evidence.forgetOld(this.maxColdMs);
   }
 
   private isLearning(): boolean {
-    return performance.now() - this.startedAtMs < learningMs;
+    return (
+      performance.now() - this.startedAtMs < learningMs &&
+      !this.options.hasContact()
+    );
   }
 
   private hasReturnedZone(): boolean {
--- a/src/serverPace/restartEvidence.ts
+++ b/src/serverPace/restartEvidence.ts
@@ -56,7 +56,7 @@
  * used up in more than the time for which a notice is remembered.
  */
 const noticeNumbers = 8;
-/** Routers and relays repeat a notice for less than this, in milliseconds. */
+/** A notice not seen for this long, in milliseconds, is a new one. */
 const noticeMemoryMs = 5_000;
 
 /** What a notice says about a process. */
@@ -88,14 +88,21 @@
   readonly coldMs: number;
 }
 
+/** Sends compact keys to all other routers. */
+export interface NoticeChannel {
+  /** Sends a key at once, and repeats it for a while. */
+  readonly announce: (key: number) => void;
+  /** Repeats a key in the next reports. */
+  readonly repeat: (key: number) => void;
+}
+
 /** Keeps evidence by process; see `formatPacedProcess`. */
 export class RestartEvidence {
   private readonly evidence = new Map<string, ProcessEvidence>();
   /** Notices about listed processes, by key. */
   private notices = new Map<number, [string, NoticeTopic, number]>();
 
-  /** @param announce - sends a compact key to all other routers */
-  constructor(private readonly announce: (key: number) => void) {}
+  constructor(private readonly channel: NoticeChannel) {}
 
   /** True while there is no evidence against any process. */
   get isEmpty(): boolean {
@@ -125,9 +132,7 @@
     }
     setStrong(known);
     if (nowMs - known.sharedAtMs < shareIntervalMs) return;
-    known.sharedAtMs = nowMs;
-    known.number = (known.number + 1) % noticeNumbers;
-    this.publish(process, known, NoticeTopic.Restarted);
+    this.publishRestart(process, known);
   }
 
   /**
@@ -162,8 +167,8 @@
     const nowMs = performance.now();
     const known = this.getEvidence(process);
     const seenAtMs = known.seenAtMs.get(`${topic}${number}`) ?? -Infinity;
-    if (nowMs - seenAtMs < noticeMemoryMs) return false;
     known.seenAtMs.set(`${topic}${number}`, nowMs);
+    if (nowMs - seenAtMs < noticeMemoryMs) return false;
     switch (topic) {
       case NoticeTopic.Restarted:
         setStrong(known);
@@ -171,8 +176,13 @@
         known.number = number;
         break;
       case NoticeTopic.Same:
-        // Evidence that was found since then still counts.
-        if (number === known.number) known.strongAtMs = -Infinity;
+        if (number !== known.number) break;
+        if (known.strongAtMs - known.sharedAtMs < transitMs) {
+          known.strongAtMs = -Infinity;
+        } else {
+          // Found since the shared evidence, to which the proof applies.
+          this.publishRestart(process, known);
+        }
         break;
     }
     return true;
@@ -188,6 +198,16 @@
     );
   }
 
+  /** Repeats the evidence, for routers that have started since it was found. */
+  repeat(): void {
+    const sinceMs = performance.now() - sameAfterMs;
+    for (const [process, {strongAtMs, number}] of this.evidence) {
+      if (strongAtMs < sinceMs) continue;
+      const topic = NoticeTopic.Restarted;
+      this.channel.repeat(computeNoticeKey(process, topic, number));
+    }
+  }
+
   /**
    * Removes evidence that no longer counts.
    *
@@ -201,13 +221,19 @@
     }
   }
 
+  private publishRestart(process: string, evidence: ProcessEvidence): void {
+    evidence.sharedAtMs = performance.now();
+    evidence.number = (evidence.number + 1) % noticeNumbers;
+    this.publish(process, evidence, NoticeTopic.Restarted);
+  }
+
   private publish(
     process: string,
     {number, seenAtMs}: ProcessEvidence,
     topic: NoticeTopic,
   ): void {
     seenAtMs.set(`${topic}${number}`, performance.now());
-    this.announce(computeNoticeKey(process, topic, number));
+    this.channel.announce(computeNoticeKey(process, topic, number));
   }
 
   private getEvidence(process: string): ProcessEvidence {
--- a/src/serverPace/senderChoice.ts
+++ b/src/serverPace/senderChoice.ts
@@ -67,8 +67,7 @@
   /** When each of the other routers was last heard. */
   private readonly heardAtMs = new Map<string, number>();
   private isOffered = false;
-  /** True once this router has heard enough of the others since its start. */
-  private hasJoined = false;
+  private hasHeardOthers = false;
   private candidates: string[] = [];
   private host = '';
   /** Grows with each change of the candidates. */
@@ -83,7 +82,8 @@
   /** True if this router is one of the senders of a server. */
   isSender(serverId: string, senders: number): boolean {
     this.refresh();
-    if (!this.hasJoined || !this.isOffered) return false;
+    const isLearning = performance.now() - this.startedAtMs < learningMs;
+    if (isLearning || !this.hasHeardOthers || !this.isOffered) return false;
     const known = this.chosen.get(serverId);
     if (known?.version === this.version && known.senders === senders) {
       return known.isSender;
@@ -95,6 +95,15 @@
     return isSender;
   }
 
+  /**
+   * True once this router has heard more than half of the others that it knows
+   * of since its start.
+   */
+  hasContact(): boolean {
+    this.refresh();
+    return this.hasHeardOthers;
+  }
+
   /**
    * Returns the largest number of senders that this router has known within
    * the last minute. Their rate is divided by it.
@@ -122,8 +131,9 @@
     const remembered = [host, ...this.heardAtMs.keys()];
     const ageMs = nowMs - this.startedAtMs;
     const expected = new Set([...remembered, ...seeds]);
-    const hasContact = heard.length > expected.size / 2 || ageMs > memoryMs;
-    if (ageMs >= learningMs && hasContact) this.hasJoined = true;
+    if (heard.length > expected.size / 2 || ageMs > memoryMs) {
+      this.hasHeardOthers = true;
+    }
     this.setCandidates(
       heard.length > remembered.length / 2 ? heard : remembered,
     );
--- a/src/serverPace/serverPace.ts
+++ b/src/serverPace/serverPace.ts
@@ -27,7 +27,10 @@
 /** Time for which the last request to a server that has left is remembered. */
 const sendMemoryMs = 60_000;
 
-export interface ServerPaceOptions extends ColdServersOptions {
+export interface ServerPaceOptions extends Omit<
+  ColdServersOptions,
+  'hasContact'
+> {
   /** Absent where operators set no bounds; servers are then never cold. */
   readonly bounds?: ColdServerBounds;
   readonly viewSenders: () => SenderView;
@@ -63,6 +66,7 @@
     this.cold = new ColdServers({
       ...options,
       getColdStart: service => (bounds ? getColdStart(service) : undefined),
+      hasContact: () => this.choice.hasContact(),
     });
     this.choice = new SenderChoice(options.viewSenders);
   }
@@ -172,7 +176,7 @@
     if (!this.isEnabled) return;
     this.choice.refresh();
     this.choice.forgetEnded(isListed);
-    this.cold.forgetOld();
+    this.cold.update();
     for (const [id, atMs] of this.sentAtMs) {
       const isRecent = performance.now() - atMs < sendMemoryMs;
       if (!isRecent && !isListed(id)) this.sentAtMs.delete(id);
--- a/tests/router/serverDirectory.test.ts
+++ b/tests/router/serverDirectory.test.ts
@@ -53,6 +53,28 @@
     expect(listIds()).to.deep.equal(['x']);
   });
 
+  // Guards against routers that don't learn from each other that a server has
+  // become cold, because its view has the same digest.
+  it('should have another digest for a cold server where reads are watched', () => {
+    const cold = {...buildServer('x'), warmUpMs: 900};
+    apply(1, [buildServer('x')]);
+    const {digest} = directory;
+    apply(2, [cold]);
+    expect(directory.digest).to.equal(digest);
+    const read: number[] = [];
+    directory.watchReads(([server], ageMs) =>
+      read.push(server.warmUpMs, ageMs),
+    );
+    apply(3, [cold]);
+    expect(directory.digest).not.to.equal(digest);
+    expect(read).to.deep.equal([900, 0]);
+    apply(4, [{...cold, warmUpMs: 100}]);
+    const coldDigest = directory.digest;
+    apply(5, [buildServer('x')]);
+    expect(directory.digest).to.equal(digest);
+    expect(coldDigest).not.to.equal(digest);
+  });
+
   // During an outage of the store, registrations of live servers expire.
   it('should keep servers that are missing right after an outage', () => {
     apply(1, [buildServer('x'), buildServer('y')]);
