--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -137,7 +137,7 @@
       measureSinceReturnMs: zone => evacuations.measureSinceReturnMs(zone),
       findOffered: () => this.findOffered(),
     });
-    const {pace} = this.pacing;
+    const {pace, slowStart} = this.pacing;
     const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
@@ -148,6 +148,7 @@
       speeds: buildServerSpeeds({directory, totals, log}),
       evacuations,
       pace,
+      slowStart,
       fleet,
       prompts,
       deployments,
@@ -195,6 +196,7 @@
       outcomes,
       limits,
       pace,
+      slowStart,
       quarantine,
       answerNotices: new AnswerNotices({leaving, limits, log}),
       idleReuse: this.idleReuse,
@@ -325,6 +327,7 @@
       forgetfulServices: this.idleReuse.list(),
       limitedServers: listLimited(directory, this.limits),
       coldServers: this.pacing.list(),
+      slowStarts: this.pacing.slowStart.list(),
       quarantine: this.quarantine.listBlocked().map(describeBlocked),
       relays: fleet.listRelays(),
       datagrams: {
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -5,6 +5,7 @@
   ServerSpeedState,
 } from '../serverSpeed/serverSpeeds.js';
 import type {ServerPace} from '../serverPace/serverPace.js';
+import type {SlowStart} from '../serverPace/slowStart.js';
 import {computeCompactKey} from './compactKey.js';
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {DeploymentStore} from './deploymentStore.js';
@@ -123,6 +124,7 @@
   readonly speeds: ServerSpeeds<BackendServer>;
   readonly evacuations: ZoneEvacuations;
   readonly pace: ServerPace;
+  readonly slowStart: SlowStart;
   readonly fleet: FleetView;
   readonly prompts: PrefixCacheDirectory;
   readonly deployments: DeploymentStore;
@@ -332,7 +334,12 @@
       reachable,
       ({id}) => !request.failed.has(id),
     );
-    return selectPreferred(notFailed, ({id}) => !outcomes.isUnwilling(id));
+    const willing = selectPreferred(
+      notFailed,
+      ({id}) => !outcomes.isUnwilling(id),
+    );
+    const {slowStart, loads} = this.options;
+    return slowStart.listOpen(willing, id => loads.get(id).requests);
   }
 
   /** Lists the servers that may be sent the request, apart from their limits. */
