Move start-time fair queueing to src/node with a cost per entry

Seen: the router is to order waiting requests of customers fairly, and the only implementation costs 1 per request and sits in the dispatcher. Cause: it was written for the dispatcher's classes alone. Change: src/node/fairQueue.ts with a cost per served entry (default 1), an order within a customer, and a charge for entries that are removed before they are served.

--- a/src/dispatcher/classScheduler.ts
+++ b/src/dispatcher/classScheduler.ts
@@ -1,6 +1,6 @@
 /** Order in which the waiting requests of one backend server are granted. */
 import {tierCount} from '../config/configuration.js';
-import {FairQueue} from './fairQueue.js';
+import {FairQueue} from '../node/fairQueue.js';
 
 /**
  * Share of grants reserved for all classes without a minimum share, in total.
--- a/src/dispatcher/fairQueue.ts
+++ b/src/node/fairQueue.ts
@@ -1,4 +1,4 @@
-/** Fair queueing between the customers of one class. */
+/** Fair queueing between customers of the same priority. */
 
 interface CustomerEntries<E> {
   entries: E[];
@@ -6,11 +6,15 @@
 }
 
 /**
- * Start-time fair queueing between customers, first in first out within a
- * customer. Each request costs 1. Only the first entry of a customer has a
- * start tag, so that a cancelled entry costs its customer nothing.
+ * Start-time fair queueing between customers; within a customer first in first
+ * out, or in a given order. Only the first entry of a customer has a start tag,
+ * so that a cancelled entry costs its customer nothing.
  *
  * Source: Goyal, Vin and Cheng, "Start-time Fair Queueing", 1996.
+ *
+ * @example
+ * const entry = queue.getHead();
+ * if (entry) queue.take(entry, entry.costMs);
  */
 export class FairQueue<E extends {customer: string}> {
   private customers = new Map<string, CustomerEntries<E>>();
@@ -20,18 +24,28 @@
   /** Cached until an entry is added or removed. */
   private head: E | undefined;
 
+  /**
+   * @param compare - order within a customer, as for `Array.sort`; entries that
+   *     are equal stay in order of arrival
+   */
+  constructor(private readonly compare: (a: E, b: E) => number = () => 0) {}
+
   /** Number of waiting entries. */
   get length(): number {
     return this.size;
   }
 
-  /** Adds an entry behind the others of its customer. */
+  /** Adds an entry in the order within its customer. */
   push(entry: E): void {
     this.size += 1;
     this.head = undefined;
     const waiting = this.customers.get(entry.customer);
     if (waiting) {
-      waiting.entries.push(entry);
+      const index = waiting.entries.findIndex(
+        other => this.compare(other, entry) > 0,
+      );
+      const position = index < 0 ? waiting.entries.length : index;
+      waiting.entries.splice(position, 0, entry);
       return;
     }
     const finishTag = this.finishTags.get(entry.customer) ?? 0;
@@ -59,16 +73,29 @@
     return head;
   }
 
+  /** Lists the first entry of each customer. */
+  listHeads(): E[] {
+    return [...this.customers.values()].map(({entries}) => entries[0]);
+  }
+
   /** Removes an entry that is served and charges its customer. */
-  take(entry: E): void {
-    const waiting = this.customers.get(entry.customer);
-    if (!waiting) return;
-    this.virtualTime = Math.max(this.virtualTime, waiting.startTag);
-    waiting.startTag += 1;
-    this.finishTags.set(entry.customer, waiting.startTag);
+  take(entry: E, cost = 1): void {
+    if (!this.customers.has(entry.customer)) return;
+    this.charge(entry.customer, cost);
     this.remove(entry);
   }
 
+  /** Charges a customer for a served entry, which may be removed already. */
+  charge(customer: string, cost: number): void {
+    const waiting = this.customers.get(customer);
+    const finishTag = this.finishTags.get(customer) ?? 0;
+    const startTag = waiting?.startTag ?? Math.max(this.virtualTime, finishTag);
+    this.virtualTime = Math.max(this.virtualTime, startTag);
+    this.finishTags.set(customer, startTag + cost);
+    this.head = undefined;
+    if (waiting) waiting.startTag = startTag + cost;
+  }
+
   /**
    * Removes an entry without charging its customer; returns false if it isn't
    * queued here.
@@ -92,7 +119,7 @@
 
   /** Returns a copy that can be drained without affecting this queue. */
   buildCopy(): FairQueue<E> {
-    const copy = new FairQueue<E>();
+    const copy = new FairQueue<E>(this.compare);
     for (const [customer, {entries, startTag}] of this.customers) {
       copy.customers.set(customer, {entries: [...entries], startTag});
     }
