Divide scarce servers among the customers of a tier

Seen: no decision of a router depends on the customer. Cause: admission and the queue of held requests know only rank and time. Change: src/customerShares accounts the server time of sent work by service, rank and customer, decayed with 2 s, sums it over the fleet, and compares it with the max-min share. While requests of a customer within its share wait or were refused, requests of those beyond it wait or are refused, with the time after which their use has decayed to the share. The queue sends customers beyond their shares after the others of a rank, in fair order. Log lines name the customer; gauges and the state dump show use, shares and refusals. It is off with fewer than two customers.

--- a/src/ctl/logLines.ts
+++ b/src/ctl/logLines.ts
@@ -8,6 +8,9 @@
   requestId: z.string().optional(),
   route: z.string().optional(),
   server: z.string().optional(),
+  customer: z.string().optional(),
+  /** True if the customer was beyond its share. */
+  isBeyondShare: z.boolean().optional(),
   reason: z.string().optional(),
   /** Time since the request arrived, in milliseconds. */
   ms: z.number().optional(),
--- a/src/router/attemptLog.ts
+++ b/src/router/attemptLog.ts
@@ -1,4 +1,5 @@
 /** Fields of the log lines about attempts. */
+import type {LogFields} from '../node/log.js';
 import type {AdmissionDecision} from './promptAdmission.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {Selection} from './serverSelector.js';
@@ -18,6 +19,8 @@
   /** Age of the view of backend servers, in milliseconds. */
   readonly viewAgeMs: number;
   readonly progress: StreamProgress;
+  /** True if the customer was beyond its share. */
+  readonly isBeyondShare: boolean;
 }
 
 /**
@@ -27,11 +30,9 @@
  * @example
  * log.logInfo('answered', listAttemptFields(facts));
  */
-export function listAttemptFields(
-  facts: AttemptFacts,
-): Record<string, string | number | undefined> {
+export function listAttemptFields(facts: AttemptFacts): LogFields {
   const {request, selection, progress} = facts;
-  const {exchange, route, urgency, deploymentVersion} = request;
+  const {exchange, route, urgency, customer, deploymentVersion} = request;
   const {firstEventMs, maxPauseMs} = progress;
   return {
     requestId: exchange.request.attemptId,
@@ -39,6 +40,8 @@
     deployment: deploymentVersion,
     server: selection.server.id,
     urgency,
+    customer,
+    isBeyondShare: facts.isBeyondShare || undefined,
     cause: facts.cause,
     sends: facts.sends,
     unreached: facts.unreached,
--- a/src/router/forwarderOptions.ts
+++ b/src/router/forwarderOptions.ts
@@ -1,4 +1,5 @@
 /** Components that the forwarding of requests needs. */
+import type {CustomerShares} from '../customerShares/customerShares.js';
 import type {Log} from '../node/log.js';
 import type {AnswerNotices} from './answerNotices.js';
 import type {BackendConnections} from './backendConnections.js';
@@ -27,4 +28,5 @@
   readonly metrics: RouterMetrics;
   readonly log: Log;
   readonly budgets: RetryBudgets;
+  readonly shares: CustomerShares;
 }
--- a/src/router/holdQueue.ts
+++ b/src/router/holdQueue.ts
@@ -1,4 +1,9 @@
 /** Requests that wait until the servers of a service have room for them. */
+import {
+  ShareKind,
+  type CustomerShares,
+} from '../customerShares/customerShares.js';
+import {FairQueue} from '../node/fairQueue.js';
 
 /**
  * Interval of the check of the requests that wait, in milliseconds. Room at the
@@ -23,21 +28,26 @@
   readonly rank: number;
   /** `performance.now()` until which it may wait. */
   readonly latestAtMs: number;
+  /** Customers with the same name wait as one; empty unless shares apply. */
+  readonly customer?: string;
 }
 
 interface Entry extends HeldRequest {
+  readonly customer: string;
   readonly wake: () => void;
 }
 
 /**
  * Holds the requests of one service, the most urgent first and among these the
- * one that can wait least. A woken request decides again whether it is sent.
+ * one that can wait least. Customers beyond their shares come after the others
+ * of the same rank, in fair order among themselves. A woken request decides
+ * again whether it is sent.
  *
  * @example
  * if (queue.canWait(held)) await queue.wait(held, signal);
  */
 export class HoldQueue {
-  private readonly entries: Entry[] = [];
+  private readonly queues = new Map<number, FairQueue<Entry>>();
   private timer: NodeJS.Timeout | undefined;
   /** Requests sent after a wait, decayed by age. */
   private starts = 0;
@@ -47,9 +57,19 @@
   /** Most urgent rank that was refused for want of slots, and when. */
   private shortage = {rank: Infinity, atMs: -Infinity};
 
+  /** @param isBeyondShare - true if a customer's requests wait for others */
+  constructor(
+    private readonly isBeyondShare: (
+      rank: number,
+      customer: string,
+    ) => boolean = () => false,
+  ) {}
+
   /** Number of requests that wait. */
   get size(): number {
-    return this.entries.length;
+    let size = 0;
+    for (const queue of this.queues.values()) size += queue.length;
+    return size;
   }
 
   /** Waits until the request should be decided again; never rejects. */
@@ -58,6 +78,7 @@
     return new Promise(resolve => {
       const entry: Entry = {
         ...held,
+        customer: held.customer ?? '',
         wake: () => {
           signal.removeEventListener('abort', leave);
           resolve();
@@ -68,7 +89,7 @@
         entry.wake();
       };
       signal.addEventListener('abort', leave, {once: true});
-      this.entries.splice(this.findPosition(held), 0, entry);
+      this.getQueue(held.rank).push(entry);
       if (this.timer) return;
       this.waitingSinceMs = performance.now();
       this.timer = setInterval(() => this.check(), checkIntervalMs);
@@ -85,13 +106,18 @@
     this.decay();
     const waitMs = held.latestAtMs - nowMs;
     const starts = (this.starts * waitMs) / rateWindowMs;
-    return this.findPosition(held) <= starts;
+    return this.countBefore(held) <= starts;
   }
 
-  /** Records that a request was sent after it had waited. */
-  recordStart(): void {
+  /**
+   * Records that a request was sent after it had waited.
+   *
+   * @param useMs - time for which it will use a server
+   */
+  recordStart(held?: HeldRequest, useMs = 0): void {
     this.decay();
     this.starts += 1;
+    if (held) this.getQueue(held.rank).charge(held.customer ?? '', useMs);
   }
 
   /** Records that a request was refused because all slots were taken. */
@@ -109,7 +135,7 @@
 
   /** Wakes the first request, because a server may have room. */
   wakeNext(): void {
-    const entry = this.entries[0];
+    const entry = this.findNext();
     if (!entry) return;
     this.remove(entry);
     entry.wake();
@@ -117,30 +143,73 @@
 
   private check(): void {
     const nowMs = performance.now();
-    const due = this.entries.filter(
-      ({latestAtMs}, index) => index < wakesPerCheck || latestAtMs <= nowMs,
-    );
-    for (const entry of due) this.remove(entry);
+    const due: Entry[] = [];
+    const takeDue = (entry: Entry) => {
+      this.remove(entry);
+      due.push(entry);
+    };
+    for (let i = 0; i < wakesPerCheck; i++) {
+      const next = this.findNext();
+      if (next) takeDue(next);
+    }
+    for (const queue of this.queues.values()) {
+      for (const entry of queue.listEntries()) {
+        if (entry.latestAtMs <= nowMs) takeDue(entry);
+      }
+    }
     for (const entry of due) entry.wake();
-    if (due.length > 0 || this.entries.length > 0) return;
+    if (due.length > 0 || this.size > 0) return;
     clearInterval(this.timer);
     this.timer = undefined;
     this.waitingSinceMs = Infinity;
   }
 
-  /** Index before the first request that comes after this one. */
-  private findPosition({rank, latestAtMs}: HeldRequest): number {
-    const index = this.entries.findIndex(
-      entry =>
-        entry.rank > rank ||
-        (entry.rank === rank && entry.latestAtMs > latestAtMs),
-    );
-    return index < 0 ? this.entries.length : index;
+  private findNext(): Entry | undefined {
+    const ranks = [...this.queues.keys()].sort((a, b) => a - b);
+    for (const rank of ranks) {
+      const queue = this.getQueue(rank);
+      if (queue.length === 0) continue;
+      const within = queue
+        .listHeads()
+        .filter(({customer}) => !this.isBeyondShare(rank, customer))
+        .sort((a, b) => a.latestAtMs - b.latestAtMs);
+      return within[0] ?? queue.getHead();
+    }
+    return undefined;
+  }
+
+  /** Number of requests that come before this one. */
+  private countBefore({rank, latestAtMs, customer = ''}: HeldRequest): number {
+    const beyond = new Map<string, boolean>();
+    const isBeyond = (name: string) => {
+      const known = beyond.get(name) ?? this.isBeyondShare(rank, name);
+      beyond.set(name, known);
+      return known;
+    };
+    const isBefore = (entry: Entry) =>
+      isBeyond(entry.customer) === isBeyond(customer)
+        ? entry.latestAtMs <= latestAtMs
+        : isBeyond(customer);
+    let count = 0;
+    for (const [queueRank, queue] of this.queues) {
+      if (queueRank < rank) count += queue.length;
+      if (queueRank === rank)
+        count += queue.listEntries().filter(isBefore).length;
+    }
+    return count;
+  }
+
+  private getQueue(rank: number): FairQueue<Entry> {
+    let queue = this.queues.get(rank);
+    if (!queue) {
+      queue = new FairQueue((a, b) => a.latestAtMs - b.latestAtMs);
+      this.queues.set(rank, queue);
+    }
+    return queue;
   }
 
   private remove(entry: Entry): void {
-    const index = this.entries.indexOf(entry);
-    if (index >= 0) this.entries.splice(index, 1);
+    this.queues.get(entry.rank)?.remove(entry);
   }
 
   private decay(): void {
@@ -159,9 +228,18 @@
 export class HoldQueues {
   private readonly queues = new Map<string, HoldQueue>();
 
+  constructor(private readonly shares: CustomerShares) {}
+
   get(service: string): HoldQueue {
     let queue = this.queues.get(service);
-    if (!queue) this.queues.set(service, (queue = new HoldQueue()));
+    if (!queue) {
+      queue = new HoldQueue(
+        (tier, customer) =>
+          this.shares.check({service, tier, customer}).kind ===
+          ShareKind.Beyond,
+      );
+      this.queues.set(service, queue);
+    }
     return queue;
   }
 
--- a/src/router/requestAdmission.ts
+++ b/src/router/requestAdmission.ts
@@ -1,4 +1,6 @@
 /** Decides when a request is sent to the server that is selected for it. */
+import {WaitCause} from '../customerShares/usageLedger.js';
+import {assertNever} from '../protocol/assertNever.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {HeldRequest, HoldQueue} from './holdQueue.js';
 import {
@@ -7,6 +9,7 @@
   decideAdmission,
 } from './promptAdmission.js';
 import {estimateRetryAfterMs} from './returnTime.js';
+import type {RequestShare} from './requestShare.js';
 import type {Selection} from './serverSelector.js';
 
 /** What the attempts of a request so far allow. */
@@ -27,44 +30,86 @@
 export class RequestAdmission {
   private readonly held: HeldRequest;
   private wasHeld = false;
+  /** Records the wait of the request with its cause. */
+  private startWait = (): (() => void) => () => {};
 
   /** @param deadlineMs - time that the whole request may take */
   constructor(
     private readonly request: ForwardedRequest,
     private readonly queue: HoldQueue,
     private readonly deadlineMs: number,
+    private readonly share: RequestShare,
   ) {
     const {exchange, urgency, route} = request;
     const latestAtMs = exchange.startedAtMs + route.targetMs;
-    this.held = {rank: urgency, latestAtMs};
+    const customer = share.queueCustomer;
+    this.held = {rank: urgency, latestAtMs, customer};
   }
 
-  decide(
+  /** Decides, and records a request that has to wait or is refused. */
+  decide(selection: Selection, history: AttemptHistory): AdmissionDecision {
+    const {decision, cause} = this.computeDecision(selection, history);
+    switch (decision) {
+      case AdmissionDecision.Hold:
+        this.startWait = () => this.share.recordWait(cause, selection);
+        break;
+      case AdmissionDecision.Refuse:
+        this.share.recordRefusal(cause, selection);
+        break;
+      case AdmissionDecision.OnTime:
+      case AdmissionDecision.SpareTime:
+      case AdmissionDecision.LastMoment:
+        break;
+      default:
+        assertNever(decision);
+    }
+    return decision;
+  }
+
+  private computeDecision(
     selection: Selection,
     {mayHaveRun, hasEvents}: AttemptHistory,
-  ): AdmissionDecision {
-    if (hasEvents) return AdmissionDecision.OnTime;
-    const decision = this.decideByTimes(selection);
+  ): {decision: AdmissionDecision; cause: WaitCause} {
+    let cause = WaitCause.Capacity;
+    if (hasEvents) return {decision: AdmissionDecision.OnTime, cause};
+    let decision = this.decideByTimes(selection);
+    if (!isDelayed(decision) && this.shouldYield(selection)) {
+      cause = WaitCause.Share;
+      decision = this.decideWithoutRoom();
+    }
     const isRefused =
       decision === AdmissionDecision.Refuse ||
       (decision === AdmissionDecision.Hold && !this.queue.canWait(this.held));
-    if (!isRefused) return decision;
+    if (!isRefused) return {decision, cause};
     // The caller of a request that may have run can't be told to come back.
-    if (mayHaveRun) return AdmissionDecision.LastMoment;
-    if (selection.isShortPrompt && selection.slotWaitMs > 0) {
+    if (mayHaveRun) return {decision: AdmissionDecision.LastMoment, cause};
+    const lacksSlots = selection.isShortPrompt && selection.slotWaitMs > 0;
+    if (lacksSlots && cause === WaitCause.Capacity) {
       this.queue.recordSlotShortage(this.held.rank);
     }
-    return AdmissionDecision.Refuse;
+    return {decision: AdmissionDecision.Refuse, cause};
+  }
+
+  /** True if requests of other customers come before this one. */
+  private shouldYield({serverRequests}: Selection): boolean {
+    const isEngine = this.request.exchange.request.promptParts.length > 0;
+    const mustYield = this.share.shouldYield();
+    // Nobody gains if an engine without any request stays idle.
+    return mustYield && !(isEngine && serverRequests === 0);
+  }
+
+  private decideWithoutRoom(): AdmissionDecision {
+    return performance.now() < this.held.latestAtMs
+      ? AdmissionDecision.Hold
+      : AdmissionDecision.Refuse;
   }
 
   private decideByTimes(selection: Selection): AdmissionDecision {
     const {exchange, route} = this.request;
-    const {latestAtMs, rank} = this.held;
+    const {rank} = this.held;
     const isEngine = exchange.request.promptParts.length > 0;
     if (isEngine && this.queue.shouldLeaveSlots(rank)) {
-      return performance.now() < latestAtMs
-        ? AdmissionDecision.Hold
-        : AdmissionDecision.Refuse;
+      return this.decideWithoutRoom();
     }
     // A short prompt delays others only where it takes a slot.
     const isHarmless = selection.isShortPrompt && selection.slotWaitMs === 0;
@@ -80,29 +125,38 @@
 
   /** True if the request may be sent to the server beside an attempt. */
   canSend(selection: Selection, {hasEvents}: AttemptHistory): boolean {
-    const decision = this.decide(selection, {mayHaveRun: false, hasEvents});
-    return (
-      decision !== AdmissionDecision.Hold &&
-      decision !== AdmissionDecision.Refuse
-    );
+    const history = {mayHaveRun: false, hasEvents};
+    return !isDelayed(this.computeDecision(selection, history).decision);
   }
 
   /** Waits until the request should be decided again; never rejects. */
   async wait(): Promise<void> {
     this.wasHeld = true;
+    const endWait = this.startWait();
     await this.queue.wait(this.held, this.request.exchange.signal);
+    endWait();
   }
 
   /** Records that the request is sent. */
-  recordSend(): void {
-    if (this.wasHeld) this.queue.recordStart();
+  recordSend(selection: Selection): void {
+    const useMs = this.share.estimateUseMs(selection);
+    if (this.wasHeld) this.queue.recordStart(this.held, useMs);
     this.wasHeld = false;
   }
+
+  /** Returns when the caller of a refused request should come back. */
+  estimateReturnMs(selection: Selection): number {
+    const queueMs = measureQueueMs(selection);
+    const beyondMs = this.share.measureBeyondMs();
+    return estimateRetryAfterMs(Math.max(queueMs, beyondMs), Math.random);
+  }
 }
 
-/** Returns when the caller of a refused request should come back. */
-export function estimateReturnMs(selection: Selection): number {
-  return estimateRetryAfterMs(measureQueueMs(selection), Math.random);
+/** True if the request isn't sent now. */
+function isDelayed(decision: AdmissionDecision): boolean {
+  return (
+    decision === AdmissionDecision.Hold || decision === AdmissionDecision.Refuse
+  );
 }
 
 /** Time until the selected server begins a request, in milliseconds. */
--- a/src/router/requestFailure.ts
+++ b/src/router/requestFailure.ts
@@ -1,4 +1,5 @@
 /** Ends requests that the router can't answer. */
+import {WaitCause} from '../customerShares/usageLedger.js';
 import type {RequestBudget} from '../node/requestBudget.js';
 import {DeadlineError, type AnvilstallError} from '../protocol/errors.js';
 import {Outcome} from '../protocol/outcome.js';
@@ -6,6 +7,7 @@
 import {BreakCause, classifyBreak} from './breakCause.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestLog} from './requestLog.js';
+import type {RequestShare} from './requestShare.js';
 import {estimateRetryAfterMs} from './returnTime.js';
 import type {Selection, ServerSelector} from './serverSelector.js';
 
@@ -20,13 +22,14 @@
   readonly selector: ServerSelector;
   readonly log: RequestLog;
   readonly budget: RequestBudget;
+  readonly share: RequestShare;
 }
 
 /**
  * Refuses a request, or breaks off its answer once that has begun.
  *
  * @example
- * const failure = new RequestFailure({request, selector, log, budget});
+ * const failure = new RequestFailure({request, selector, log, budget, share});
  * failure.failWithoutServer(BreakCause.NoServerLeft, false);
  */
 export class RequestFailure {
@@ -50,10 +53,14 @@
 
   /** Ends a request for which no server is left. */
   failWithoutServer(cause: BreakCause, mayHaveRun: boolean): void {
-    const {request, selector} = this.options;
+    const {request, selector, share} = this.options;
+    if (!mayHaveRun && !request.exchange.isHeadSent) {
+      share.recordRefusal(WaitCause.Capacity);
+    }
     const backoffMs = Math.max(
       selector.getBackoffMs(request.service),
       selector.getLimitIntervalMs(request.service),
+      share.measureBeyondMs(),
     );
     this.failUnsent(
       cause,
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -21,9 +21,10 @@
 import {computeLimitWaitMs} from './limitWait.js';
 import {HoldQueues} from './holdQueue.js';
 import {AdmissionDecision} from './promptAdmission.js';
-import {estimateReturnMs, RequestAdmission} from './requestAdmission.js';
+import {RequestAdmission} from './requestAdmission.js';
 import {getFailureCostMs, RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
+import {RequestShare} from './requestShare.js';
 import {computeRequestKey} from './requestKey.js';
 import {RetryCause} from './routerMetrics.js';
 import {minRemainingMs, SendLimit} from './sendLimit.js';
@@ -35,9 +36,10 @@
 
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
-  private readonly holdQueues = new HoldQueues();
+  private readonly holdQueues: HoldQueues;
 
   constructor(private readonly options: RequestForwarderOptions) {
+    this.holdQueues = new HoldQueues(options.shares);
     options.loads.watch(addedWork => {
       if (addedWork === 0) this.holdQueues.wakeNext();
     });
@@ -73,6 +75,7 @@
   private readonly attempts = new AttemptsInProgress(lost =>
     this.recordLoss(lost),
   );
+  private readonly share: RequestShare;
   private readonly log: RequestLog;
   private readonly failure: RequestFailure;
   private readonly admission: RequestAdmission;
@@ -92,7 +95,8 @@
       route.kind === RouteKind.Idempotent ||
       (route.kind === RouteKind.Stream && route.isResumable);
     this.lastEventId = exchange.request.lastEventId;
-    this.log = new RequestLog(options, request);
+    this.share = new RequestShare(options, request);
+    this.log = new RequestLog(options, request, this.share);
     this.sharedParts = exchange.request.promptParts
       .slice(0, -1)
       .map(({id}) => computeCompactKey(id));
@@ -100,11 +104,12 @@
     this.requestKey = computeRequestKey(path, customer, body);
     this.budget = options.budgets.get(request.service);
     this.budget.refill();
-    const {log, budget} = this;
+    const {log, budget, share} = this;
     const {selector} = options;
-    this.failure = new RequestFailure({request, selector, log, budget});
+    const failureOptions = {request, selector, log, budget, share};
+    this.failure = new RequestFailure(failureOptions);
     const holdQueue = holdQueues.get(request.service);
-    this.admission = new RequestAdmission(request, holdQueue, waitMs);
+    this.admission = new RequestAdmission(request, holdQueue, waitMs, share);
   }
 
   async run(): Promise<void> {
@@ -139,10 +144,10 @@
         continue;
       }
       if (decision === AdmissionDecision.Refuse) {
-        this.failure.failUntimely(estimateReturnMs(selection));
+        this.failure.failUntimely(this.admission.estimateReturnMs(selection));
         return;
       }
-      this.admission.recordSend();
+      this.admission.recordSend(selection);
       this.log.admission = decision;
       if (verdict.kind === VerdictKind.Probe) {
         this.isProbe = true;
@@ -267,6 +272,7 @@
         components: this.options,
         request: this.request,
         selection,
+        share: this.share,
         sharedParts: this.sharedParts,
         isRetryable: this.isRetryable,
         resumesAfter:
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -350,7 +350,7 @@
    */
   private async waitForTurn(
     exchange: CallerExchange,
-    {route, urgency: rank}: AdmittedRequest,
+    {route, customer, urgency: rank}: AdmittedRequest,
   ): Promise<boolean> {
     const {signal, startedAtMs, acceptWaitMs} = exchange;
     const maxWaitMs = route.targetMs * maxTurnWaitRatio;
@@ -375,6 +375,7 @@
             retryAfterMs,
           }),
           route.name,
+          customer,
         );
         return false;
       }
@@ -383,6 +384,7 @@
         this.options.log.logInfo('caller gone, not sent', {
           requestId: exchange.request.attemptId,
           route: route.name,
+          customer,
           ms: Math.round(performance.now() - startedAtMs),
         });
         return false;
@@ -467,20 +469,23 @@
     exchange: CallerExchange,
     refusal: Refusal,
     routeName = '',
+    customer?: string,
   ): void {
     exchange.refuse(refusal);
-    this.recordRefusal(exchange, refusal, routeName);
+    this.recordRefusal(exchange, refusal, routeName, customer);
   }
 
   private recordRefusal(
     exchange: CallerExchange,
     refusal: Refusal,
     routeName = '',
+    customer?: string,
   ): void {
     this.options.metrics.countRefusal(routeName, refusal.reason);
     this.options.log.logInfo('refused', {
       requestId: exchange.request.attemptId,
       route: routeName || undefined,
+      customer,
       reason: refusal.reason,
       outcome: refusal.outcome,
       cause: refusal.message,
--- a/src/router/requestLog.ts
+++ b/src/router/requestLog.ts
@@ -1,10 +1,11 @@
 /** Log lines and metrics about one request. */
-import type {Log} from '../node/log.js';
+import type {Log, LogFields} from '../node/log.js';
 import type {Refusal} from '../protocol/refusal.js';
 import {listAttemptFields} from './attemptLog.js';
 import {RequestState} from './callerExchange.js';
 import {AdmissionDecision} from './promptAdmission.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
+import type {RequestShare} from './requestShare.js';
 import type {RouterMetrics} from './routerMetrics.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import type {Selection} from './serverSelector.js';
@@ -29,6 +30,7 @@
   constructor(
     private readonly options: RequestLogOptions,
     private readonly request: ForwardedRequest,
+    private readonly share: RequestShare,
   ) {
     this.progress = new StreamProgress(request.exchange.startedAtMs);
   }
@@ -92,6 +94,7 @@
         admission: this.admission,
         viewAgeMs: directory.measureAgeMs(),
         progress: this.progress,
+        isBeyondShare: this.share.isBeyond,
       }),
     );
   }
@@ -100,11 +103,13 @@
     return performance.now() - this.request.exchange.startedAtMs;
   }
 
-  private listRequestFields(): Record<string, string | number | undefined> {
-    const {exchange, route, deploymentVersion} = this.request;
+  private listRequestFields(): LogFields {
+    const {exchange, route, customer, deploymentVersion} = this.request;
     return {
       requestId: exchange.request.attemptId,
       route: route.name,
+      customer,
+      isBeyondShare: this.share.isBeyond || undefined,
       deployment: deploymentVersion,
       sends: this.sends,
       unreached: this.unreached || undefined,
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,4 +1,5 @@
 /** Assembles a router from its components and runs it. */
+import type {CustomerShares} from '../customerShares/customerShares.js';
 import {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
@@ -31,6 +32,7 @@
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
+import {buildCustomerShares} from './requestShare.js';
 import {countSharingRouters, RetryBudgets} from './retryBudgets.js';
 import {registerGauges} from './routerGauges.js';
 import {RouterMetrics} from './routerMetrics.js';
@@ -84,6 +86,7 @@
   });
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
+  private readonly shares: CustomerShares;
   private readonly connections = new BackendConnections();
   private readonly budgets: RetryBudgets;
   private readonly deployments: DeploymentStore;
@@ -117,10 +120,12 @@
     const {metrics, connections, deployments, log, notices, quarantine} = this;
     const {limits, totals} = this;
     const {codec, reader} = platform;
+    const {callers, peers} = listen;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
       () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
     );
+    this.shares = buildCustomerShares(totals, deployments, log);
     const leaving = new LeavingServers(directory, notices);
     this.selector = new ServerSelector({
       zone,
@@ -145,13 +150,7 @@
     this.exchange = new PeerExchange({
       address,
       port: listen.exchangePort,
-      endpoints: {
-        vm,
-        zone,
-        callers: listen.callers,
-        peers: listen.peers,
-        linkMbps,
-      },
+      endpoints: {vm, zone, callers, peers, linkMbps},
       reports,
       seeds,
       fleet,
@@ -182,6 +181,7 @@
       metrics,
       log,
       budgets: this.budgets,
+      shares: this.shares,
     });
     this.intake = new RequestIntake({
       codec,
@@ -311,6 +311,7 @@
         key,
         crashes,
       })),
+      customerShares: this.shares.describe(),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
@@ -339,7 +340,7 @@
     const {listen, address} = this.settings;
     const {signal} = this.supervisor;
     const {deployments, directory, outcomes, intake, fleet} = this;
-    const {exchange, budgets, platform} = this;
+    const {exchange, budgets, platform, shares} = this;
     registerGauges(this.metrics, {
       deployments,
       directory,
@@ -348,6 +349,7 @@
       fleet,
       exchange,
       budgets,
+      shares,
       calls: platform.reader.calls,
       logCounts: platform.logCounts,
     });
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -1,4 +1,6 @@
 /** Gauges of a router's state, evaluated at each scrape. */
+import type {CustomerShares} from '../customerShares/customerShares.js';
+import {WaitCause} from '../customerShares/usageLedger.js';
 import type {LogSinkCounts} from '../node/logSink.js';
 import type {DeploymentStore} from './deploymentStore.js';
 import type {FleetView} from './fleetView.js';
@@ -18,6 +20,7 @@
   readonly fleet: FleetView;
   readonly exchange: PeerExchange;
   readonly budgets: RetryBudgets;
+  readonly shares: CustomerShares;
   readonly calls: PublishedStateCalls;
   /** Absent where log lines don't go through a `LogSink`. */
   readonly logCounts?: Readonly<LogSinkCounts>;
@@ -29,7 +32,7 @@
   sources: GaugeSources,
 ): void {
   const {deployments, directory, outcomes, intake, fleet} = sources;
-  const {exchange, budgets, calls, logCounts} = sources;
+  const {exchange, budgets, shares, calls, logCounts} = sources;
   metrics.registerGauge({
     name: 'anvilstall_active_requests',
     help: 'Requests without a whole answer',
@@ -100,6 +103,7 @@
     help: 'Resident memory of the process',
     measure: () => process.memoryUsage.rss(),
   });
+  registerShareGauges(metrics, shares);
   if (!logCounts) return;
   metrics.registerLabelledGauge({
     name: 'anvilstall_log_lines',
@@ -108,3 +112,35 @@
     measure: () => Object.entries(logCounts),
   });
 }
+
+/** Registers gauges by customer; the labels are those of the configuration. */
+function registerShareGauges(
+  metrics: RouterMetrics,
+  shares: CustomerShares,
+): void {
+  const label = 'customer';
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_customer_usage_ms',
+    help: 'Server time used in the fleet, decayed with 2 s',
+    label,
+    measure: () => shares.sumUsage(),
+  });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_customer_beyond_share',
+    help: 'Tiers of services in which a customer is beyond its share',
+    label,
+    measure: () => shares.countBeyond(),
+  });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_customer_refusals',
+    help: 'Requests refused for lack of room at the servers since the start',
+    label,
+    measure: () => shares.listRefusals(WaitCause.Capacity),
+  });
+  metrics.registerLabelledGauge({
+    name: 'anvilstall_customer_share_refusals',
+    help: 'Requests refused beyond the share of their customer since the start',
+    label,
+    measure: () => shares.listRefusals(WaitCause.Share),
+  });
+}
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -1,4 +1,6 @@
 /** One attempt of a caller's request and what it holds until its end. */
+import type {SentWork} from '../customerShares/customerShares.js';
+import {assertNever} from '../protocol/assertNever.js';
 import type {AnvilstallError} from '../protocol/errors.js';
 import {superviseAttempt, type AttemptBounds} from './attemptSupervisor.js';
 import {
@@ -12,6 +14,7 @@
 import {RouteKind} from './deployment.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestForwarderOptions} from './forwarderOptions.js';
+import type {RequestShare} from './requestShare.js';
 import type {LoadTicket} from './serverLoads.js';
 import {computeLimitKey, type Selection} from './serverSelector.js';
 
@@ -20,6 +23,7 @@
   readonly components: RequestForwarderOptions;
   readonly request: ForwardedRequest;
   readonly selection: Selection;
+  readonly share: RequestShare;
   /** Compact keys of the prompt's parts without the request's own, the last. */
   readonly sharedParts: readonly number[];
   readonly isRetryable: boolean;
@@ -54,6 +58,7 @@
   readonly wasUnreachable: boolean;
   private readonly connection: BackendConnection;
   private readonly ticket: LoadTicket;
+  private readonly work: SentWork;
   private readonly withdrawPlacement: () => void;
   private readonly attempt: BackendAttempt;
   private firstEventAtMs: number | undefined;
@@ -76,6 +81,7 @@
       rank: request.urgency,
       pauseWeight: isEngine ? selection.pauseWeight : 0,
     });
+    this.work = options.share.recordSend(selection);
     this.withdrawPlacement = components.selector.recordPlacement(
       selection,
       exchange.request.promptParts,
@@ -155,6 +161,7 @@
       });
       if (!this.hasEvents) this.withdrawPlacement();
       this.recordSlotTime(result);
+      this.settleWork(result);
       return result;
     } finally {
       this.connection.release();
@@ -183,6 +190,26 @@
     components.selector.recordSlotTime(request.service, ms);
   }
 
+  /** Corrects what the customer is charged once the use is known. */
+  private settleWork({kind}: AttemptResult): void {
+    const {share, selection} = this.options;
+    switch (kind) {
+      case AttemptKind.NotRun:
+      case AttemptKind.Unreachable:
+        this.work.withdraw();
+        return;
+      case AttemptKind.Answered:
+      case AttemptKind.Streamed:
+      case AttemptKind.Broken:
+        this.work.settle(
+          share.computeUseMs(selection, this.sentAtMs, this.firstEventAtMs),
+        );
+        return;
+      default:
+        assertNever(kind);
+    }
+  }
+
   private recordFirstEvent(): void {
     const {components, request, selection, sharedParts} = this.options;
     this.firstEventAtMs = performance.now();
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -240,6 +240,16 @@
     return limits.computeIntervalMs(servers.map(computeLimitKey));
   }
 
+  /** Returns the time that the selected engine takes for the prompt alone. */
+  estimatePrefillMs({server, prefillWork}: Selection): number {
+    return prefillWork / this.getPrefillStatistics(server.service).tokensPerMs;
+  }
+
+  /** Mean time for which a stream occupies a slot, in milliseconds. */
+  getSlotTimeMs(service: string): number {
+    return this.slotTimesMs.get(service) ?? 0;
+  }
+
   /** Average service time of a plain service in milliseconds. */
   getServiceTimeMs(service: string): number {
     return this.serviceTimesMs.get(service) ?? initialServiceTimeMs;
@@ -367,7 +377,7 @@
         pauseWeight,
         rank: request.rank,
         residualWork: statistics.residualWork,
-        slotTimeMs: this.slotTimesMs.get(service) ?? 0,
+        slotTimeMs: this.getSlotTimeMs(service),
         kvTransfer: this.findKvTransfer(service),
         prefillTokensPerMs,
         shortPromptTokenLimit: computeShortPromptTokenLimit(
