--- /dev/null
+++ b/tests/router/customerAdmission.test.ts
@@ -0,0 +1,169 @@
+import FakeTimers, {type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {CustomerShares} from '../../src/customerShares/customerShares.js';
+import {WaitCause} from '../../src/customerShares/usageLedger.js';
+import {FleetTotals} from '../../src/fleetTotals/fleetTotals.js';
+import type {ForwardedRequest} from '../../src/router/forwardedRequest.js';
+import {HoldQueues} from '../../src/router/holdQueue.js';
+import {AdmissionDecision} from '../../src/router/promptAdmission.js';
+import {RequestAdmission} from '../../src/router/requestAdmission.js';
+import {RequestShare} from '../../src/router/requestShare.js';
+import type {
+  Selection,
+  ServerSelector,
+} from '../../src/router/serverSelector.js';
+import {buildRoute, sampleServer} from './routerFixture.js';
+
+const service = 'shop';
+const history = {mayHaveRun: false, hasEvents: false};
+/** An engine that begins the prompt at once. */
+const promptSelection: Selection = {
+  server: sampleServer,
+  unreadTokens: 4_000,
+  prefillWork: 4_000,
+  isShortPrompt: false,
+  expectedMs: 120,
+  backlogMs: 0,
+  backlogWork: 0,
+  slotWaitMs: 0,
+  serverRequests: 2,
+  tightStreams: 0,
+  pauseWeight: 0,
+};
+
+describe('admission with shares of customers', () => {
+  let clock: Clock;
+
+  beforeEach(() => {
+    clock = FakeTimers.install({
+      toFake: ['performance', 'setInterval', 'clearInterval'],
+    });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  function buildShares(customers: readonly string[]): CustomerShares {
+    const totals = new FleetTotals({usesRelays: () => false});
+    const shares = new CustomerShares({totals, reportChange: () => {}});
+    shares.setCustomers(customers);
+    return shares;
+  }
+
+  function admit(
+    shares: CustomerShares,
+    customer: string,
+    isEngine = true,
+  ): RequestAdmission {
+    const selector: Partial<ServerSelector> = {
+      estimatePrefillMs: ({prefillWork}) => prefillWork / 40,
+      getSlotTimeMs: () => 2_000,
+      getServiceTimeMs: () => 80,
+    };
+    const exchange = {
+      startedAtMs: performance.now(),
+      request: {promptParts: isEngine ? [{id: 'p'}] : []},
+      signal: new AbortController().signal,
+    };
+    const route = buildRoute({targetMs: 300});
+    const request = {
+      exchange,
+      route,
+      service,
+      urgency: 1,
+      customer,
+    } as unknown as ForwardedRequest;
+    const options = {shares, selector: selector as ServerSelector};
+    const share = new RequestShare(options, request);
+    const queue = new HoldQueues(shares).get(service);
+    return new RequestAdmission(request, queue, 3_000, share);
+  }
+
+  /** Lets one customer use the servers, and refuses a request of another. */
+  function lackRoom(shares: CustomerShares): void {
+    const claim = {service, tier: 1, customer: 'museum'};
+    for (let i = 0; i < 40; i++) shares.recordSend(claim, 100);
+    const other = {...claim, customer: 'library'};
+    shares.recordRefusal(other, WaitCause.Capacity, 600);
+    clock.tick(50);
+  }
+
+  // Load: one customer sends far more than the others while engines are busy.
+  // Guards against requests within a share that wait beside others beyond theirs.
+  it('should hold the prompts of a customer beyond its share, and no others', () => {
+    const shares = buildShares(['museum', 'library']);
+    lackRoom(shares);
+    const beyond = admit(shares, 'museum');
+    const within = admit(shares, 'library');
+    expect(beyond.decide(promptSelection, history)).to.equal('hold');
+    expect(within.decide(promptSelection, history)).to.equal('onTime');
+    // A plain server is no exception.
+    const plain = {...promptSelection, isShortPrompt: true, prefillWork: 0};
+    const request = admit(shares, 'museum', false);
+    expect(request.decide(plain, history)).to.equal('hold');
+    // Guards against engines that stay idle for the sake of shares.
+    const idle = {...promptSelection, serverRequests: 0};
+    expect(beyond.decide(idle, history)).to.equal('onTime');
+    // Guards against holding requests for customers that lack nothing any more.
+    clock.tick(300);
+    const later = admit(shares, 'museum');
+    expect(later.decide(promptSelection, history)).to.equal('onTime');
+  });
+
+  // Guards against callers that come back while their customer is still beyond
+  // its share, and against a time that is unrelated to it.
+  it('should tell the caller when its customer will be within its share', () => {
+    const shares = buildShares(['museum', 'library']);
+    lackRoom(shares);
+    const request = admit(shares, 'museum');
+    clock.tick(240);
+    shares.recordRefusal(
+      {service, tier: 1, customer: 'library'},
+      WaitCause.Capacity,
+      600,
+    );
+    clock.tick(60);
+    expect(request.decide(promptSelection, history)).to.equal('refuse');
+    const [usageMs, limitMs] = [4_000, 4_000 - 1_200];
+    const withinMs = 2_000 * Math.log(usageMs / limitMs);
+    const returnMs = request.estimateReturnMs(promptSelection);
+    expect(returnMs).to.be.within(withinMs * 0.8, withinMs * 1.2 + 400);
+    expect(shares.listRefusals(WaitCause.Share)).to.deep.include(['museum', 1]);
+  });
+
+  // Guards against any decision that shares change while capacity isn't short,
+  // or where fewer than two customers are configured.
+  it('should decide as without shares while no request lacks room', () => {
+    const time = fc.integer({min: 0, max: 900});
+    const selection = fc.record({
+      expectedMs: time,
+      backlogMs: time,
+      slotWaitMs: fc.constantFrom(0, 200),
+      isShortPrompt: fc.boolean(),
+      waitedMs: time,
+      isEngine: fc.boolean(),
+      mayHaveRun: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(selection, ({waitedMs, isEngine, mayHaveRun, ...part}) => {
+        const lists = [[], ['museum'], ['museum', 'library']];
+        const decisions = lists.map(customers => {
+          const shares = buildShares(customers);
+          const claim = {service, tier: 1, customer: 'museum'};
+          for (let i = 0; i < 40; i++) shares.recordSend(claim, 100);
+          if (customers.length < 2) {
+            const other = {...claim, customer: 'library'};
+            shares.recordRefusal(other, WaitCause.Capacity, 600);
+          }
+          const admission = admit(shares, 'museum', isEngine);
+          clock.tick(waitedMs);
+          const selected = {...promptSelection, ...part};
+          return admission.decide(selected, {mayHaveRun, hasEvents: false});
+        });
+        expect(new Set(decisions).size).to.equal(1);
+        expect(Object.values(AdmissionDecision)).to.include(decisions[0]);
+      }),
+      {numRuns: 200, seed: 7},
+    );
+  });
+});
--- a/tests/router/holdQueue.test.ts
+++ b/tests/router/holdQueue.test.ts
@@ -96,4 +96,73 @@
     clock.tick(60);
     expect(clock.countTimers()).to.equal(0);
   });
+
+  describe('with shares of customers', () => {
+    const beyond = new Set(['museum', 'library']);
+    const second = 1_000;
+
+    beforeEach(() => {
+      queue = new HoldQueue((_rank, customer) => beyond.has(customer));
+    });
+
+    function holdFor(customer: string, rank: number, latestAtMs: number): void {
+      const {signal} = new AbortController();
+      const name = `${customer} ${rank} ${latestAtMs}`;
+      const held = {rank, latestAtMs, customer};
+      void queue.wait(held, signal).then(() => woken.push(name));
+    }
+
+    // Load: two customers beyond their shares, others within. Guards against a
+    // queue whose first places belong to those with most requests, and against
+    // an order that puts customers before ranks or makes the others late.
+    it('should keep ranks, and wake customers within their shares first', async () => {
+      holdFor('museum', 1, 300);
+      holdFor('archive', 1, 900);
+      holdFor('theatre', 1, 500);
+      holdFor('museum', 0, second);
+      for (let i = 0; i < 4; i++) queue.wakeNext();
+      await settle();
+      expect(woken).to.deep.equal([
+        'museum 0 1000',
+        'theatre 1 500',
+        'archive 1 900',
+        'museum 1 300',
+      ]);
+    });
+
+    it('should wake those beyond their shares in turn by their use', async () => {
+      for (const latestAtMs of [800, 700, 900]) {
+        holdFor('museum', 1, latestAtMs);
+        holdFor('library', 1, latestAtMs);
+      }
+      const charge = (customer: string, useMs: number) =>
+        queue.recordStart({rank: 1, latestAtMs: 0, customer}, useMs);
+      queue.wakeNext();
+      charge('museum', 100);
+      for (let i = 0; i < 2; i++) {
+        queue.wakeNext();
+        charge('library', 40);
+      }
+      await settle();
+      expect(woken).to.deep.equal([
+        'museum 1 700',
+        'library 1 700',
+        'library 1 800',
+      ]);
+    });
+
+    // Guards against a customer that fills the queue for the others.
+    it('should not count those that come later against a wait', () => {
+      for (let i = 0; i < 30; i++) holdFor('museum', 1, 400);
+      holdFor('library', 1, 500);
+      clock.tick(30);
+      for (let i = 0; i < 20; i++) {
+        clock.tick(60);
+        holdFor('museum', 1, second * 9);
+      }
+      const within = {rank: 1, latestAtMs: second * 9, customer: 'archive'};
+      expect(queue.canWait(within)).to.equal(true);
+      expect(queue.canWait({...within, customer: 'museum'})).to.equal(false);
+    });
+  });
 });
--- a/tests/router/requestLog.test.ts
+++ b/tests/router/requestLog.test.ts
@@ -47,6 +47,7 @@
     expect(find('answered')).to.include({
       route: 'status',
       deployment: sampleDeployment.version,
+      customer: 'museum',
       sends: 1,
     });
   });
