Let a request that lacks room count before its place in the queue is chosen

Seen: with two routers and engines of 10 prompts a second each, a customer within its share was refused within 1 ms, while another one at six times its use waited in the queue. Cause: whether the other customer is beyond its share was known only after the request had begun to wait, and from shares up to 50 ms old; between two decisions of a waiting request, it didn't count at all. Change: a request that is about to wait counts first, the first one that waits makes the shares be computed anew, and a woken request counts until it has been decided again.

--- a/src/customerShares/customerShares.ts
+++ b/src/customerShares/customerShares.ts
@@ -185,6 +185,8 @@
   recordWait(claim: Claim, expectedMs: number, cause: WaitCause): () => void {
     if (!this.isEnabled) return () => {};
     const usage = this.ledger.get(claim);
+    // The first that waits changes at once who comes before it.
+    if (!usage.isWaiting) this.expireShares(claim);
     usage.addWaiting(expectedMs, cause);
     return () => usage.removeWaiting(expectedMs, cause);
   }
@@ -197,7 +199,9 @@
   recordRefusal(claim: Claim, cause: WaitCause, expectedMs?: number): void {
     if (!this.isEnabled) return;
     const costMs = expectedMs ?? this.ledger.getMeanCostMs(claim.service);
-    this.ledger.get(claim).recordRefusal(costMs, cause);
+    const usage = this.ledger.get(claim);
+    if (!usage.isShort()) this.expireShares(claim);
+    usage.recordRefusal(costMs, cause);
     const {customer} = claim;
     const counts = this.refusals.get(customer) ?? {capacity: 0, share: 0};
     counts[cause] += 1;
@@ -260,6 +264,12 @@
     return sums;
   }
 
+  /** Makes the next check compute the shares anew. */
+  private expireShares(claim: Claim): void {
+    this.getGroup(claim).computedAtMs = -Infinity;
+    this.shortCheckedAtMs = -Infinity;
+  }
+
   private getGroup({service, tier}: Claim): Group {
     const name = `${service}\0${tier}`;
     let group = this.groups.get(name);
--- a/src/customerShares/usageLedger.ts
+++ b/src/customerShares/usageLedger.ts
@@ -81,6 +81,11 @@
     );
   }
 
+  /** True while a request waits. */
+  get isWaiting(): boolean {
+    return this.waiting > 0;
+  }
+
   /** Counts a request that waits. */
   addWaiting(costMs: number, cause: WaitCause): void {
     this.waiting += 1;
--- a/src/router/requestAdmission.ts
+++ b/src/router/requestAdmission.ts
@@ -30,8 +30,8 @@
 export class RequestAdmission {
   private readonly held: HeldRequest;
   private wasHeld = false;
-  /** Records the wait of the request with its cause. */
-  private startWait = (): (() => void) => () => {};
+  /** Ends the recorded wait of a request that waits or is about to. */
+  private endWait: (() => void) | undefined;
 
   /** @param deadlineMs - time that the whole request may take */
   constructor(
@@ -51,14 +51,15 @@
     const {decision, cause} = this.computeDecision(selection, history);
     switch (decision) {
       case AdmissionDecision.Hold:
-        this.startWait = () => this.share.recordWait(cause, selection);
         break;
       case AdmissionDecision.Refuse:
         this.share.recordRefusal(cause, selection);
+        this.finishWait();
         break;
       case AdmissionDecision.OnTime:
       case AdmissionDecision.SpareTime:
       case AdmissionDecision.LastMoment:
+        this.finishWait();
         break;
       default:
         assertNever(decision);
@@ -77,6 +78,10 @@
       cause = WaitCause.Share;
       decision = this.decideWithoutRoom();
     }
+    if (decision === AdmissionDecision.Hold) {
+      // That it lacks room decides which customers come after it in the queue.
+      this.endWait ??= this.share.recordWait(cause, selection);
+    }
     const isRefused =
       decision === AdmissionDecision.Refuse ||
       (decision === AdmissionDecision.Hold && !this.queue.canWait(this.held));
@@ -126,15 +131,24 @@
   /** True if the request may be sent to the server beside an attempt. */
   canSend(selection: Selection, {hasEvents}: AttemptHistory): boolean {
     const history = {mayHaveRun: false, hasEvents};
-    return !isDelayed(this.computeDecision(selection, history).decision);
+    const {decision} = this.computeDecision(selection, history);
+    this.finishWait();
+    return !isDelayed(decision);
   }
 
   /** Waits until the request should be decided again; never rejects. */
   async wait(): Promise<void> {
     this.wasHeld = true;
-    const endWait = this.startWait();
     await this.queue.wait(this.held, this.request.exchange.signal);
-    endWait();
+    const {endWait} = this;
+    this.endWait = undefined;
+    // It still counts while it is decided again, which follows at once.
+    if (endWait) setImmediate(endWait);
+  }
+
+  private finishWait(): void {
+    this.endWait?.();
+    this.endWait = undefined;
   }
 
   /** Records that the request is sent. */
--- a/tests/router/customerAdmission.test.ts
+++ b/tests/router/customerAdmission.test.ts
@@ -54,6 +54,7 @@
     shares: CustomerShares,
     customer: string,
     isEngine = true,
+    queues = new HoldQueues(shares),
   ): RequestAdmission {
     const selector: Partial<ServerSelector> = {
       estimatePrefillMs: ({prefillWork}) => prefillWork / 40,
@@ -75,8 +76,7 @@
     } as unknown as ForwardedRequest;
     const options = {shares, selector: selector as ServerSelector};
     const share = new RequestShare(options, request);
-    const queue = new HoldQueues(shares).get(service);
-    return new RequestAdmission(request, queue, 3_000, share);
+    return new RequestAdmission(request, queues.get(service), 3_000, share);
   }
 
   /** Lets one customer use the servers, and refuses a request of another. */
@@ -88,6 +88,29 @@
     clock.tick(50);
   }
 
+  // Guards against refusing a request at once because those of a customer beyond
+  // its share fill the queue, when it is the first in a while to lack room.
+  it('should not count waiting requests beyond a share against one within', () => {
+    const shares = buildShares(['museum', 'library']);
+    const queues = new HoldQueues(shares);
+    const claim = {service, tier: 1, customer: 'museum'};
+    for (let i = 0; i < 40; i++) shares.recordSend(claim, 100);
+    for (let passedMs = 0; passedMs < 1_500; passedMs += 50) {
+      const latestAtMs = performance.now() + 200;
+      const held = {rank: 1, latestAtMs, customer: 'museum'};
+      const queue = queues.get(service);
+      for (let i = 0; i < 10; i++) {
+        void queue.wait(held, new AbortController().signal);
+      }
+      clock.tick(50);
+    }
+    const busy = {...promptSelection, backlogMs: 300, expectedMs: 420};
+    const decide = (customer: string) =>
+      admit(shares, customer, true, queues).decide(busy, history);
+    expect(decide('museum')).to.equal('refuse');
+    expect(decide('library')).to.equal('hold');
+  });
+
   // Load: one customer sends far more than the others while engines are busy.
   // Guards against requests within a share that wait beside others beyond theirs.
   it('should hold the prompts of a customer beyond its share, and no others', () => {
