--- a/src/router/forwarderOptions.ts
+++ b/src/router/forwarderOptions.ts
@@ -1,4 +1,5 @@
 /** Components that the forwarding of requests needs. */
+import type {CustomerShares} from '../customerShares/customerShares.js';
 import type {Log} from '../node/log.js';
 import type {ServerPace} from '../serverPace/serverPace.js';
 import type {SlowStart} from '../serverPace/slowStart.js';
@@ -31,4 +32,5 @@
   readonly metrics: RouterMetrics;
   readonly log: Log;
   readonly budgets: RetryBudgets;
+  readonly shares: CustomerShares;
 }
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -355,7 +355,7 @@
    */
   private async waitForTurn(
     exchange: CallerExchange,
-    {route, urgency: rank}: AdmittedRequest,
+    {route, customer, urgency: rank}: AdmittedRequest,
   ): Promise<boolean> {
     const {signal, startedAtMs, acceptWaitMs} = exchange;
     const maxWaitMs = route.targetMs * maxTurnWaitRatio;
@@ -380,6 +380,7 @@
             retryAfterMs,
           }),
           route.name,
+          customer,
         );
         return false;
       }
@@ -388,6 +389,7 @@
         this.options.log.logInfo('caller gone, not sent', {
           requestId: exchange.request.attemptId,
           route: route.name,
+          customer,
           ms: Math.round(performance.now() - startedAtMs),
         });
         return false;
@@ -470,20 +472,23 @@
     exchange: CallerExchange,
     refusal: Refusal,
     routeName = '',
+    customer?: string,
   ): void {
     exchange.refuse(refusal);
-    this.recordRefusal(exchange, refusal, routeName);
+    this.recordRefusal(exchange, refusal, routeName, customer);
   }
 
   private recordRefusal(
     exchange: CallerExchange,
     refusal: Refusal,
     routeName = '',
+    customer?: string,
   ): void {
     this.options.metrics.countRefusal(routeName, refusal.reason);
     this.options.log.logInfo('refused', {
       requestId: exchange.request.attemptId,
       route: routeName || undefined,
+      customer,
       reason: refusal.reason,
       outcome: refusal.outcome,
       cause: refusal.message,
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -1,5 +1,6 @@
 /** Assembles a router from its components and runs it. */
 import type {Evacuations} from '../evacuation/evacuations.js';
+import type {CustomerShares} from '../customerShares/customerShares.js';
 import {FleetTotals} from '../fleetTotals/fleetTotals.js';
 import {waitFor} from '../node/delay.js';
 import {Log} from '../node/log.js';
@@ -7,13 +8,12 @@
 import {RestartPolicy, Supervisor} from '../node/supervisor.js';
 import {AnswerNotices} from './answerNotices.js';
 import {CallerRouting} from './callerRouting.js';
-import {computeCompactKey} from './compactKey.js';
 import {BackendConnections} from './backendConnections.js';
 import {ControlServers} from './controlServers.js';
 import {CrashQuarantine} from './crashQuarantine.js';
 import {describeBlocked} from './describeBlock.js';
-import {formatProcess} from './deployment.js';
 import {DeploymentStore} from './deploymentStore.js';
+import {EndedServers} from './endedServers.js';
 import {createEvacuations} from './evacuationStart.js';
 import {FleetView} from './fleetView.js';
 import {IdleReuseSuspensions} from './forgetfulServices.js';
@@ -34,6 +34,7 @@
 import {computeReadRank} from './readOrder.js';
 import {RequestForwarder} from './requestForwarder.js';
 import {RequestIntake} from './requestIntake.js';
+import {buildCustomerShares} from './requestShare.js';
 import {countSharingRouters, RetryBudgets} from './retryBudgets.js';
 import {registerGauges} from './routerGauges.js';
 import {RouterMetrics} from './routerMetrics.js';
@@ -45,7 +46,7 @@
 import {ServerLoadTracker} from './serverLoads.js';
 import {ServerOutcomes} from './serverOutcomes.js';
 import {ServerReporter} from './serverReporter.js';
-import {computeLimitKey, ServerSelector} from './serverSelector.js';
+import {ServerSelector} from './serverSelector.js';
 import {ShutdownSchedule} from './shutdownSchedule.js';
 import {SharedNotices} from './sharedNotices.js';
 import {buildServerSpeeds} from './speedTracking.js';
@@ -92,6 +93,7 @@
   private readonly notices = new SharedNotices(() => this.exchange.announce());
   private readonly idleReuse: IdleReuseSuspensions;
   private readonly pacing: Pacing;
+  private readonly shares: CustomerShares;
   private readonly connections = new BackendConnections();
   private readonly budgets: RetryBudgets;
   private readonly deployments: DeploymentStore;
@@ -101,8 +103,7 @@
   private readonly callerRouting: CallerRouting;
   private readonly loop: LoopMonitor;
   private readonly control: ControlServers;
-  /** Processes of the usable servers, by server id; see `formatProcess`. */
-  private readonly serverProcesses = new Map<string, string>();
+  private readonly endedServers: EndedServers;
   private readonly signalAge = new SignalAge();
   private isLeaving = false;
   /** False while callers are given only the addresses of other routers. */
@@ -128,6 +129,7 @@
     const {metrics, connections, deployments, log, notices, quarantine} = this;
     const {limits, totals, evacuations} = this;
     const {codec, reader} = platform;
+    const {callers, peers} = listen;
     this.idleReuse = new IdleReuseSuspensions(
       notices,
       () => deployments.table?.deployment.services.map(({name}) => name) ?? [],
@@ -138,7 +140,10 @@
       findOffered: () => this.findOffered(),
     });
     const {pace, slowStart} = this.pacing;
+    this.shares = buildCustomerShares(totals, deployments, log);
     const leaving = new LeavingServers(directory, notices);
+    const kept = {directory, connections, outcomes, prompts, limits};
+    this.endedServers = new EndedServers(kept);
     this.selector = new ServerSelector({
       zone,
       directory,
@@ -164,7 +169,6 @@
       getVersions: () =>
         describeVersions({deployments, directory, evacuations}),
     });
-    const {callers, peers} = listen;
     const endpoints = {vm, zone, callers, peers, linkMbps, processorShare};
     this.exchange = new PeerExchange({
       address,
@@ -203,6 +207,7 @@
       metrics,
       log,
       budgets: this.budgets,
+      shares: this.shares,
     });
     this.intake = new RequestIntake({
       codec,
@@ -329,6 +334,7 @@
       coldServers: this.pacing.list(),
       slowStarts: this.pacing.slowStart.list(),
       quarantine: this.quarantine.listBlocked().map(describeBlocked),
+      customerShares: this.shares.describe(),
       relays: fleet.listRelays(),
       datagrams: {
         ...this.exchange.counts,
@@ -355,7 +361,7 @@
     const {listen, address} = this.settings;
     const {signal} = this.supervisor;
     const {deployments, directory, outcomes, intake, fleet} = this;
-    const {exchange, budgets, platform} = this;
+    const {exchange, budgets, platform, shares} = this;
     registerGauges(this.metrics, {
       deployments,
       directory,
@@ -366,6 +372,7 @@
       fleet,
       exchange,
       budgets,
+      shares,
       calls: platform.reader.calls,
       logCounts: platform.logCounts,
       callerAddresses: this.callerRouting.addresses,
@@ -425,7 +432,7 @@
       this.callerRouting.meter.sample();
       this.updateIsOffered();
       this.budgets.refill(sweepIntervalMs);
-      this.removeEndedServers();
+      this.endedServers.removeState();
       this.pacing.update();
     }
   }
@@ -445,24 +452,6 @@
     this.exchange.announce();
   }
 
-  private removeEndedServers(): void {
-    for (const [id, process] of this.serverProcesses) {
-      const server = this.directory.findUsable(id);
-      if (server && formatProcess(server) === process) continue;
-      this.serverProcesses.delete(id);
-      this.connections.release(id);
-      this.outcomes.forget(id);
-      this.prompts.forgetServer(computeCompactKey(id));
-    }
-    for (const server of this.directory.listAll()) {
-      this.serverProcesses.set(server.id, formatProcess(server));
-    }
-    if (this.limits.isEmpty) return;
-    const keys = [...this.directory.listAll()].map(computeLimitKey);
-    const running = new Set(keys);
-    this.limits.forgetEnded(key => running.has(key));
-  }
-
   /** Logs counters at a fixed interval. */
   private async runSummary(signal: AbortSignal): Promise<void> {
     const {calls} = this.platform.reader;
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -31,6 +31,11 @@
 } from './promptLength.js';
 import type {PrefixCacheDirectory} from './promptDirectory.js';
 import type {RouteTable} from './routeTable.js';
+import type {
+  Selection,
+  SelectionRequest,
+  ZoneEvacuations,
+} from './selection.js';
 import type {ServerDirectory} from './serverDirectory.js';
 import {computeIntervalMs, type ServerLimits} from './serverLimits.js';
 import type {ServerLoadTracker} from './serverLoads.js';
@@ -54,67 +59,6 @@
  */
 const evacuatedRetryMs = 2_000;
 
-/** Properties of a request that affect the choice of its server. */
-export interface SelectionRequest {
-  readonly service: string;
-  /** Servers that failed this request; retried only when no other is left. */
-  readonly failed: ReadonlySet<string>;
-  /** Servers that rejected it or were unreachable; never selected again. */
-  readonly excluded: ReadonlySet<string>;
-  readonly promptParts: readonly PromptPart[];
-  readonly promptTokens: number;
-  readonly bodyBytes: number;
-  /**
-   * Longest pause between events that counts as on time, in milliseconds;
-   * undefined when the answer is not a stream.
-   */
-  readonly maxPauseMs: number | undefined;
-  /** Urgency rank at an engine, from 0, the most urgent, to 9. */
-  readonly rank: number;
-  /** Target of the time to the answer or the first event, in milliseconds. */
-  readonly targetMs: number;
-  /** Time since the request arrived, in milliseconds. */
-  readonly waitedMs: number;
-  /** Cost of a failure, expressed as milliseconds of waiting. */
-  readonly failureCostMs: number;
-}
-
-/** The selected backend server, and the estimates behind the choice. */
-export interface Selection {
-  readonly server: BackendServer;
-  /** Prompt tokens that the engine has to prefill; 0 for plain services. */
-  readonly unreadTokens: number;
-  /** Work of prefilling them; see `computePrefillWork`. */
-  readonly prefillWork: number;
-  /** True when prefilling the prompt does not delay concurrent streams. */
-  readonly isShortPrompt: boolean;
-  /** Lasting speed of the server as a multiple of the mean of its service. */
-  readonly speed: number;
-  /** Time to prefill the prompt alone, in milliseconds. */
-  readonly promptPrefillMs: number;
-  /** `host:port` of the engine to copy KV cache from. */
-  readonly fetchFrom?: string;
-  /** Expected time to the answer or to the first event, in milliseconds. */
-  readonly expectedMs: number;
-  /** Part of `expectedMs` spent on the engine's prefill backlog. */
-  readonly backlogMs: number;
-  /** Work of the engine's prefill backlog. */
-  readonly backlogWork: number;
-  /** Expected time until the engine has a free slot, in milliseconds. */
-  readonly slotWaitMs: number;
-  /** Requests in flight at the server, from all routers, at selection. */
-  readonly serverRequests: number;
-  /** Sum of the pause weights of the server's streams. */
-  readonly tightStreams: number;
-  /** Pause weight of this request's stream, from 0 to 1. */
-  readonly pauseWeight: number;
-}
-
-/** Tells which availability zones get no requests. */
-export interface ZoneEvacuations {
-  isEvacuated(zone: string): boolean;
-}
-
 export interface ServerSelectorOptions {
   readonly zone: string;
   readonly directory: ServerDirectory;
@@ -311,6 +255,16 @@
     return [...new Set(services)].flatMap(name => speeds.listStates(name));
   }
 
+  /** Returns the time that the selected engine takes for the prompt alone. */
+  estimatePrefillMs({server, prefillWork}: Selection): number {
+    return prefillWork / this.getPrefillStatistics(server.service).tokensPerMs;
+  }
+
+  /** Mean time for which a stream occupies a slot, in milliseconds. */
+  getSlotTimeMs(service: string): number {
+    return this.slotTimesMs.get(service) ?? 0;
+  }
+
   /** Average service time of a plain service in milliseconds. */
   getServiceTimeMs(service: string): number {
     return this.serviceTimesMs.get(service) ?? initialServiceTimeMs;
@@ -449,7 +403,7 @@
         pauseWeight,
         rank: request.rank,
         residualWork: statistics.residualWork,
-        slotTimeMs: this.slotTimesMs.get(service) ?? 0,
+        slotTimeMs: this.getSlotTimeMs(service),
         kvTransfer: this.findKvTransfer(service),
         prefillTokensPerMs,
         shortPromptTokenLimit: computeShortPromptTokenLimit(
--- a/src/router/slowStartSigns.ts
+++ b/src/router/slowStartSigns.ts
@@ -9,7 +9,7 @@
 import {AttemptKind, type AttemptResult} from './backendAttempt.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
-import type {Selection} from './serverSelector.js';
+import type {Selection} from './selection.js';
 
 /** Answers with this status or a higher one count as failures. */
 const minServerErrorStatus = 500;
--- a/src/router/speedSamples.ts
+++ b/src/router/speedSamples.ts
@@ -1,7 +1,7 @@
 /** Samples of the speed of a server from the requests that it has served. */
 import type {SpeedSample} from '../serverSpeed/speedEstimate.js';
 import {firstEventOverheadMs, minSampleWork} from './engineModel.js';
-import type {Selection} from './serverSelector.js';
+import type {Selection} from './selection.js';
 
 /** What is known of a request once its server has worked on it. */
 export interface ServedRequest {
--- a/tests/router/evacuatedEngines.test.ts
+++ b/tests/router/evacuatedEngines.test.ts
@@ -3,6 +3,10 @@
 import {computeCompactKey} from '../../src/router/compactKey.js';
 import type {BackendServer} from '../../src/router/deployment.js';
 import {DeploymentStore} from '../../src/router/deploymentStore.js';
+import {FleetTotals} from '../../src/fleetTotals/fleetTotals.js';
+import {ServerPace} from '../../src/serverPace/serverPace.js';
+import {SlowStart} from '../../src/serverPace/slowStart.js';
+import {buildServerSpeeds} from '../../src/router/speedTracking.js';
 import {FleetView} from '../../src/router/fleetView.js';
 import {PrefixCacheDirectory} from '../../src/router/promptDirectory.js';
 import {ServerDirectory} from '../../src/router/serverDirectory.js';
@@ -67,6 +71,21 @@
         announce: () => undefined,
         getPosition: () => undefined,
       }),
+      speeds: buildServerSpeeds({
+        directory,
+        totals: new FleetTotals({usesRelays: () => false}),
+        log,
+      }),
+      pace: new ServerPace({
+        getColdStart: () => undefined,
+        measureViewAgeMs: () => 0,
+        announce: () => undefined,
+        repeat: () => undefined,
+        viewSenders: () => {
+          throw new Error('no server is cold');
+        },
+      }),
+      slowStart: new SlowStart({isEnabled: false, countRouters: () => 1}),
       evacuations: {isEvacuated: zone => evacuated.has(zone)},
       fleet: new FleetView('10.0.0.9'),
       prompts,
--- a/tests/router/speedSamples.test.ts
+++ b/tests/router/speedSamples.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {firstEventOverheadMs} from '../../src/router/engineModel.js';
-import type {Selection} from '../../src/router/serverSelector.js';
+import type {Selection} from '../../src/router/selection.js';
 import {
   buildAnswerSample,
   buildFirstEventSample,
