Leave the live routers of other decisions as they were

Seen: "should be replaced by another router once a member hears from no one" failed, because listReady listed a router after a silence of over 1 s.

Change: the view of a member without its relay is a method of its own, listOfferable, for the addresses of callers only.

--- a/src/router/callerRouting.ts
+++ b/src/router/callerRouting.ts
@@ -47,7 +47,7 @@
       measureDemand: () => this.meter.demand,
       listRouters: () => {
         const own = {host, identity: endpoints, status: getStatus()};
-        const others = fleet.listReady();
+        const others = fleet.listOfferable();
         return (isServing(own.status) ? [...others, own] : others).map(
           toOfferable,
         );
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -204,12 +204,17 @@
     return this.listAliveAt(Math.min(performance.now(), this.lastReportAtMs));
   }
 
+  /** Live routers that take requests from callers. */
+  listReady(): Peer[] {
+    return this.listAlive().filter(({status}) => isServing(status));
+  }
+
   /**
-   * Live routers that take requests from callers. While a member has lost its
+   * Live routers whose addresses may be given to callers. While a member has lost its
    * relay, those of the last report are listed without the relay: the silence of
    * the others would otherwise make all slow routers take their place.
    */
-  listReady(): Peer[] {
+  listOfferable(): Peer[] {
     const silentMs = performance.now() - this.lastReportAtMs;
     const hasLostRelay =
       this.lastRelay !== undefined &&
--- a/tests/support/simulatedRouters.ts
+++ b/tests/support/simulatedRouters.ts
@@ -123,7 +123,7 @@
       log: new Log({vm: host}),
       listRouters: () => {
         const own = {host, identity: endpoints, status: this.status};
-        const others = this.fleet.listReady();
+        const others = this.fleet.listOfferable();
         return (isServing(own.status) ? [...others, own] : others).map(
           toOfferable,
         );
