Look up the speeds of a service once for each choice

Seen: the speeds of 81 candidates took 15 microseconds a request.

Cause: each candidate checked whether the estimates are current.

Change: a choice reads the estimates of the service once.

--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -136,7 +136,10 @@
   select(request: SelectionRequest): Selection | undefined {
     const servers = this.listCandidates(request);
     if (servers.length === 0) return undefined;
-    const candidates = servers.map(server => this.buildCandidate(server));
+    const speeds = this.options.speeds.getSpeeds(request.service);
+    const candidates = servers.map(server =>
+      this.buildCandidate(server, speeds.get(server.id) ?? 1),
+    );
     return request.promptParts.length > 0
       ? this.selectEngine(request, candidates)
       : this.selectPlain(request, candidates);
@@ -322,8 +325,8 @@
     return ranked;
   }
 
-  private buildCandidate(server: BackendServer): Candidate {
-    const {loads, outcomes, fleet, zone, speeds} = this.options;
+  private buildCandidate(server: BackendServer, speed: number): Candidate {
+    const {loads, outcomes, fleet, zone} = this.options;
     const own = loads.get(server.id);
     const recent = outcomes.get(server.id);
     const key = computeCompactKey(server.id);
@@ -334,7 +337,7 @@
       isNear: server.zone === zone,
       zone: server.zone,
       slots: server.slots,
-      speed: speeds.getSpeed(server),
+      speed,
       requests: own.requests + (others?.requests ?? 0),
       backlog: addBacklogs(own.backlog, others?.backlog ?? emptyBacklog, 1),
       tightStreams: own.tightStreams + (others?.tightStreams ?? 0),
--- a/src/serverSpeed/serverSpeeds.ts
+++ b/src/serverSpeed/serverSpeeds.ts
@@ -107,6 +107,14 @@
     return this.refresh(service).speeds.get(id) ?? 1;
   }
 
+  /**
+   * Returns the speeds of a service's servers by id. For a choice among many
+   * servers it costs less than `getSpeed`.
+   */
+  getSpeeds(service: string): ReadonlyMap<string, number> {
+    return this.refresh(service).speeds;
+  }
+
   /**
    * Describes the servers of a service that were measured lately, for metrics and
    * the state dump.
