--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -107,7 +107,13 @@
     this.budget = options.budgets.get(request.service);
     this.budget.refill();
     const {log, budget, share} = this;
-    this.failure = new RequestFailure({...options, request, log, budget, share});
+    this.failure = new RequestFailure({
+      ...options,
+      request,
+      log,
+      budget,
+      share,
+    });
     const holdQueue = holdQueues.get(request.service);
     this.admission = new RequestAdmission(request, holdQueue, waitMs, share);
   }
