--- a/src/router/pacing.ts
+++ b/src/router/pacing.ts
@@ -51,6 +51,8 @@
   readonly slowStart: SlowStart;
   /** Processes in the last view, by server id; undefined before the first. */
   private processes: ReadonlyMap<string, string> | undefined;
+  /** Servers with a window at the last update. */
+  private slowStarts: ReadonlySet<string> = new Set();
   /** Routers that callers are sent to, at the last update. */
   private routerCount = 1;
   /** Zones that have returned to service lately. */
@@ -64,7 +66,7 @@
    */
   constructor(private readonly options: PacingOptions) {
     const {settings, directory, deployments, fleet} = options;
-    const {notices, findOffered, measureSinceReturnMs} = options;
+    const {notices, metrics, findOffered, measureSinceReturnMs} = options;
     this.pace = new ServerPace({
       bounds: settings.coldServers,
       getColdStart: service => this.coldStarts.get(service),
@@ -91,6 +93,13 @@
       pace.recordRead(servers, ageMs);
       this.recordStarts(servers);
     });
+    if (slowStart.isEnabled) {
+      metrics.registerGauge({
+        name: 'anvilstall_slow_start_servers',
+        help: 'Backend servers at which slow start limits this router',
+        measure: () => slowStart.list().length,
+      });
+    }
     if (!pace.isEnabled) return;
     deployments.watch(table => this.useDeployment(table));
     notices.watch(key => toNoticeResult(this.pace.recordNotice(key)));
@@ -109,6 +118,7 @@
     if (this.slowStart.isEnabled) {
       this.routerCount = this.options.findOffered().others.length + 1;
       this.slowStart.forgetEnded(isListed);
+      this.logSlowStarts();
       this.recordReturns();
     }
     if (!this.pace.isEnabled) return;
@@ -170,6 +180,15 @@
     this.pace.recordRead(directory.getView().servers, ageMs);
   }
 
+  private logSlowStarts(): void {
+    const ids = new Set(this.slowStart.list().map(({id}) => id));
+    const began = [...ids].filter(id => !this.slowStarts.has(id));
+    const ended = [...this.slowStarts].filter(id => !ids.has(id));
+    this.slowStarts = ids;
+    if (began.length > 0) this.logChange('slow start began', began, {});
+    if (ended.length > 0) this.logChange('slow start ended', ended, {});
+  }
+
   private logChange(event: string, ids: string[], fields: LogFields): void {
     const servers = ids.slice(0, maxNamedServers).join(' ');
     this.options.log.logInfo(event, {...fields, count: ids.length, servers});
--- a/src/serverPace/coldServers.ts
+++ b/src/serverPace/coldServers.ts
@@ -66,6 +66,12 @@
   readonly hasContact: () => boolean;
 }
 
+/** Times that are the same for all servers. */
+export interface Moment {
+  readonly nowMs: number;
+  readonly viewAgeMs: number;
+}
+
 interface KnownEntry {
   process: string;
   warmUpMs: number;
@@ -142,19 +148,26 @@
     );
   }
 
+  /** Takes the times that `findCause` needs, once for many servers. */
+  takeMoment(): Moment {
+    const nowMs = performance.now();
+    return {nowMs, viewAgeMs: this.options.measureViewAgeMs()};
+  }
+
   /** Returns why a server is cold; undefined if it is warm. */
-  findCause(server: PacedServer): ColdCause | undefined {
-    const {measureViewAgeMs, measureSinceReturnMs} = this.options;
+  findCause(
+    server: PacedServer,
+    {nowMs, viewAgeMs} = this.takeMoment(),
+  ): ColdCause | undefined {
+    const {measureSinceReturnMs} = this.options;
     const coldStart = this.getColdStart(server.service);
     if (!coldStart) return undefined;
     const {durationMs} = coldStart;
-    const viewAgeMs = measureViewAgeMs();
     if (viewAgeMs > maxViewAgeMs) return ColdCause.StaleView;
     if ((measureSinceReturnMs?.(server.zone) ?? Infinity) < durationMs) {
       return ColdCause.ZoneReturned;
     }
-    const nowMs = performance.now();
-    if (!this.evidence.isEmpty) {
+    if (this.evidence.has(server.id)) {
       const process = formatPacedProcess(server);
       const view = {
         process,
@@ -165,9 +178,11 @@
       };
       if (this.evidence.isRestarted(view)) return ColdCause.Restarted;
     }
-    const coldUntilMs = this.entries.get(server.id)?.coldUntilMs ?? -Infinity;
-    if (nowMs < coldUntilMs) return ColdCause.Entry;
-    return this.isLearning() ? ColdCause.RouterStarted : undefined;
+    if (nowMs < this.lastEntryEndsAtMs) {
+      const entry = this.entries.get(server.id);
+      if (entry && nowMs < entry.coldUntilMs) return ColdCause.Entry;
+    }
+    return this.isLearning(nowMs) ? ColdCause.RouterStarted : undefined;
   }
 
   /** Returns the cold start of a service; undefined if it has none. */
@@ -182,11 +197,8 @@
     this.evidence.forgetOld(this.maxColdMs);
   }
 
-  private isLearning(): boolean {
-    return (
-      performance.now() - this.startedAtMs < learningMs &&
-      !this.options.hasContact()
-    );
+  private isLearning(nowMs = performance.now()): boolean {
+    return nowMs - this.startedAtMs < learningMs && !this.options.hasContact();
   }
 
   private hasReturnedZone(): boolean {
--- a/src/serverPace/pacedServer.ts
+++ b/src/serverPace/pacedServer.ts
@@ -29,12 +29,16 @@
   readonly warmUpMs: number;
 }
 
+/** Formatted processes; they are needed for each candidate of a request. */
+const processes = new WeakMap<PacedServer, string>();
+
 /** Identifies a process; a server may restart under its id. */
-export function formatPacedProcess({
-  id,
-  host,
-  port,
-  startedAt,
-}: PacedServer): string {
-  return `${id} ${host}:${port} ${startedAt ?? ''}`;
+export function formatPacedProcess(server: PacedServer): string {
+  let process = processes.get(server);
+  if (process === undefined) {
+    const {id, host, port, startedAt} = server;
+    process = `${id} ${host}:${port} ${startedAt ?? ''}`;
+    processes.set(server, process);
+  }
+  return process;
 }
--- a/src/serverPace/restartEvidence.ts
+++ b/src/serverPace/restartEvidence.ts
@@ -99,6 +99,8 @@
 /** Keeps evidence by process; see `formatPacedProcess`. */
 export class RestartEvidence {
   private readonly evidence = new Map<string, ProcessEvidence>();
+  /** Ids of the servers of these processes. */
+  private serverIds = new Set<string>();
   /** Notices about listed processes, by key. */
   private notices = new Map<number, [string, NoticeTopic, number]>();
 
@@ -109,6 +111,11 @@
     return this.evidence.size === 0;
   }
 
+  /** True if there is or was evidence against a process of a server lately. */
+  has(serverId: string): boolean {
+    return this.serverIds.has(serverId);
+  }
+
   /** Sets the processes about which notices are understood. */
   setProcesses(processes: readonly string[]): void {
     this.notices = new Map();
@@ -219,6 +226,7 @@
       const lastAtMs = Math.max(strongAtMs, weakAtMs, sharedAtMs);
       if (lastAtMs < sinceMs) this.evidence.delete(process);
     }
+    this.serverIds = new Set([...this.evidence.keys()].map(findServerId));
   }
 
   private publishRestart(process: string, evidence: ProcessEvidence): void {
@@ -248,11 +256,17 @@
         seenAtMs: new Map(),
       };
       this.evidence.set(process, known);
+      this.serverIds.add(findServerId(process));
     }
     return known;
   }
 }
 
+/** Returns the id with which a formatted process begins. */
+function findServerId(process: string): string {
+  return process.slice(0, process.indexOf(' '));
+}
+
 function setStrong(evidence: ProcessEvidence): void {
   const nowMs = performance.now();
   if (evidence.strongAtMs === -Infinity) {
--- a/src/serverPace/senderChoice.ts
+++ b/src/serverPace/senderChoice.ts
@@ -56,18 +56,21 @@
 }
 
 /**
- * Tells whether this router may send to a cold server.
+ * Tells whether this router may send to a cold server, as of the last `refresh`.
  *
  * @example
  * const choice = new SenderChoice(() => view);
+ * choice.refresh();
  * if (choice.isSender('engine-7', 3)) send(choice.getDivisor(3));
  */
 export class SenderChoice {
   private readonly startedAtMs = performance.now();
   /** When each of the other routers was last heard. */
   private readonly heardAtMs = new Map<string, number>();
-  private isOffered = false;
   private hasHeardOthers = false;
+  private canBeSender = false;
+  /** Largest number of candidates within the last minute. */
+  private mostCandidates = 1;
   private candidates: string[] = [];
   private host = '';
   /** Grows with each change of the candidates. */
@@ -81,9 +84,7 @@
 
   /** True if this router is one of the senders of a server. */
   isSender(serverId: string, senders: number): boolean {
-    this.refresh();
-    const isLearning = performance.now() - this.startedAtMs < learningMs;
-    if (isLearning || !this.hasHeardOthers || !this.isOffered) return false;
+    if (!this.canBeSender) return false;
     const known = this.chosen.get(serverId);
     if (known?.version === this.version && known.senders === senders) {
       return known.isSender;
@@ -109,9 +110,7 @@
    * the last minute. Their rate is divided by it.
    */
   getDivisor(senders: number): number {
-    this.refresh();
-    const count = Math.max(1, ...this.countSeenAtMs.keys());
-    return Math.min(senders, count);
+    return Math.min(senders, this.mostCandidates);
   }
 
   /** Takes a sample of the routers unless the last one is recent. */
@@ -126,7 +125,6 @@
       if (nowMs - atMs > memoryMs) this.heardAtMs.delete(other);
     }
     this.host = host;
-    this.isOffered = isOffered;
     const heard = [host, ...others];
     const remembered = [host, ...this.heardAtMs.keys()];
     const ageMs = nowMs - this.startedAtMs;
@@ -134,6 +132,7 @@
     if (heard.length > expected.size / 2 || ageMs > memoryMs) {
       this.hasHeardOthers = true;
     }
+    this.canBeSender = isOffered && this.hasHeardOthers && ageMs >= learningMs;
     this.setCandidates(
       heard.length > remembered.length / 2 ? heard : remembered,
     );
@@ -141,6 +140,7 @@
     for (const [count, atMs] of this.countSeenAtMs) {
       if (nowMs - atMs > memoryMs) this.countSeenAtMs.delete(count);
     }
+    this.mostCandidates = Math.max(1, ...this.countSeenAtMs.keys());
   }
 
   /** Removes what is known of servers that have left. */
--- a/src/serverPace/serverPace.ts
+++ b/src/serverPace/serverPace.ts
@@ -14,6 +14,7 @@
   ColdCause,
   ColdServers,
   type ColdServersOptions,
+  type Moment,
 } from './coldServers.js';
 import type {ColdServerBounds, ColdStart, PacedServer} from './pacedServer.js';
 import type {EvidenceKind} from './restartEvidence.js';
@@ -96,16 +97,9 @@
    * milliseconds: 0 if it may now, Infinity if that is left to other routers.
    */
   measureWaitMs(server: PacedServer): number {
-    const cause = this.findCause(server);
-    if (cause === undefined) return 0;
-    const limit = this.findLimit(server.service);
-    if (!limit || !this.isSender(server, cause, limit)) return Infinity;
-    const intervalMs =
-      cause === ColdCause.RouterStarted
-        ? startIntervalMs
-        : computeSendIntervalMs(limit, this.choice.getDivisor(limit.senders));
-    const sentAtMs = this.sentAtMs.get(server.id) ?? -Infinity;
-    return Math.max(0, sentAtMs + intervalMs - performance.now());
+    if (!this.isEnabled) return 0;
+    this.choice.refresh();
+    return this.measureWaitAt(server, this.cold.takeMoment());
   }
 
   /** Returns the requests a second that a server takes from all routers. */
@@ -117,7 +111,11 @@
   /** Lists the servers to which this router may send now. */
   listOpen<T extends PacedServer>(servers: T[]): T[] {
     if (!this.hasCold()) return servers;
-    const open = servers.filter(server => this.measureWaitMs(server) === 0);
+    this.choice.refresh();
+    const moment = this.cold.takeMoment();
+    const open = servers.filter(
+      server => this.measureWaitAt(server, moment) === 0,
+    );
     this.deferredCount += servers.length - open.length;
     return open;
   }
@@ -160,6 +158,7 @@
   listCold(servers: Iterable<PacedServer>): ColdServerState[] {
     const states: ColdServerState[] = [];
     if (!this.hasCold()) return states;
+    this.choice.refresh();
     for (const server of servers) {
       const cause = this.findCause(server);
       if (cause === undefined) continue;
@@ -183,6 +182,19 @@
     }
   }
 
+  private measureWaitAt(server: PacedServer, moment: Moment): number {
+    const cause = this.cold.findCause(server, moment);
+    if (cause === undefined) return 0;
+    const limit = this.findLimit(server.service);
+    if (!limit || !this.isSender(server, cause, limit)) return Infinity;
+    const intervalMs =
+      cause === ColdCause.RouterStarted
+        ? startIntervalMs
+        : computeSendIntervalMs(limit, this.choice.getDivisor(limit.senders));
+    const sentAtMs = this.sentAtMs.get(server.id) ?? -Infinity;
+    return Math.max(0, sentAtMs + intervalMs - moment.nowMs);
+  }
+
   /**
    * A router that has just started sends a little to all servers that seem to
    * be warm: it most likely missed nothing, and the others know more.
