--- a/tests/router/customerAdmission.test.ts
+++ b/tests/router/customerAdmission.test.ts
@@ -80,7 +80,7 @@
   }
 
   /** Lets one customer use the servers, and refuses a request of another. */
-  function lackRoom(shares: CustomerShares): void {
+  function useServers(shares: CustomerShares): void {
     const claim = {service, tier: 1, customer: 'museum'};
     for (let i = 0; i < 40; i++) shares.recordSend(claim, 100);
     const other = {...claim, customer: 'library'};
@@ -115,7 +115,7 @@
   // Guards against requests within a share that wait beside others beyond theirs.
   it('should hold the prompts of a customer beyond its share, and no others', () => {
     const shares = buildShares(['museum', 'library']);
-    lackRoom(shares);
+    useServers(shares);
     const beyond = admit(shares, 'museum');
     const within = admit(shares, 'library');
     expect(beyond.decide(promptSelection, history)).to.equal('hold');
@@ -137,7 +137,7 @@
   // its share, and against a time that is unrelated to it.
   it('should tell the caller when its customer will be within its share', () => {
     const shares = buildShares(['museum', 'library']);
-    lackRoom(shares);
+    useServers(shares);
     const request = admit(shares, 'museum');
     clock.tick(240);
     shares.recordRefusal(
