Make two tests of resumptions independent of processor time

Seen: two tests of resumptionBeside.test.ts fail on a busy machine.

Cause, from traces of failing runs; the router is not at fault: - "while the other connects" published the other server after the request was sent. The router reads the servers every 800 ms, and a stream is silent after 600 ms, which the router checks every 300 ms. The check at 600 ms finds the stream just short of it unless the timer is late. In the failing runs, it was late, and the router didn't know the other server yet, so that it sent the request to the only server once more. This is allowed: the fault may lie in the connection. The new connection was open at once, and the silent one was closed after 150 ms. - "send at the same time": the process got no processor time for 3 s, and the request reached the route's deadline of 3 s.

Ruled out: a dark port that accepts connections (/proc/net/tcp showed its queue full), and an overlap that counts while the other server connects.

Change: the first test keeps the stream going until the router knows the other server, waits until the router has turned to it, and then 300 ms more. It now checks that the silent connection is still open at this time; before, it passed if the other server was never tried. In both tests the deadline of the route, which they don't check, is behind their end. Deadlines are checked by another test of the file.

If a router counts the time in which a connection opens towards the overlap, the first test fails.

--- a/tests/router/resumptionBeside.test.ts
+++ b/tests/router/resumptionBeside.test.ts
@@ -9,6 +9,7 @@
   host,
   lastChunk,
   RouterFixture,
+  sampleDeployment,
   sampleServer,
   type CallerAnswer,
   type RunningRouter,
@@ -16,9 +17,26 @@
 
 /** Longest time that the attempt before may go on beside a resumption. */
 const maxOverlapMs = 400;
-const events = [1, 2, 3].map(id => `id: ${id}\ndata: ${id}\n\n`);
+/** More than a test may take. */
+const unreachedMs = 60_000;
+/** Far below the pause after which a stream is silent. */
+const eventIntervalMs = 50;
+/**
+ * Longer than two servers may have a request, and shorter than the time-out of
+ * a connection.
+ */
+const connectingMs = 300;
+const formatEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+const events = [1, 2, 3].map(formatEvent);
 const rest = formatChunk(events[1] + events[2]) + lastChunk;
 
+/** A backend server as the router's dump shows it. */
+interface DumpedServer {
+  readonly id: string;
+  readonly own: {readonly requests: number};
+  readonly outcomes: {readonly failures: number};
+}
+
 /** A request as a server received it. */
 interface Run {
   readonly socket: net.Socket;
@@ -69,6 +87,19 @@
     return router;
   }
 
+  /**
+   * Moves the deadlines of requests behind the end of the test. On a busy
+   * machine the process may get no processor time for seconds, and a stream that
+   * reaches its deadline is broken off, as it has to be.
+   */
+  function removeDeadlines(): void {
+    const routes = sampleDeployment.routes.map(route => ({
+      ...route,
+      timeoutMs: unreachedMs,
+    }));
+    fixture.platform.deployment = {...sampleDeployment, routes};
+  }
+
   function sendHead({socket, request}: Run): void {
     socket.write(formatStreamHead(request));
   }
@@ -81,6 +112,15 @@
   const waitForRuns = (count: number) =>
     fixture.waitUntil(() => runs.length >= count, `${count} runs`);
 
+  /** Returns a server if the router knows it. */
+  function findServer(
+    {daemon}: RunningRouter,
+    id: string,
+  ): DumpedServer | undefined {
+    const dump = daemon.describe() as {servers: {usable: DumpedServer[]}};
+    return dump.servers.usable.find(server => server.id === id);
+  }
+
   const waitForClose = (run: Run) =>
     fixture.waitUntil(() => run.closedAtMs !== undefined, 'a close');
 
@@ -110,16 +150,38 @@
   // Guards against giving up the silent server for one that accepts no
   // connection.
   it('should not close the silent connection while the other connects', async () => {
+    removeDeadlines();
     dark = await DarkPorts.open(1);
     const router = await startServers(1);
     const answer = fixture.call(router, '/draft/1');
     await waitForRuns(1);
+    const [silent] = runs;
     const [port] = dark.ports;
     const server = {...sampleServer, id: 'dark', host: '127.0.0.1', port};
     fixture.platform.publishServers([...fixture.platform.servers, server]);
-    await waitFor(1_000);
-    runs[0].socket.write(rest);
-    expectWhole(await answer);
+    const sent = [events[0]];
+    const send = () => {
+      const event = formatEvent(sent.length + 1);
+      sent.push(event);
+      silent.socket.write(formatChunk(event));
+    };
+    // Until the router knows the other server, it sends a silent request to the
+    // same server once more.
+    while (!findServer(router, 'dark')) {
+      send();
+      await waitFor(eventIntervalMs);
+    }
+    await fixture.waitUntil(() => {
+      const {own, outcomes} = findServer(router, 'dark')!;
+      return own.requests + outcomes.failures > 0;
+    }, 'resumption at the other server');
+    await waitFor(connectingMs);
+    expect(silent.closedAtMs).to.equal(undefined);
+    send();
+    silent.socket.write(lastChunk);
+    const {body, isComplete} = await answer;
+    expect(body).to.equal(sent.join(''));
+    expect(isComplete).to.equal(true);
     expect(runs).to.have.length(1);
   });
 
@@ -159,6 +221,7 @@
 
   // Guards against joining the events of two servers.
   it('should pass on each event once when both servers send at the same time', async () => {
+    removeDeadlines();
     const router = await startServers(2);
     const answer = fixture.call(router, '/draft/1');
     await waitForRuns(2);
