Run the random resumption schedules on a stepped clock

Seen: beside other load, the test failed in 20 of 20, 4 of 20, 27 of 27 and 21 of 21 runs at (load 16, 11, 35 and 29 on 7 cores).

Cause, from the failures' messages and the router's log: router, servers and callers share one process, which gets processor time too late. In 69 of the 72 failures the router refused a request as it should ("no processor time within 150 ms", not run); in the other 3 it answered with an error before the stream began (deadline passed twice, no server once). The test takes each answer for a part of the stream. A trial that repeated refused requests instead refused for a minute, and once found two runs of a stream beside each other, because nothing in the process could act meanwhile.

Change: the clock advances only while the event loop runs, by 5 ms for each 10 iterations. The test no longer covers resumptions in a process that gets its processor time late.

With a router that doesn't leave a stream to the silent server when the other one fails, the test fails ("has a broken run").

--- a/tests/router/resumptionSchedules.test.ts
+++ b/tests/router/resumptionSchedules.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {waitFor} from '../../src/node/delay.js';
+import {SteppedClock} from '../support/steppedClock.js';
 import {
   formatBackendAnswer,
   formatChunk,
@@ -137,12 +138,17 @@
 
 describe('resumption of streams on random schedules', () => {
   let fixture: RouterFixture;
+  let clock: SteppedClock;
 
   beforeEach(() => {
+    clock = SteppedClock.start();
     fixture = new RouterFixture();
   });
 
-  afterEach(() => fixture.stop());
+  afterEach(async () => {
+    await fixture.stop();
+    await clock.stop();
+  });
 
   // Guards against events that are missing, doubled or joined from two runs,
   // against the loss of a stream that a server completes or that no server has
