--- a/src/router/crashSuspicion.ts
+++ b/src/router/crashSuspicion.ts
@@ -1,4 +1,5 @@
 /** Suspicion of a request whose connection to a backend server was lost. */
+import {AttemptKind, type AttemptResult} from './backendAttempt.js';
 import {computeCompactKey} from './compactKey.js';
 import type {CrashQuarantine} from './crashQuarantine.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
@@ -9,6 +10,9 @@
  */
 const bufferedAnswerMs = 50;
 
+/** Answers with this status or a higher one count as server failures. */
+const minServerErrorStatus = 500;
+
 /** What may have crashed a server, as compact keys. */
 export interface CrashSuspects {
   readonly request: number;
@@ -38,3 +42,15 @@
     outcomes.hasAnsweredSince(serverId, sinceMs),
   );
 }
+
+/**
+ * True for a result that clears the request of suspicion. An error doesn't: a
+ * faulty server may answer with one what crashes the others.
+ */
+export function isAcquittal(result: AttemptResult): boolean {
+  return (
+    result.kind === AttemptKind.Streamed ||
+    (result.kind === AttemptKind.Answered &&
+      result.status < minServerErrorStatus)
+  );
+}
--- a/src/router/requestForwarder.ts
+++ b/src/router/requestForwarder.ts
@@ -14,7 +14,7 @@
 import {computeCompactKey} from './compactKey.js';
 import {isStaleConnection} from './connectionReuse.js';
 import {formatProcess, RouteKind} from './deployment.js';
-import {suspectCrash} from './crashSuspicion.js';
+import {isAcquittal, suspectCrash} from './crashSuspicion.js';
 import {describeBlock} from './describeBlock.js';
 import type {ForwardedRequest} from './forwardedRequest.js';
 import type {RequestForwarderOptions} from './forwarderOptions.js';
@@ -25,7 +25,7 @@
 import {getFailureCostMs, RequestFailure} from './requestFailure.js';
 import {RequestLog} from './requestLog.js';
 import {RequestShare} from './requestShare.js';
-import {computeRequestKey} from './requestKey.js';
+import {computeRequestKey, computeSharedPartKeys} from './requestKey.js';
 import {recordRestartSigns} from './restartSigns.js';
 import {RetryCause} from './routerMetrics.js';
 import {minRemainingMs, SendLimit} from './sendLimit.js';
@@ -33,9 +33,6 @@
 import type {Selection, SelectionRequest} from './selection.js';
 import {recordAttemptEnd} from './slowStartSigns.js';
 
-/** Answers with this status or a higher one count as server failures. */
-const minServerErrorStatus = 500;
-
 /** Selects a server for each attempt and decides whether to retry. */
 export class RequestForwarder {
   private readonly holdQueues: HoldQueues;
@@ -99,9 +96,7 @@
     this.lastEventId = exchange.request.lastEventId;
     this.share = new RequestShare(options, request);
     this.log = new RequestLog(options, request, this.share);
-    this.sharedParts = exchange.request.promptParts
-      .slice(0, -1)
-      .map(({id}) => computeCompactKey(id));
+    this.sharedParts = computeSharedPartKeys(exchange.request.promptParts);
     const path = exchange.incoming.url ?? '';
     this.requestKey = computeRequestKey(path, customer, body);
     this.budget = options.budgets.get(request.service);
@@ -368,12 +363,7 @@
     const {outcomes, selector, directory, quarantine, metrics} = this.options;
     const {id} = selection.server;
     this.countSend(attempt, result);
-    // A faulty server may answer with an error what crashes the others.
-    const isInnocent =
-      result.kind === AttemptKind.Streamed ||
-      (result.kind === AttemptKind.Answered &&
-        result.status < minServerErrorStatus);
-    if (isInnocent) quarantine.recordAnswer(this.requestKey);
+    if (isAcquittal(result)) quarantine.recordAnswer(this.requestKey);
     if (exchange.signal.aborted) {
       const event = exchange.isGivenUp ? 'given up' : 'caller gone';
       this.log.recordEvent(event, selection);
@@ -384,7 +374,7 @@
         const {status, headers, body, answer} = result;
         const {load} = answer;
         if (load) outcomes.recordSlowness(id, load.slowness);
-        if (status < minServerErrorStatus) {
+        if (isAcquittal(result)) {
           outcomes.recordAnswer(id);
           const served = attempt.describeServed();
           selector.recordServiceTime(selection, service, served);
--- a/src/router/requestIntake.ts
+++ b/src/router/requestIntake.ts
@@ -404,9 +404,8 @@
     request,
   }: CallerExchange): AdmittedRequest | Refusal {
     const {table} = this.options.deployments;
-    if (table && performance.now() >= this.refusesAtMs) {
-      return buildStopRefusal();
-    }
+    const isStopping = performance.now() >= this.refusesAtMs;
+    if (table && isStopping) return buildStopRefusal();
     if (!table || !this.options.evacuations.isKnown) {
       const message = table ? 'evacuations not known yet' : 'no deployment yet';
       const sinceMs = table ? 0 : performance.now() - this.createdAtMs;
