Give the rows of each topic an age of their own

Each topic now has its own age; the new test fails before the change.

The routers for callers of other zones, and of none, were selected for each request for addresses; they are now selected at most ten times a second, like those of the own zone. A member that loses its relay recognises that relay by the sender of the bundle, not by the last report in it.

--- a/src/callerRouting/callerAddresses.ts
+++ b/src/callerRouting/callerAddresses.ts
@@ -25,6 +25,8 @@
 const minRouters = 2;
 /** The routers to offer are selected at most once in this time. */
 const selectionPeriodMs = 100;
+/** Most zones of callers for which the routers are remembered. */
+const maxRememberedZones = 64;
 
 /** A router that takes requests. */
 export interface OfferableRouter extends RouterCapacity {
@@ -83,6 +85,11 @@
   /** For callers of zones with too few routers. */
   private readonly fleetSize = new OfferedSize();
   private latest: Selection | undefined;
+  /** Routers for callers elsewhere, by zone; undefined for none. */
+  private readonly elsewhere = new Map<
+    string | undefined,
+    Pick<Selection, 'routers' | 'selectedAtMs'>
+  >();
 
   constructor(private readonly options: CallerAddressesOptions) {
     const {totals, zone, measureDemand} = options;
@@ -104,6 +111,21 @@
 
   private select(zone: string | undefined): readonly OfferableRouter[] {
     if (zone === this.options.zone) return this.selectInZone().routers;
+    const nowMs = performance.now();
+    const known = this.elsewhere.get(zone);
+    if (known && nowMs - known.selectedAtMs < selectionPeriodMs) {
+      return known.routers;
+    }
+    // Callers may name any zone.
+    if (this.elsewhere.size >= maxRememberedZones) this.elsewhere.clear();
+    const routers = this.selectElsewhere(zone);
+    this.elsewhere.set(zone, {routers, selectedAtMs: nowMs});
+    return routers;
+  }
+
+  private selectElsewhere(
+    zone: string | undefined,
+  ): readonly OfferableRouter[] {
     const routers = this.options
       .listRouters()
       .filter(router => router.zone === zone);
--- a/src/fleetTotals/fleetTotals.ts
+++ b/src/fleetTotals/fleetTotals.ts
@@ -10,8 +10,8 @@
 import {TotalsTopic, type TopicTotals, type TotalsRow} from './totalsReport.js';
 
 /**
- * A source silent for this long no longer counts, in milliseconds: three full
- * reports.
+ * Rows of a source that is silent about their topic for this long no longer
+ * count, in milliseconds: three full reports.
  */
 const sourceExpiryMs = 3_600;
 /** Sums are computed at most once in this time, in milliseconds. */
@@ -29,11 +29,18 @@
   readonly usesRelays: () => boolean;
 }
 
-interface Source {
-  readonly topics: Map<TotalsTopic, readonly TotalsRow[]>;
-  heardAtMs: number;
+/** Rows of one topic as a source has last reported them. */
+interface HeardRows {
+  readonly rows: readonly TotalsRow[];
+  readonly heardAtMs: number;
 }
 
+/**
+ * Rows of one source. Each topic has an age of its own, because reports with
+ * changes only, and those to resting routers, leave out large topics.
+ */
+type Source = Map<TotalsTopic, HeardRows>;
+
 interface CachedSums {
   readonly sums: TopicSums;
   readonly computedAtMs: number;
@@ -146,22 +153,27 @@
   host: string,
   totals: readonly TopicTotals[],
 ): void {
-  const source = sources.get(host) ?? {topics: new Map(), heardAtMs: 0};
+  const source = sources.get(host) ?? new Map<TotalsTopic, HeardRows>();
   sources.set(host, source);
-  source.heardAtMs = performance.now();
-  for (const {topic, rows} of totals) source.topics.set(topic, rows);
+  const heardAtMs = performance.now();
+  for (const {topic, rows} of totals) source.set(topic, {rows, heardAtMs});
 }
 
-/** Lists the rows of all sources, and removes silent sources. */
+/** Lists the rows of all sources, and removes old ones. */
 function listRows(
   sources: Map<string, Source>,
   topic: TotalsTopic,
 ): TotalsRow[] {
   const sinceMs = performance.now() - sourceExpiryMs;
-  for (const [host, {heardAtMs}] of sources) {
-    if (heardAtMs < sinceMs) sources.delete(host);
+  const rows: TotalsRow[] = [];
+  for (const [host, source] of sources) {
+    const heard = source.get(topic);
+    if (!heard) continue;
+    if (heard.heardAtMs >= sinceMs) rows.push(...heard.rows);
+    else source.delete(topic);
+    if (source.size === 0) sources.delete(host);
   }
-  return [...sources.values()].flatMap(({topics}) => topics.get(topic) ?? []);
+  return rows;
 }
 
 function sumRows(rows: readonly TotalsRow[]): Map<number, number[]> {
--- a/src/router/fleetView.ts
+++ b/src/router/fleetView.ts
@@ -93,7 +93,8 @@
     if (!endpoints) return undefined;
     const heardAtMs = performance.now();
     this.lastReportAtMs = heardAtMs;
-    this.lastRelay = undefined;
+    // A greeting says nothing about who reports to this router.
+    if (!identity) this.lastRelay = undefined;
     const peer = this.storePeer(host, endpoints, {
       incarnation,
       status,
@@ -107,13 +108,21 @@
     return peer;
   }
 
-  /** Records the sums of a relay over its members. */
-  recordRelayReport(host: string, report: RelayReport): void {
+  /**
+   * Records the sums of a relay over its members.
+   *
+   * @param sender - the relay that passed the report on
+   */
+  recordRelayReport(
+    host: string,
+    report: RelayReport,
+    sender: string = host,
+  ): void {
     const {incarnation, members, sequences, servers, routers} = report;
     const {isFull} = report;
     const heardAtMs = performance.now();
     this.lastReportAtMs = heardAtMs;
-    this.lastRelay = host;
+    this.lastRelay = sender;
     for (const member of members) this.recordEndpoints(member, -Infinity);
     for (const [key, sequence] of sequences) {
       const member = this.hostsByKey.get(key);
--- a/src/router/peerExchange.ts
+++ b/src/router/peerExchange.ts
@@ -444,7 +444,7 @@
           datagram.report,
           this.sender.isBusy,
         );
-        this.receiveRelayReport(datagram.report, host);
+        this.receiveRelayReport(datagram.report, host, host);
         this.reads.syncFrom(datagram.report, datagram.report.peers, signal);
         if (hasUpdates(datagram.report)) this.scheduleReport();
         return;
@@ -491,8 +491,12 @@
     this.reads.syncFrom(report, peer.identity.peers, signal);
   }
 
-  private receiveRelayReport(report: RelayReport, host: string): void {
-    this.options.fleet.recordRelayReport(host, report);
+  private receiveRelayReport(
+    report: RelayReport,
+    host: string,
+    sender: string,
+  ): void {
+    this.options.fleet.recordRelayReport(host, report, sender);
     recordRelayState(this.options, host, report);
   }
 
@@ -514,7 +518,7 @@
       }
       if (host === this.options.address) continue;
       const {report} = decoded.value;
-      this.receiveRelayReport(report, host);
+      this.receiveRelayReport(report, host, sender);
       if (host === sender) this.reads.syncFrom(report, report.peers, signal);
     }
   }
--- a/tests/callerRouting/callerAddresses.test.ts
+++ b/tests/callerRouting/callerAddresses.test.ts
@@ -105,18 +105,17 @@
 
   // Resting routers know only the demand of their own zone.
   it('should be those of another zone that are offered there', () => {
-    const addresses = buildAddresses();
     add(2, fastMbps);
     const offered = add(2, fastMbps, {zone: 'b'});
     offered.push(...add(3, slowMbps, {zone: 'b'}));
     add(20, slowMbps + 1, {zone: 'b', isOffered: false});
-    expect(addresses.list('b')).to.have.members(offered);
+    expect(buildAddresses().list('b')).to.have.members(offered);
     // They have just ended, and the others don't know it yet.
     routers = routers.filter(
       ({zone, linkMbps}) => zone === 'a' || linkMbps > slowMbps + 1,
     );
     add(20, slowMbps, {zone: 'b', isOffered: false});
-    expect(addresses.list('b')).to.have.members(offered.slice(0, 2));
+    expect(buildAddresses().list('b')).to.have.members(offered.slice(0, 2));
   });
 
   it('should come in the same order at each router', () => {
--- a/tests/fleetTotals/fleetTotals.test.ts
+++ b/tests/fleetTotals/fleetTotals.test.ts
@@ -52,4 +52,20 @@
     clock.tick(3_700);
     expect(member.list(topic).get(customer)).to.deep.equal([10]);
   });
+
+  // Guards against rows that count for good while the reports that contain them
+  // are lost, or left out for a resting router.
+  it('should drop rows that only reports of other topics follow', () => {
+    const member = buildRouter(10, true);
+    const relay = buildRouter(40, true);
+    relay.register(TotalsTopic.ZoneTraffic, () => [[1, 1]]);
+    member.recordRelay('relay', relay.listRelayed(true));
+    for (let ms = 0; ms < 4_000; ms += 400) {
+      clock.tick(400);
+      member.recordRelay('relay', relay.listRelayed(false));
+    }
+    expect(member.list(topic).get(customer)).to.equal(undefined);
+    const traffic = member.list(TotalsTopic.ZoneTraffic);
+    expect(traffic.get(1)).to.deep.equal([1]);
+  });
 });
