Yield only to customers whose requests lack room

Seen: after a request had waited and was sent, its customer counted as one that lacks room for 300 ms, by reports for 1.2 s. The share of the largest customer is then exactly its use, so that its next request put it beyond its share until the shares were computed again, and its requests were held or refused although nobody lacked anything.

Cause: the limit was computed from the mark of a shortage alone, which outlasts the request that waited.

Change: a customer counts only while it also has unmet demand.

Result: the new test fails before and passes after; the tests of shares pass.

--- a/src/customerShares/customerShares.ts
+++ b/src/customerShares/customerShares.ts
@@ -366,7 +366,9 @@
     usages: readonly FleetUsage[],
   ): number {
     const lacking = usages.filter(
-      ({usageMs, isShort}) => isShort && usageMs <= shareMs,
+      ({usageMs, unmetMs, isShort}) =>
+        // The mark of a shortage outlasts the request that waited.
+        isShort && unmetMs > 0 && usageMs <= shareMs,
     );
     if (lacking.length === 0) return Infinity;
     const leastMs = Math.min(...lacking.map(({usageMs}) => usageMs));
--- a/tests/customerShares/customerShares.test.ts
+++ b/tests/customerShares/customerShares.test.ts
@@ -169,6 +169,26 @@
     expect(shares.check(claim).kind).to.equal(ShareKind.Unlimited);
   });
 
+  // Guards against holding requests of the largest customer while the tier still
+  // counts as short, although the only request that waited has been sent.
+  it('should not yield to a customer whose requests have been sent', () => {
+    const shares = buildFleet({routers: 1}).getShares(0);
+    const claim = {service, tier: 1, customer: 'museum'};
+    const other = {...claim, customer: 'library'};
+    for (let i = 0; i < 30; i++) shares.recordSend(claim, costMs);
+    const endWait = shares.recordWait(other, costMs, WaitCause.Capacity);
+    clock.tick(50);
+    shares.recordSend(claim, costMs);
+    expect(shares.check(claim).kind).to.equal(ShareKind.Beyond);
+    endWait();
+    shares.recordSend(other, costMs);
+    // Sums of the fleet are kept for 100 ms; the tier is short for 300 ms.
+    clock.tick(100);
+    shares.check(claim);
+    shares.recordSend(claim, costMs);
+    expect(shares.check(claim).kind).to.equal(ShareKind.Within);
+  });
+
   // Load: none beyond the capacity, at very different rates. Guards against any
   // decision that depends on the customer while capacity isn't short.
   it('should limit nobody while no request lacks room', () => {
