Count refusals as a lack of capacity only where servers are full

Seen: each refusal of a request that had not run made its tier short of capacity, also at the deadline, at the limits of sends and retries, with all servers out of reach or only evacuated ones left.

Cause: failWithoutServer recorded a lack of capacity for every cause.

Change: it does so only if no server was left and one that works and isn't evacuated is in backoff, has just rejected a request or is limited. The admission records its own refusals, as before.

Result: the new test fails before and passes after; the tests of admission pass.

--- a/src/router/requestFailure.ts
+++ b/src/router/requestFailure.ts
@@ -55,7 +55,11 @@
   /** Ends a request for which no server is left. */
   failWithoutServer(cause: BreakCause, mayHaveRun: boolean): void {
     const {request, selector, share} = this.options;
-    if (!mayHaveRun && !request.exchange.isHeadSent) {
+    // Other refusals, as at the deadline, don't show that capacity is short.
+    const lacksRoom =
+      cause === BreakCause.NoServerLeft &&
+      selector.hasFullServer(request.service);
+    if (lacksRoom && !mayHaveRun && !request.exchange.isHeadSent) {
       share.recordRefusal(WaitCause.Capacity);
     }
     const backoffMs = Math.max(
--- a/src/router/serverSelector.ts
+++ b/src/router/serverSelector.ts
@@ -215,6 +215,21 @@
     return Math.min(...servers.map(({id}) => outcomes.getBackoffMs(id)));
   }
 
+  /**
+   * True if a server of the service works but has no room: it is in backoff, has
+   * just rejected a request, or takes a limited number of requests.
+   */
+  hasFullServer(service: string): boolean {
+    const {directory, outcomes} = this.options;
+    return this.excludeEvacuated(directory.listUsable(service)).some(
+      server =>
+        !outcomes.isUnreachable(server.id) &&
+        (outcomes.getBackoffMs(server.id) > 0 ||
+          outcomes.isUnwilling(server.id) ||
+          this.getPerSecond(server) < Infinity),
+    );
+  }
+
   /**
    * Returns the time until this router may send the request to a server that
    * only its limit or pace excludes now, in milliseconds; Infinity if there is
@@ -243,12 +258,7 @@
     if (!pace.hasCold()) {
       return limits.computeIntervalMs(servers.map(computeLimitKey));
     }
-    return computeIntervalMs(
-      servers.map(server => {
-        const limit = limits.getPerSecond(computeLimitKey(server));
-        return Math.min(limit ?? Infinity, pace.getPerSecond(server));
-      }),
-    );
+    return computeIntervalMs(servers.map(server => this.getPerSecond(server)));
   }
 
   /** Describes the speeds of the servers that were measured lately. */
@@ -308,6 +318,13 @@
     );
   }
 
+  /** Requests a second that a server takes; Infinity if it isn't limited. */
+  private getPerSecond(server: BackendServer): number {
+    const {limits, pace} = this.options;
+    const limit = limits.getPerSecond(computeLimitKey(server));
+    return Math.min(limit ?? Infinity, pace.getPerSecond(server));
+  }
+
   private excludeEvacuated(servers: readonly BackendServer[]): BackendServer[] {
     const {evacuations} = this.options;
     return servers.filter(({zone}) => !evacuations.isEvacuated(zone));
--- a/tests/router/customerAdmission.test.ts
+++ b/tests/router/customerAdmission.test.ts
@@ -8,9 +8,12 @@
 import {HoldQueues} from '../../src/router/holdQueue.js';
 import {AdmissionDecision} from '../../src/router/promptAdmission.js';
 import {RequestAdmission} from '../../src/router/requestAdmission.js';
+import {BreakCause} from '../../src/router/breakCause.js';
+import {RequestFailure} from '../../src/router/requestFailure.js';
+import {ServerOutcomes} from '../../src/router/serverOutcomes.js';
 import {RequestShare} from '../../src/router/requestShare.js';
 import type {Selection} from '../../src/router/selection.js';
-import type {ServerSelector} from '../../src/router/serverSelector.js';
+import {ServerSelector} from '../../src/router/serverSelector.js';
 import {buildRoute, sampleServer} from './routerFixture.js';
 
 const service = 'shop';
@@ -154,6 +157,59 @@
     expect(shares.listRefusals(WaitCause.Share)).to.deep.include(['museum', 1]);
   });
 
+  // Guards against shares that apply because requests fail for another cause
+  // than a lack of room, and don't where servers turn requests away.
+  it('should count a request without a server only for lack of room', () => {
+    const servers = ['a', 'b'].map(zone => ({...sampleServer, id: zone, zone}));
+    const countRefusals = (
+      cause: BreakCause,
+      change: (outcomes: ServerOutcomes) => void,
+      limit?: number,
+    ) => {
+      const shares = buildShares(['museum', 'library']);
+      const outcomes = new ServerOutcomes();
+      change(outcomes);
+      const selector = new ServerSelector({
+        outcomes,
+        deployments: {watch: () => {}},
+        directory: {listUsable: () => servers},
+        evacuations: {isEvacuated: (zone: string) => zone === 'b'},
+        limits: {isEmpty: true, getPerSecond: () => limit},
+        pace: {hasCold: () => false, getPerSecond: () => Infinity},
+      } as unknown as ConstructorParameters<typeof ServerSelector>[0]);
+      const request = {
+        exchange: {request: {promptParts: []}, refuse: () => {}},
+        service,
+        urgency: 1,
+        customer: 'museum',
+      } as unknown as ForwardedRequest;
+      const failure = new RequestFailure({
+        request,
+        selector,
+        share: new RequestShare({shares, selector}, request),
+        log: {recordRefusal: () => {}},
+        budget: {describe: () => 1},
+      } as unknown as ConstructorParameters<typeof RequestFailure>[0]);
+      failure.failWithoutServer(cause, false);
+      return shares.listRefusals(WaitCause.Capacity).length;
+    };
+    const fill = (outcomes: ServerOutcomes) => outcomes.recordBackoff('a', 500);
+    const {NoServerLeft, Deadline, SendLimit, RetryBudget} = BreakCause;
+    expect(countRefusals(NoServerLeft, fill)).to.equal(1);
+    const reject = (outcomes: ServerOutcomes) => outcomes.recordUnwilling('a');
+    expect(countRefusals(NoServerLeft, reject)).to.equal(1);
+    expect(countRefusals(NoServerLeft, () => {}, 5)).to.equal(1);
+    for (const cause of [Deadline, SendLimit, RetryBudget]) {
+      expect(countRefusals(cause, fill)).to.equal(0);
+    }
+    const lose = (outcomes: ServerOutcomes) => outcomes.recordUnreachable('a');
+    expect(countRefusals(NoServerLeft, lose)).to.equal(0);
+    // Zone b is evacuated.
+    const fillOther = (outcomes: ServerOutcomes) =>
+      outcomes.recordBackoff('b', 500);
+    expect(countRefusals(NoServerLeft, fillOther)).to.equal(0);
+  });
+
   // Guards against any decision that shares change while capacity isn't short,
   // or where fewer than two customers are configured.
   it('should decide as without shares while no request lacks room', () => {
