Use servers with room for customers beyond their shares

Seen: a customer beyond its share was held or refused although plain servers were idle, after a few had answered with 429, and although an engine had one of 48 slots in use and no backlog.

Cause: only engines without any request were left to such customers.

Change: any server with a free slot and at most 60 ms of backlog, the bound of spare capacity for late prompts, is left to them, unless a request of the same rank and of a customer within its share waits in this queue.

--- a/src/router/holdQueue.ts
+++ b/src/router/holdQueue.ts
@@ -120,6 +120,12 @@
     if (held) this.getQueue(held.rank).charge(held.customer ?? '', useMs);
   }
 
+  /** True if a request of this rank waits whose customer is within its share. */
+  hasWithinShare(rank: number): boolean {
+    const heads = this.queues.get(rank)?.listHeads() ?? [];
+    return heads.some(({customer}) => !this.isBeyondShare(rank, customer));
+  }
+
   /** Records that a request was refused because all slots were taken. */
   recordSlotShortage(rank: number): void {
     const atMs = performance.now();
--- a/src/router/promptAdmission.ts
+++ b/src/router/promptAdmission.ts
@@ -44,7 +44,7 @@
 /** Safety margin before the caller times out. */
 const callerTimeoutMarginMs = 500;
 /** An engine with at most this backlog has spare capacity. */
-const maxSpareBacklogMs = 60;
+export const maxSpareBacklogMs = 60;
 /**
  * Backlog, as a ratio of the target, up to which a late prompt is sent once it
  * has waited. Prompts that arrive can then still be on time.
