--- a/tests/router/customerAdmission.test.ts
+++ b/tests/router/customerAdmission.test.ts
@@ -8,14 +8,17 @@
 import {HoldQueues} from '../../src/router/holdQueue.js';
 import {AdmissionDecision} from '../../src/router/promptAdmission.js';
 import {RequestAdmission} from '../../src/router/requestAdmission.js';
+import {BreakCause} from '../../src/router/breakCause.js';
+import {RequestFailure} from '../../src/router/requestFailure.js';
+import {ServerOutcomes} from '../../src/router/serverOutcomes.js';
 import {RequestShare} from '../../src/router/requestShare.js';
 import type {Selection} from '../../src/router/selection.js';
-import type {ServerSelector} from '../../src/router/serverSelector.js';
+import {ServerSelector} from '../../src/router/serverSelector.js';
 import {buildRoute, sampleServer} from './routerFixture.js';
 
 const service = 'shop';
 const history = {mayHaveRun: false, hasEvents: false};
-/** An engine that begins the prompt at once. */
+/** An engine that begins the prompt soon, but not at once. */
 const promptSelection: Selection = {
   server: sampleServer,
   unreadTokens: 4_000,
@@ -23,8 +26,8 @@
   speed: 1,
   promptPrefillMs: 100,
   isShortPrompt: false,
-  expectedMs: 120,
-  backlogMs: 0,
+  expectedMs: 181,
+  backlogMs: 61,
   backlogWork: 0,
   slotWaitMs: 0,
   serverRequests: 2,
@@ -121,18 +124,52 @@
     expect(beyond.decide(promptSelection, history)).to.equal('hold');
     expect(within.decide(promptSelection, history)).to.equal('onTime');
     // A plain server is no exception.
-    const plain = {...promptSelection, isShortPrompt: true, prefillWork: 0};
+    const plain = {
+      ...promptSelection,
+      isShortPrompt: true,
+      prefillWork: 0,
+      backlogMs: 0,
+      serverRequests: sampleServer.slots,
+    };
     const request = admit(shares, 'museum', false);
     expect(request.decide(plain, history)).to.equal('hold');
-    // Guards against engines that stay idle for the sake of shares.
-    const idle = {...promptSelection, serverRequests: 0};
-    expect(beyond.decide(idle, history)).to.equal('onTime');
     // Guards against holding requests for customers that lack nothing any more.
     clock.tick(300);
     const later = admit(shares, 'museum');
     expect(later.decide(promptSelection, history)).to.equal('onTime');
   });
 
+  // Guards against servers with free slots that stay idle for the sake of shares,
+  // and against a request that takes such a slot before one within its share.
+  it('should leave servers with room to a customer beyond its share', async () => {
+    const shares = buildShares(['museum', 'library']);
+    useServers(shares);
+    const {slots} = sampleServer;
+    const free = {...promptSelection, backlogMs: 60, serverRequests: slots - 1};
+    const plain = {...free, isShortPrompt: true, prefillWork: 0, backlogMs: 0};
+    const decide = (selection: Selection, isEngine: boolean) =>
+      admit(shares, 'museum', isEngine, queues).decide(selection, history);
+    const queues = new HoldQueues(shares);
+    expect(decide(free, true)).to.equal('onTime');
+    expect(decide(plain, false)).to.equal('onTime');
+    expect(decide({...free, serverRequests: slots}, true)).to.equal('hold');
+    expect(decide({...free, backlogMs: 61}, true)).to.equal('hold');
+    expect(decide({...free, slotWaitMs: 61}, true)).to.equal('hold');
+    const caller = new AbortController();
+    const hold = (rank: number, customer: string) => {
+      const held = {rank, latestAtMs: 300, customer};
+      return queues.get(service).wait(held, caller.signal);
+    };
+    const waits = [hold(1, 'museum'), hold(2, 'library')];
+    expect(decide(free, true)).to.equal('onTime');
+    waits.push(hold(1, 'library'));
+    expect(decide(free, true)).to.equal('hold');
+    expect(decide(plain, false)).to.equal('hold');
+    caller.abort();
+    await Promise.all(waits);
+    expect(decide(free, true)).to.equal('onTime');
+  });
+
   // Guards against callers that come back while their customer is still beyond
   // its share, and against a time that is unrelated to it.
   it('should tell the caller when its customer will be within its share', () => {
@@ -154,6 +191,59 @@
     expect(shares.listRefusals(WaitCause.Share)).to.deep.include(['museum', 1]);
   });
 
+  // Guards against shares that apply because requests fail for another cause
+  // than a lack of room, and don't where servers turn requests away.
+  it('should count a request without a server only for lack of room', () => {
+    const servers = ['a', 'b'].map(zone => ({...sampleServer, id: zone, zone}));
+    const countRefusals = (
+      cause: BreakCause,
+      change: (outcomes: ServerOutcomes) => void,
+      limit?: number,
+    ) => {
+      const shares = buildShares(['museum', 'library']);
+      const outcomes = new ServerOutcomes();
+      change(outcomes);
+      const selector = new ServerSelector({
+        outcomes,
+        deployments: {watch: () => {}},
+        directory: {listUsable: () => servers},
+        evacuations: {isEvacuated: (zone: string) => zone === 'b'},
+        limits: {isEmpty: true, getPerSecond: () => limit},
+        pace: {hasCold: () => false, getPerSecond: () => Infinity},
+      } as unknown as ConstructorParameters<typeof ServerSelector>[0]);
+      const request = {
+        exchange: {request: {promptParts: []}, refuse: () => {}},
+        service,
+        urgency: 1,
+        customer: 'museum',
+      } as unknown as ForwardedRequest;
+      const failure = new RequestFailure({
+        request,
+        selector,
+        share: new RequestShare({shares, selector}, request),
+        log: {recordRefusal: () => {}},
+        budget: {describe: () => 1},
+      } as unknown as ConstructorParameters<typeof RequestFailure>[0]);
+      failure.failWithoutServer(cause, false);
+      return shares.listRefusals(WaitCause.Capacity).length;
+    };
+    const fill = (outcomes: ServerOutcomes) => outcomes.recordBackoff('a', 500);
+    const {NoServerLeft, Deadline, SendLimit, RetryBudget} = BreakCause;
+    expect(countRefusals(NoServerLeft, fill)).to.equal(1);
+    const reject = (outcomes: ServerOutcomes) => outcomes.recordUnwilling('a');
+    expect(countRefusals(NoServerLeft, reject)).to.equal(1);
+    expect(countRefusals(NoServerLeft, () => {}, 5)).to.equal(1);
+    for (const cause of [Deadline, SendLimit, RetryBudget]) {
+      expect(countRefusals(cause, fill)).to.equal(0);
+    }
+    const lose = (outcomes: ServerOutcomes) => outcomes.recordUnreachable('a');
+    expect(countRefusals(NoServerLeft, lose)).to.equal(0);
+    // Zone b is evacuated.
+    const fillOther = (outcomes: ServerOutcomes) =>
+      outcomes.recordBackoff('b', 500);
+    expect(countRefusals(NoServerLeft, fillOther)).to.equal(0);
+  });
+
   // Guards against any decision that shares change while capacity isn't short,
   // or where fewer than two customers are configured.
   it('should decide as without shares while no request lacks room', () => {
