Record no restart evidence from attempts that the router aborted

Seen: an attempt that is aborted while it connects, because its caller disconnected, its deadline passed or another attempt went on, made all routers pace a sound server, and halved its slow-start window.

Cause: such an attempt settles as unreachable, like a connection that failed, and the signs of restarts and of slow start didn't look at the error.

Change: both leave out DeadlineError and SupersededError.

--- a/src/router/backendAttempt.ts
+++ b/src/router/backendAttempt.ts
@@ -5,6 +5,8 @@
   BackendServerError,
   ConnectError,
   CrossedAnswerError,
+  DeadlineError,
+  SupersededError,
 } from '../protocol/errors.js';
 import type {BackendConnection} from './backendConnections.js';
 import {EventSplitter, type StreamEvent} from './eventSplitter.js';
@@ -313,6 +315,18 @@
   }
 }
 
+/**
+ * True if this router ended an attempt for a reason that says nothing about its
+ * server: a deadline, a caller that disconnected, or another attempt that goes
+ * on.
+ *
+ * @example
+ * if (!isAbortedByRouter(result.error)) recordFailure(server);
+ */
+export function isAbortedByRouter(error: AnvilstallError): boolean {
+  return error instanceof DeadlineError || error instanceof SupersededError;
+}
+
 function hasHeader(headers: RawHeaders, name: string): boolean {
   return headers.some(
     (item, index) => index % 2 === 0 && item.toLowerCase() === name,
--- a/src/router/restartSigns.ts
+++ b/src/router/restartSigns.ts
@@ -2,7 +2,11 @@
 import {assertNever} from '../protocol/assertNever.js';
 import {EvidenceKind} from '../serverPace/restartEvidence.js';
 import type {ServerPace} from '../serverPace/serverPace.js';
-import {AttemptKind, type AttemptResult} from './backendAttempt.js';
+import {
+  AttemptKind,
+  isAbortedByRouter,
+  type AttemptResult,
+} from './backendAttempt.js';
 import {isStaleConnection} from './connectionReuse.js';
 import type {SentAttempt} from './sentAttempt.js';
 
@@ -28,6 +32,8 @@
       if (!result.isOtherProcess) pace.recordLife(server, sentAtMs);
       break;
     case AttemptKind.Unreachable:
+      // Ended while it was connecting, which may be a matter of milliseconds.
+      if (isAbortedByRouter(result.error)) break;
       pace.recordEvidence(server, EvidenceKind.Strong);
       break;
     case AttemptKind.Broken: {
--- a/src/router/slowStartSigns.ts
+++ b/src/router/slowStartSigns.ts
@@ -6,7 +6,11 @@
   ServerResponse,
   type SlowStart,
 } from '../serverPace/slowStart.js';
-import {AttemptKind, type AttemptResult} from './backendAttempt.js';
+import {
+  AttemptKind,
+  isAbortedByRouter,
+  type AttemptResult,
+} from './backendAttempt.js';
 import type {ServerLoadTracker} from './serverLoads.js';
 import type {ServerOutcomes} from './serverOutcomes.js';
 import type {Selection} from './selection.js';
@@ -76,6 +80,7 @@
       record(components, attempt, ServerResponse.Rejected);
       break;
     case AttemptKind.Unreachable:
+      if (isAbortedByRouter(result.error)) break;
       record(components, attempt, ServerResponse.Failed);
       break;
     case AttemptKind.Broken: {
