Don't wait for retired seeds before sending to cold servers

Seen: a router that starts while seeds of its settings rest or have ended sent nothing to cold servers for up to 60 s, and one request a second to each server in its first 2.8 s.

Cause: more than half of the known routers and of all seeds had to be heard, but a router that has retired is never among those that are heard.

Change: seeds that have retired aren't expected. Seeds that are merely silent still are.

--- a/src/serverPace/senderChoice.ts
+++ b/src/serverPace/senderChoice.ts
@@ -12,7 +12,7 @@
  *
  * - A router that has just started sends nothing until it knows the others: for
  *   the time in which it hears of them, and until it hears more than half of
- *   those that it remembers or knows as seeds.
+ *   those that it remembers or knows as seeds that haven't retired.
  *
  * So there are at most two groups of senders, and `coldLimit.ts` leaves room
  * for two. A router that says that callers are no longer sent to it, or that it
@@ -128,7 +128,9 @@
     const heard = [host, ...others];
     const remembered = [host, ...this.heardAtMs.keys()];
     const ageMs = nowMs - this.startedAtMs;
-    const expected = new Set([...remembered, ...seeds]);
+    // A seed that rests or has ended is never among those that are heard.
+    const activeSeeds = seeds.filter(seed => !retired.includes(seed));
+    const expected = new Set([...remembered, ...activeSeeds]);
     if (heard.length > expected.size / 2 || ageMs > memoryMs) {
       this.hasHeardOthers = true;
     }
