Keep restart evidence while its notices still arrive

Seen: evidence against a server could go on without end among routers that repeat it to one another.

Cause: a router deleted its record 13 s after the evidence, and with it the times at which it had seen the notices. A router that had learned the evidence 6 to 7 s later still repeated it then, so that it was learned as new.

Change: a record is kept until no notice of it has arrived for 5 s.

Result: the new test in tests/serverPace/coldServers.test.ts failed before and passes; the property test of the pace passes.

--- a/src/serverPace/restartEvidence.ts
+++ b/src/serverPace/restartEvidence.ts
@@ -216,15 +216,22 @@
   }
 
   /**
-   * Removes evidence that no longer counts.
+   * Removes evidence that no longer counts. Evidence whose notices still arrive
+   * is kept, since a notice that is forgotten would be learned again as new:
+   * routers that learned it later than this one repeat it for longer.
    *
    * @param coldMs - longest time for which a process is cold
    */
   forgetOld(coldMs: number): void {
-    const sinceMs = performance.now() - weakIntervalMs - coldMs;
-    for (const [process, {strongAtMs, weakAtMs, sharedAtMs}] of this.evidence) {
+    const nowMs = performance.now();
+    const sinceMs = nowMs - weakIntervalMs - coldMs;
+    for (const [process, known] of this.evidence) {
+      const {strongAtMs, weakAtMs, sharedAtMs, seenAtMs} = known;
       const lastAtMs = Math.max(strongAtMs, weakAtMs, sharedAtMs);
-      if (lastAtMs < sinceMs) this.evidence.delete(process);
+      const lastSeenAtMs = Math.max(-Infinity, ...seenAtMs.values());
+      if (lastAtMs >= sinceMs || nowMs - lastSeenAtMs < noticeMemoryMs)
+        continue;
+      this.evidence.delete(process);
     }
     this.serverIds = new Set([...this.evidence.keys()].map(findServerId));
   }
--- a/tests/serverPace/coldServers.test.ts
+++ b/tests/serverPace/coldServers.test.ts
@@ -150,6 +150,22 @@
     expect(router.notices).to.have.length(2);
   });
 
+  // Guards against evidence that goes on without end, because routers learn it
+  // again from repeats of those that learned it from them.
+  it('should not learn evidence again from its repeats', () => {
+    recordLoss();
+    const [key] = router.notices;
+    for (let ms = 0; ms < 20_000; ms += 100) {
+      advance(100);
+      router.cold.update();
+      expect(router.cold.evidence.recordNotice(key)).to.equal(false);
+    }
+    expect(router.findCause()).to.equal(undefined);
+    advance(5_100);
+    router.cold.update();
+    expect(router.cold.evidence.isEmpty).to.equal(true);
+  });
+
   // Guards against a service that drops idle connections and is paced for it.
   it('should be cold for a short time after resets of idle connections', () => {
     for (let ms = 0; ms < 9_000; ms += 100) {
