Begin slow start at the return of a zone, not at its evacuation

Seen: the window of each server began when its zone was evacuated, and none began when the zone returned.

Cause: `measureSinceReturnMs` is 0 while a zone is evacuated, which counted as a return.

Change: zones with 0 ms since their return are left out.

Result: the new test in tests/router/pacing.test.ts failed before and passes.

--- a/src/router/pacing.ts
+++ b/src/router/pacing.ts
@@ -161,7 +161,9 @@
     if (!measureSinceReturnMs) return;
     const returned = new Set<string>();
     for (const {id, zone} of directory.listAll()) {
-      if (measureSinceReturnMs(zone) > returnPeriodMs) continue;
+      const sinceMs = measureSinceReturnMs(zone);
+      // 0 while the zone is evacuated: slow start must begin at its return.
+      if (sinceMs === 0 || sinceMs > returnPeriodMs) continue;
       returned.add(zone);
       if (!this.returnedZones.has(zone)) this.slowStart.begin(id);
     }
