Prove that a process has gone on by the age of the connection

Seen: one router with a bad link to servers with short answers let all routers pace these servers for as long as it retried.

Cause: only a part of an answer to a request sent 1 s or more before the evidence disproved it, and such services have no such requests.

Change: the time at which the connection was opened takes the place of the time of the request. The delay is 2.4 s instead of 1 s, since evidence may be 2.35 s late (350 ms to connect, up to 1 s for each of two hops) and a connection opened meanwhile may lead to the new process. The same delay holds for weak evidence. Tests that let an older request go on use connections that are 3 s old instead of requests that are 2 s old, because the delay has grown.

Result: the new tests in tests/serverPace/coldServers.test.ts and tests/router/restartSigns.test.ts failed before and pass, as do the property test and tests/router/coldServers.test.ts.

--- a/src/router/backendConnections.ts
+++ b/src/router/backendConnections.ts
@@ -35,6 +35,8 @@
   isBroken = false;
   /** Milliseconds for which it was idle when it was taken; 0 for a new one. */
   idleMs = 0;
+  /** `performance.now()` when it was opened; Infinity before that. */
+  connectedAtMs = Infinity;
   /** `performance.now()` at the end of its last request. */
   private idleSinceMs: number | undefined;
   private socket: Socket | undefined;
@@ -63,6 +65,7 @@
           // regular end of a close-delimited answer.
           const socket = result[1];
           this.socket = socket ?? undefined;
+          this.connectedAtMs = socket ? performance.now() : Infinity;
           this.isBroken = false;
           socket?.on('error', markReset);
           socket?.on('end', () => handleEnd(socket));
--- a/src/router/restartSigns.ts
+++ b/src/router/restartSigns.ts
@@ -18,18 +18,21 @@
  */
 export function recordRestartSigns(
   pace: ServerPace,
-  attempt: Pick<SentAttempt, 'selection' | 'sentAtMs' | 'connectionIdleMs'>,
+  attempt: Pick<
+    SentAttempt,
+    'selection' | 'sentAtMs' | 'connectionIdleMs' | 'connectedAtMs'
+  >,
   result: AttemptResult,
 ): void {
   const {server} = attempt.selection;
-  const {sentAtMs} = attempt;
+  const {sentAtMs, connectedAtMs} = attempt;
   switch (result.kind) {
     case AttemptKind.Answered:
     case AttemptKind.Streamed:
-      pace.recordLife(server, sentAtMs);
+      pace.recordLife(server, connectedAtMs);
       break;
     case AttemptKind.NotRun:
-      if (!result.isOtherProcess) pace.recordLife(server, sentAtMs);
+      if (!result.isOtherProcess) pace.recordLife(server, connectedAtMs);
       break;
     case AttemptKind.Unreachable:
       // Ended while it was connecting, which may be a matter of milliseconds.
--- a/src/router/sentAttempt.ts
+++ b/src/router/sentAttempt.ts
@@ -135,6 +135,11 @@
     return this.firstEventAtMs !== undefined;
   }
 
+  /** `performance.now()` when its connection was opened. */
+  get connectedAtMs(): number {
+    return this.connection.connectedAtMs;
+  }
+
   /** Head of the stream, once it has arrived. */
   get head(): StreamHead | undefined {
     return this.receivedHead;
@@ -196,7 +201,7 @@
   ): boolean {
     const {components, selection} = this.options;
     components.outcomes.recordEvent(selection.server.id);
-    components.pace.recordLife(selection.server, this.sentAtMs);
+    components.pace.recordLife(selection.server, this.connectedAtMs);
     if (!this.hasEvents) this.recordFirstEvent();
     return this.listener.receiveEvents(this, events, resume);
   }
--- a/src/serverPace/coldServers.ts
+++ b/src/serverPace/coldServers.ts
@@ -131,10 +131,10 @@
   }
 
   /** Records a part of an answer; see `RestartEvidence.recordLife`. */
-  recordLife(server: PacedServer, sentAtMs: number): void {
+  recordLife(server: PacedServer, connectedAtMs: number): void {
     // Answers are frequent, and evidence is rare.
     if (this.evidence.isEmpty) return;
-    this.evidence.recordLife(formatPacedProcess(server), sentAtMs);
+    this.evidence.recordLife(formatPacedProcess(server), connectedAtMs);
   }
 
   /** False if no server can be cold now; a cheap check before `findCause`. */
--- a/src/serverPace/restartEvidence.ts
+++ b/src/serverPace/restartEvidence.ts
@@ -9,8 +9,8 @@
  * - its entry shows a later start, and then says how long it is cold;
  * - its entry shows the same start, and was read so late that the process wrote
  *   it after the evidence;
- * - a request from before the evidence gets a further part of its answer, which
- *   shows that the process has gone on. The router that sees this tells all
+ * - a connection from before the evidence carries a further part of an answer,
+ *   which shows that the process has gone on. The router that sees this tells all
  *   others, too: a server with more connections than it accepts loses some
  *   while others go on, and must not count as restarted for seconds; or
  * - a restarted process would be warm again.
@@ -45,10 +45,11 @@
 const transitMs = 250;
 /**
  * Evidence may come this much later than a restart, in milliseconds: a time-out
- * of a connection, or a notice that is under way for up to a second. Requests
- * that were sent in this time may be the restarted process's.
+ * of a connection, 350 ms, and a notice that is under way for up to a second on
+ * each of two hops. Connections that were opened in this time may lead to the
+ * restarted process.
  */
-const evidenceDelayMs = 1_000;
+const evidenceDelayMs = 2_400;
 /** Evidence is shared again after this time, in milliseconds. */
 const shareIntervalMs = 1_000;
 /**
@@ -69,7 +70,7 @@
   /** When the process was last found restarted; -Infinity if never. */
   strongAtMs: number;
   weakAtMs: number;
-  /** Only requests from before this time can show that the process is the same. */
+  /** Only connections opened before can show that the process is the same. */
   sinceMs: number;
   /** Number of the latest notice of a restart. */
   number: number;
@@ -144,19 +145,20 @@
 
   /**
    * Records a part of an answer, which shows that the process has gone on if
-   * its request is older than the evidence.
+   * its connection is older than the evidence.
    *
-   * @param sentAtMs - `performance.now()` when the request was sent
+   * @param connectedAtMs - `performance.now()` when its connection was opened
    */
-  recordLife(process: string, sentAtMs: number): void {
+  recordLife(process: string, connectedAtMs: number): void {
     const known = this.evidence.get(process);
     if (!known) return;
     const nowMs = performance.now();
     const {strongAtMs, weakAtMs, sinceMs} = known;
-    if (sentAtMs < weakAtMs && nowMs - weakAtMs > transitMs) {
+    const isOlder = connectedAtMs < weakAtMs - evidenceDelayMs;
+    if (isOlder && nowMs - weakAtMs > transitMs) {
       known.weakAtMs = Math.min(weakAtMs, nowMs - shownAfterMs);
     }
-    if (strongAtMs === -Infinity || sentAtMs >= sinceMs) return;
+    if (strongAtMs === -Infinity || connectedAtMs >= sinceMs) return;
     if (nowMs - strongAtMs <= transitMs) return;
     known.strongAtMs = -Infinity;
     this.publish(process, known, NoticeTopic.Same);
--- a/src/serverPace/serverPace.ts
+++ b/src/serverPace/serverPace.ts
@@ -139,10 +139,10 @@
   /**
    * Records a part of an answer.
    *
-   * @param sentAtMs - `performance.now()` when its request was sent
+   * @param connectedAtMs - `performance.now()` when its connection was opened
    */
-  recordLife(server: PacedServer, sentAtMs: number): void {
-    this.cold.recordLife(server, sentAtMs);
+  recordLife(server: PacedServer, connectedAtMs: number): void {
+    this.cold.recordLife(server, connectedAtMs);
   }
 
   /**
--- a/tests/router/restartSigns.test.ts
+++ b/tests/router/restartSigns.test.ts
@@ -28,9 +28,12 @@
 describe('signs of a restart', () => {
   let evidence: EvidenceKind[];
   let slowStart: SlowStart;
+  /** When the connections were opened that showed that the process has gone on. */
+  let lifeAtMs: number[];
 
   beforeEach(() => {
     evidence = [];
+    lifeAtMs = [];
     slowStart = new SlowStart({isEnabled: true, countRouters: () => 2});
   });
 
@@ -38,9 +41,11 @@
     const pace = {
       recordEvidence: (_server: unknown, kind: EvidenceKind) =>
         evidence.push(kind),
+      recordLife: (_server: unknown, atMs: number) => lifeAtMs.push(atMs),
     } as unknown as ServerPace;
     const sentAtMs = performance.now();
-    const attempt = {selection, sentAtMs, connectionIdleMs: 0};
+    const connectedAtMs = sentAtMs - 5_000;
+    const attempt = {selection, sentAtMs, connectedAtMs, connectionIdleMs: 0};
     recordRestartSigns(pace, attempt, result);
     recordAttemptEnd(
       {
@@ -98,4 +103,11 @@
     expect(evidence).to.deep.equal([EvidenceKind.Strong]);
     expect(slowStart.list()).to.have.length(1);
   });
+
+  // Guards against plain servers with short answers that stay cold for all
+  // routers because one of them has a bad link: they have no long requests.
+  it('should count a short answer on an old connection as going on', () => {
+    recordEnd({kind: AttemptKind.Streamed});
+    expect(lifeAtMs[0]).to.be.below(performance.now() - 4_900);
+  });
 });
--- a/tests/serverPace/coldServers.test.ts
+++ b/tests/serverPace/coldServers.test.ts
@@ -98,20 +98,20 @@
   });
 
   // Guards against a server that turns connections away, and counts as
-  // restarted for seconds although its other requests go on.
-  it('should be warm again at all routers once an older request goes on', () => {
+  // restarted for seconds although its other connections go on.
+  it('should be warm again at all routers once an older connection goes on', () => {
     const other = new ColdRouter();
     other.read(warm);
-    const sentAtMs = performance.now() - 2_000;
+    const connectedAtMs = performance.now() - 3_000;
     recordLoss();
     for (const key of router.notices) other.cold.evidence.recordNotice(key);
     expect(other.cold.evidence.isEmpty).to.equal(false);
-    router.cold.recordLife(warm, sentAtMs);
+    router.cold.recordLife(warm, connectedAtMs);
     expect(router.findCause()).to.equal(ColdCause.Restarted);
     clock.tick(300);
     router.cold.recordLife(warm, performance.now() - 100);
     expect(router.findCause()).to.equal(ColdCause.Restarted);
-    router.cold.recordLife(warm, sentAtMs);
+    router.cold.recordLife(warm, connectedAtMs);
     expect(router.findCause()).to.equal(undefined);
     for (const key of router.notices) other.cold.evidence.recordNotice(key);
     other.read(warm);
@@ -120,13 +120,23 @@
     expect(other.findCause()).to.equal(undefined);
   });
 
+  // Guards against evidence that arrives late, and is disproved by a connection
+  // to the process that has replaced the other.
+  it('should stay cold while only connections to a new process go on', () => {
+    recordLoss();
+    const connectedAtMs = performance.now() - 2_350;
+    clock.tick(300);
+    router.cold.recordLife(warm, connectedAtMs);
+    expect(router.findCause()).to.equal(ColdCause.Restarted);
+  });
+
   // Guards against a crash that is missed because a notice of earlier trouble
   // is still repeated.
   it('should be cold again after a crash that follows other trouble', () => {
-    const sentAtMs = performance.now() - 2_000;
+    const connectedAtMs = performance.now() - 3_000;
     recordLoss();
     clock.tick(300);
-    router.cold.recordLife(warm, sentAtMs);
+    router.cold.recordLife(warm, connectedAtMs);
     clock.tick(1_000);
     recordLoss();
     const [first, same, second] = router.notices;
@@ -143,7 +153,7 @@
     recordLoss();
     other.cold.evidence.recordNotice(router.notices[0]);
     clock.tick(300);
-    other.cold.recordLife(warm, performance.now() - 2_000);
+    other.cold.recordLife(warm, performance.now() - 3_000);
     recordLoss();
     router.cold.evidence.recordNotice(other.notices[0]);
     expect(router.findCause()).to.equal(ColdCause.Restarted);
