--- a/tests/platform/coldServers.test.ts
+++ b/tests/platform/coldServers.test.ts
@@ -36,6 +36,8 @@
   zone: 'a',
   ip: '10.0.0.1',
   'limits.linkMbps': 490,
+  'limits.cpuRatio': 0.459,
+  'limits.speedFactor': 1,
   'listen.frontend': '10.0.0.1:80',
   'listen.ready': '10.0.0.1:81',
   'listen.directoryAddr': '10.0.0.1:82',
