Let routers use most of their processors before others are offered

Two routers with fast links passed half of their processors, and each slow router that was added brought the work of its own reports into the demand, which then called for more of them.

Others are now offered when the routers would use more than 0.8 of their processors, or half of their links as before. The use in logs and metrics is relative to these.

--- a/src/callerRouting/offeredSize.ts
+++ b/src/callerRouting/offeredSize.ts
@@ -3,7 +3,6 @@
   chooseSize,
   isEnough,
   listUses,
-  maxUse,
   type RouterCapacity,
   type SizeUse,
   type ZoneDemand,
@@ -29,7 +28,7 @@
  */
 const settleMs = 2_500;
 /** Growth in that time needs a use that counting twice doesn't explain. */
-const settleMaxUse = 2 * maxUse;
+const settleMaxUse = 2;
 
 /** Why the number of offered routers has changed. */
 export enum SizeReason {
--- a/src/callerRouting/routerSizing.ts
+++ b/src/callerRouting/routerSizing.ts
@@ -5,11 +5,18 @@
  */
 
 /**
- * Highest ratio of its capacity that a router is to carry. A second of traffic
- * may be twice the average, and the loss of one router of two doubles the
- * traffic of the other.
+ * Highest ratio of its link that a router is to use. A second of traffic may be
+ * twice the average, and the loss of one router of two doubles the traffic of
+ * the other.
  */
-export const maxUse = 0.5;
+const maxLinkUse = 0.5;
+/**
+ * Highest ratio of its processor. Each further router adds the work of its own
+ * reports to the demand, and chooses servers by a view of its own, so that
+ * others are added only where the processors are about to be overloaded: with
+ * half of the processor, two routers with fast links grew to all of their zone.
+ */
+const maxProcessorUse = 0.8;
 
 /** What a router can carry. */
 export interface RouterCapacity {
@@ -36,10 +43,10 @@
   Processor = 'processor',
 }
 
-/** A number of routers, and how much of its capacity the smallest would use. */
+/** A number of routers, and how much of what it may use the smallest would use. */
 export interface SizeUse {
   readonly size: number;
-  /** Ratio of the capacity. */
+  /** Ratio of the part of the capacity that may be used; 1 is the limit. */
   readonly use: number;
   /** The resource of which most is used. */
   readonly resource: Resource;
@@ -51,7 +58,7 @@
  * @param routers - in the order in which they are offered
  * @example
  * listUses([{linkMbps: 100, processorShare: 1}], {kbps: 25_000, milliCores: 0})
- * // [{size: 1, use: 0.25, resource: Resource.Link}]
+ * // [{size: 1, use: 0.5, resource: Resource.Link}]
  */
 export function listUses(
   routers: readonly RouterCapacity[],
@@ -63,8 +70,9 @@
     const size = index + 1;
     linkMbps = Math.min(linkMbps, router.linkMbps);
     processorShare = Math.min(processorShare, router.processorShare);
-    const linkUse = kbps / 1_000 / size / linkMbps;
-    const processorUse = milliCores / 1_000 / size / processorShare;
+    const linkUse = kbps / 1_000 / size / (linkMbps * maxLinkUse);
+    const coresPerRouter = milliCores / 1_000 / size;
+    const processorUse = coresPerRouter / (processorShare * maxProcessorUse);
     return linkUse > processorUse
       ? {size, use: linkUse, resource: Resource.Link}
       : {size, use: processorUse, resource: Resource.Processor};
@@ -73,7 +81,7 @@
 
 /** True if a number of routers suffices. */
 export function isEnough({use}: SizeUse): boolean {
-  return use <= maxUse;
+  return use <= 1;
 }
 
 /**
--- a/src/router/routerGauges.ts
+++ b/src/router/routerGauges.ts
@@ -171,7 +171,7 @@
   });
   metrics.registerGauge({
     name: 'anvilstall_caller_use_ratio',
-    help: 'Ratio of its capacity that the smallest offered router would use',
+    help: 'Use of the smallest offered router, 1 being all that it may use',
     measure: () => callerAddresses.describe().use?.use ?? 0,
   });
 }
