--- a/src/router/requestShare.ts
+++ b/src/router/requestShare.ts
@@ -13,12 +13,21 @@
 import type {Selection} from './selection.js';
 import type {ServerSelector} from './serverSelector.js';
 
+export interface CustomerSharesSources {
+  /** False for a router that treats all customers of a tier as one. */
+  readonly isEnabled: boolean;
+  readonly totals: FleetTotals;
+  readonly deployments: DeploymentStore;
+  readonly log: Log;
+}
+
 /** Creates the shares of the customers that the deployment lists. */
-export function buildCustomerShares(
-  totals: FleetTotals,
-  deployments: DeploymentStore,
-  log: Log,
-): CustomerShares {
+export function buildCustomerShares({
+  isEnabled,
+  totals,
+  deployments,
+  log,
+}: CustomerSharesSources): CustomerShares {
   const shares = new CustomerShares({
     totals,
     reportChange: ({service, tier, customer, isBeyond, usageMs, shareMs}) =>
@@ -31,6 +40,7 @@
         shareMs: Number.isFinite(shareMs) ? Math.round(shareMs) : undefined,
       }),
   });
+  if (!isEnabled) return shares;
   deployments.watch(({deployment: {customers = []}}) =>
     shares.setCustomers(customers.map(({name}) => name)),
   );
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -140,7 +140,9 @@
       findOffered: () => this.findOffered(),
     });
     const {pace, slowStart} = this.pacing;
-    this.shares = buildCustomerShares(totals, deployments, log);
+    const isEnabled = settings.sharesCustomers;
+    const shareSources = {isEnabled, totals, deployments, log};
+    this.shares = buildCustomerShares(shareSources);
     const leaving = new LeavingServers(directory, notices);
     const kept = {directory, connections, outcomes, prompts, limits};
     this.endedServers = new EndedServers(kept);
--- a/tests/router/customerSurge.test.ts
+++ b/tests/router/customerSurge.test.ts
@@ -75,8 +75,8 @@
   it('should be refused while the other is served', async () => {
     for (let i = 0; i < 2; i++) await fixture.addBackend(serveEngine());
     const routers = [
-      await fixture.addRouter({hasMetrics: true}),
-      await fixture.addRouter(),
+      await fixture.addRouter({hasMetrics: true, sharesCustomers: true}),
+      await fixture.addRouter({sharesCustomers: true}),
     ];
     for (const router of routers) await fixture.waitReady(router);
     const [museum, library] = await Promise.all([
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -151,6 +151,7 @@
   readonly evacuationBoundMs?: number;
   readonly coldServers?: ColdServerBounds;
   readonly slowStart?: boolean;
+  readonly sharesCustomers?: boolean;
 }
 
 /** Starts and stops the routers and backend servers of a test. */
@@ -225,6 +226,7 @@
         contactBoundMs: 3_000,
         maxAddressTtlSeconds: 5,
         slowStart: options.slowStart ?? false,
+        sharesCustomers: options.sharesCustomers ?? false,
         coldServers: options.coldServers,
         logLevel: 'info',
       },
