--- a/src/router/pacing.ts
+++ b/src/router/pacing.ts
@@ -57,7 +57,7 @@
   private routerCount = 1;
   /** Zones that have returned to service lately. */
   private returnedZones: ReadonlySet<string> = new Set();
-  private coldStarts: ReadonlyMap<string, ColdStart> = new Map();
+  private coldStartByService: ReadonlyMap<string, ColdStart> = new Map();
   /** Cold servers at the last update, by id. */
   private seen = new Map<string, SeenCold>();
 
@@ -69,7 +69,7 @@
     const {notices, metrics, findOffered, measureSinceReturnMs} = options;
     this.pace = new ServerPace({
       bounds: settings.coldServers,
-      getColdStart: service => this.coldStarts.get(service),
+      getColdStart: service => this.coldStartByService.get(service),
       measureViewAgeMs: () => directory.measureAgeMs(),
       measureSinceReturnMs,
       announce: key => notices.announce(key),
@@ -171,7 +171,7 @@
   }
 
   private useDeployment({deployment}: RouteTable): void {
-    this.coldStarts = new Map(
+    this.coldStartByService = new Map(
       deployment.services.flatMap(({name, coldStart}) =>
         coldStart ? [[name, coldStart] as const] : [],
       ),
