--- a/src/router/engineModel.ts
+++ b/src/router/engineModel.ts
@@ -111,10 +111,13 @@
 const initialTokensPerMs = 40;
 /** Weight of the assumed rate, as milliseconds of prefill. */
 const initialSampleMs = 400;
-/** Number of samples that determine the rate. */
-const sampleCount = 25;
 /** Factor by which a new sample reduces the weight of the earlier ones. */
 const sampleDecay = 0.95;
+/**
+ * A first event that takes longer than this multiple of the expected prefill
+ * waited for something else, such as a stalled engine.
+ */
+const maxSampleDelayRatio = 4;
 /** Fixed part of the time to the first event. */
 export const firstEventOverheadMs = 20;
 /** Prefills with less work take as long as the fixed part. */
@@ -130,41 +133,24 @@
   readonly speed: number;
 }
 
-/** Time that a first event took for the work that it stands for. */
-interface RateSample {
-  readonly msPerToken: number;
-  /** Work of an engine of mean speed, which is the weight of the sample. */
-  readonly work: number;
-}
-
 /**
  * Learns from first events how a service's engines prefill. The rate is that of
  * an engine of mean speed.
  *
- * It is the median of the last samples, weighted by their work. Some prompts wait
- * behind others that their router doesn't know of yet, or at a stalled engine. A
- * mean contains these waits, and most prompts are then earlier than expected.
- *
  * @example
  * const statistics = new PrefillStatistics();
  * statistics.record({prefillWork: 9_000, backlogWork: 3_000, speed: 1}, 260);
  * statistics.tokensPerMs; // rises above 40
  */
 export class PrefillStatistics {
-  /** In the order of their arrival. */
-  private readonly samples: RateSample[] = [
-    {
-      msPerToken: 1 / initialTokensPerMs,
-      work: initialTokensPerMs * initialSampleMs,
-    },
-  ];
-  private medianTokensPerMs = initialTokensPerMs;
+  private work = initialTokensPerMs * initialSampleMs;
+  private ms = initialSampleMs;
   private ownWork = 0;
   private squaredOwnWork = 0;
 
   /** Work that an engine does in a millisecond, in tokens without context. */
   get tokensPerMs(): number {
-    return this.medianTokensPerMs;
+    return this.work / this.ms;
   }
 
   /**
@@ -187,17 +173,9 @@
     if (work < minSampleWork) return;
     // The work that an engine of mean speed does in the same time.
     const meanWork = work / speed;
-    const prefillMs = Math.max(1, ms - firstEventOverheadMs);
-    this.samples.push({msPerToken: prefillMs / meanWork, work: meanWork});
-    if (this.samples.length > sampleCount) this.samples.shift();
-    this.medianTokensPerMs = 1 / computeMedian(this.samples);
+    const maxMs = (maxSampleDelayRatio * meanWork) / this.tokensPerMs;
+    const prefillMs = Math.min(maxMs, Math.max(1, ms - firstEventOverheadMs));
+    this.work = this.work * sampleDecay + meanWork;
+    this.ms = this.ms * sampleDecay + prefillMs;
   }
 }
-
-/** Computes the median of the times, weighted by the work. */
-function computeMedian(samples: readonly RateSample[]): number {
-  const sorted = [...samples].sort((a, b) => a.msPerToken - b.msPerToken);
-  let leftWork = sorted.reduce((sum, {work}) => sum + work, 0) / 2;
-  const median = sorted.find(({work}) => (leftWork -= work) <= 0);
-  return (median ?? sorted[sorted.length - 1]).msPerToken;
-}
--- a/src/router/routerDaemon.ts
+++ b/src/router/routerDaemon.ts
@@ -152,7 +152,12 @@
       loads,
       outcomes,
       limits,
-      speeds: buildServerSpeeds({directory, totals, log}),
+      speeds: buildServerSpeeds({
+        isEnabled: settings.learnsServerSpeeds,
+        directory,
+        totals,
+        log,
+      }),
       evacuations,
       pace,
       slowStart,
--- a/src/router/routerSettings.ts
+++ b/src/router/routerSettings.ts
@@ -81,6 +81,8 @@
     .optional(),
   /** True if requests to servers grow with their answers after a failure. */
   slowStart: z.boolean().default(false),
+  /** True if lasting differences in speed between servers are learned. */
+  learnsServerSpeeds: z.boolean().default(false),
   /** True if customers share servers fairly while these are scarce. */
   sharesCustomers: z.boolean().default(false),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info'),
--- a/src/router/speedTracking.ts
+++ b/src/router/speedTracking.ts
@@ -7,7 +7,11 @@
 import {formatProcess, type BackendServer} from './deployment.js';
 import type {ServerDirectory} from './serverDirectory.js';
 
+const noServers: readonly BackendServer[] = [];
+
 export interface SpeedTrackingOptions {
+  /** False for a router that takes all servers of a service as equally fast. */
+  readonly isEnabled: boolean;
   readonly directory: ServerDirectory;
   readonly totals: FleetTotals;
   readonly log: Log;
@@ -18,16 +22,20 @@
  * samples a part of the totals of the fleet.
  */
 export function buildServerSpeeds({
+  isEnabled,
   directory,
   totals,
   log,
 }: SpeedTrackingOptions): ServerSpeeds<BackendServer> {
   const speeds = new ServerSpeeds<BackendServer>({
-    listServers: service => directory.listUsable(service),
+    listServers: service =>
+      isEnabled ? directory.listUsable(service) : noServers,
     computeKey: server => computeCompactKey(formatProcess(server)),
     listFleet: () => totals.list(TotalsTopic.ServerSpeed),
     log,
   });
-  totals.register(TotalsTopic.ServerSpeed, () => speeds.listOwn());
+  if (isEnabled) {
+    totals.register(TotalsTopic.ServerSpeed, () => speeds.listOwn());
+  }
   return speeds;
 }
--- a/tests/router/evacuatedEngines.test.ts
+++ b/tests/router/evacuatedEngines.test.ts
@@ -72,6 +72,7 @@
         getPosition: () => undefined,
       }),
       speeds: buildServerSpeeds({
+        isEnabled: false,
         directory,
         totals: new FleetTotals({usesRelays: () => false}),
         log,
--- a/tests/router/routerFixture.ts
+++ b/tests/router/routerFixture.ts
@@ -227,6 +227,7 @@
         maxAddressTtlSeconds: 5,
         slowStart: options.slowStart ?? false,
         sharesCustomers: options.sharesCustomers ?? false,
+        learnsServerSpeeds: true,
         coldServers: options.coldServers,
         logLevel: 'info',
       },
