Count the processors of routers as demand only while connections wait

The routers with fast links were busy but accepted all connections; each slow router that was offered beside them chose servers by a view of its own.

--- a/src/callerRouting/demandMeter.ts
+++ b/src/callerRouting/demandMeter.ts
@@ -1,5 +1,4 @@
 /** Measures what callers ask of this router. */
-import {performance as hooks, type EventLoopUtilization} from 'node:perf_hooks';
 import type {ZoneDemand} from './routerSizing.js';
 
 /**
@@ -54,14 +53,11 @@
   readonly measureAcceptWaitMs: () => number;
   /** See `RouterCapacity`. */
   readonly processorShare: number;
-  /** Ratio of time for which the event loop was busy since a reading. */
-  readonly readLoop?: () => EventLoopUtilization;
 }
 
 interface Reading {
   readonly atMs: number;
   readonly bytes: number;
-  readonly loop: EventLoopUtilization;
 }
 
 /**
@@ -96,24 +92,22 @@
   }
 
   private read(): Reading {
-    const {countBytes, readLoop} = this.options;
-    const loop = readLoop ? readLoop() : hooks.eventLoopUtilization();
-    return {atMs: performance.now(), bytes: countBytes(), loop};
+    return {atMs: performance.now(), bytes: this.options.countBytes()};
   }
 
   /**
-   * A router without callers reports no processor use: its work for reports
-   * between routers wouldn't move to the offered routers with the callers.
+   * The processor counts only while connections wait to be accepted. Its use
+   * alone doesn't show that more routers would serve callers better: each that
+   * was added at a high use chose servers by a view of its own, and more
+   * requests were late.
    */
   private computeDemand(from: Reading, to: Reading): ZoneDemand {
     const bytes = to.bytes - from.bytes;
     if (bytes <= 0 || to.atMs <= from.atMs) return {kbps: 0, milliCores: 0};
     const kbps = (bytes * 8) / (to.atMs - from.atMs);
     const {processorShare, measureAcceptWaitMs} = this.options;
-    const activeMs = to.loop.active - from.loop.active;
-    const totalMs = activeMs + to.loop.idle - from.loop.idle;
     const isFull = measureAcceptWaitMs() > maxAcceptWaitMs;
-    const ratio = isFull ? 1 : activeMs / Math.max(1, totalMs);
+    const ratio = isFull ? 1 : 0;
     return {kbps, milliCores: ratio * processorShare * 1_000};
   }
 }
