--- a/src/callerRouting/demandMeter.ts
+++ b/src/callerRouting/demandMeter.ts
@@ -107,7 +107,6 @@
     const kbps = (bytes * 8) / (to.atMs - from.atMs);
     const {processorShare, measureAcceptWaitMs} = this.options;
     const isFull = measureAcceptWaitMs() > maxAcceptWaitMs;
-    const ratio = isFull ? 1 : 0;
-    return {kbps, milliCores: ratio * processorShare * 1_000};
+    return {kbps, milliCores: isFull ? processorShare * 1_000 : 0};
   }
 }
