--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -14,6 +14,7 @@
   buildFields,
   CallerChannel,
   finishRun,
+  measureOwnDelayMs,
   Recorder,
   RouterProcess,
   SoundServer,
@@ -162,6 +163,9 @@
   `${results.length} requests, ${results.filter(({status}) => status === 200).length} with success`,
 );
 recorder.show(`processes that ended by themselves: ${ownExits}`);
+recorder.show(
+  `longest delay of the stand-ins: ${Math.round(measureOwnDelayMs())} ms`,
+);
 recorder.show(`largest memory of a process: ${Math.round(peakMb)} MB`);
 recorder.show(
   `requests on kept channels at a sound server, channel closed without an answer: ${lost.length}`,
--- a/review/lib-2/testBed.mjs
+++ b/review/lib-2/testBed.mjs
@@ -12,7 +12,7 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
-import {clearTimeout, setTimeout} from 'node:timers';
+import {clearTimeout, setInterval, setTimeout} from 'node:timers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath, URL} from 'node:url';
 
@@ -40,6 +40,22 @@
 /** Loopback network of this run, so that runs side by side don't collide. */
 const network = `127.${20 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 250)}`;
 
+/**
+ * Longest delay of the event loop of this process, which is the one of all
+ * stand-ins, in milliseconds. What the test measures may be wrong by as much.
+ */
+export function measureOwnDelayMs() {
+  return longestDelayMs;
+}
+let longestDelayMs = 0;
+let checkedAtMs = performance.now();
+const delayCheckMs = 20;
+setInterval(() => {
+  const nowMs = performance.now();
+  longestDelayMs = Math.max(longestDelayMs, nowMs - checkedAtMs - delayCheckMs);
+  checkedAtMs = nowMs;
+}, delayCheckMs).unref();
+
 export function buildAddress(number) {
   return `${network}.${number}`;
 }
