--- a/review/lib-2/testBed.mjs
+++ b/review/lib-2/testBed.mjs
@@ -492,9 +492,11 @@
 
   /**
    * Sends a request; resolves with what the caller sees. `end` is `answer`,
-   * `closed` or `timeout`.
+   * `closed`, `timeout` or, for a stream that was given up, `left`.
+   *
+   * @param gapMs - longest time without a piece of a stream that the caller waits
    */
-  send({method = 'POST', path: target, headers, body, deadlineMs}) {
+  send({method = 'POST', path: target, headers, body, deadlineMs, gapMs}) {
     const sentAtMs = performance.now();
     return new Promise(resolve => {
       const chunks = [];
@@ -505,6 +507,7 @@
         if (isDone) return;
         isDone = true;
         clearTimeout(timer);
+        clearTimeout(gapTimer);
         const text = Buffer.concat(chunks).toString('latin1');
         const ms = performance.now() - sentAtMs;
         resolve({end, status, headers: head, text, ms, sentAtMs, isReused});
@@ -521,7 +524,10 @@
         response => {
           status = response.statusCode;
           head = response.headers;
-          response.on('data', chunk => chunks.push(chunk));
+          response.on('data', chunk => {
+            chunks.push(chunk);
+            if (chunk.includes('data:')) watchGap();
+          });
           response.on('end', () =>
             finish(response.complete ? 'answer' : 'closed'),
           );
@@ -531,10 +537,18 @@
       );
       request.on('socket', () => (isReused = request.reusedSocket));
       request.on('error', () => finish('closed'));
-      const timer = setTimeout(() => {
-        finish('timeout');
+      const leave = end => {
+        finish(end);
         request.destroy();
-      }, deadlineMs);
+      };
+      const timer = setTimeout(() => leave('timeout'), deadlineMs);
+      let gapTimer;
+      const watchGap = () => {
+        clearTimeout(gapTimer);
+        if (gapMs === undefined || isDone) return;
+        gapTimer = setTimeout(() => leave('left'), gapMs);
+      };
+      watchGap();
       request.end(body);
     });
   }
