--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -27,7 +27,7 @@
 const recorder = new Recorder(fileURLToPath(new URL('.', import.meta.url)));
 const zones = ['zone-a'];
 const host = 'shop.example';
-const timeoutMs = 1_500;
+const timeoutMs = 4_000;
 const store = await Store.start(buildAddress(2));
 const servers = [];
 const routers = [];
@@ -37,8 +37,8 @@
     id: `i-catalogue-${number}`,
     service: 'catalogue',
     zone: 'zone-a',
-    slots: 12,
-    workMs: 300,
+    slots: 48,
+    workMs: 900,
   });
   servers.push(server);
   server.register(store);
@@ -67,11 +67,11 @@
     idleTimeoutMs: 15_000,
   },
 });
-for (const number of [11, 12]) {
+for (const number of [11, 12, 13, 14]) {
   const fields = buildFields({
     ...{number, zone: 'zone-a', zones},
     store: store.address,
-    seeds: [11, 12],
+    seeds: [11, 12, 13],
   });
   const router = new RouterProcess(fields, recorder);
   routers.push(router);
@@ -115,7 +115,7 @@
       method: 'GET',
       path: `/status/${attemptId}`,
       headers: {host, 'attempt-id': attemptId},
-      deadlineMs: timeoutMs,
+      deadlineMs: timeoutMs + 2,
     });
     results.push({...result, attemptId, router});
     const arrived = servers
@@ -130,7 +130,7 @@
   channel.close();
 }
 
-const callers = Array.from({length: 60}, (_, index) => runCaller(index));
+const callers = Array.from({length: 140}, (_, index) => runCaller(index));
 await delay(4_000);
 if (hasTrouble) {
   recorder.show(`${troubled.id} is in trouble now`);
@@ -140,7 +140,7 @@
 const watch = setInterval(() => {
   peakMb = Math.max(peakMb, ...routers.map(({memoryMb}) => memoryMb));
 }, 20);
-await delay(8_000);
+await delay(12_000);
 clearInterval(watch);
 troubled.work = undefined;
 isOver = true;
