--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -107,8 +107,7 @@
 const results = [];
 let isOver = false;
 async function runCaller(index) {
-  const router = routers[index % routers.length];
-  const channel = new CallerChannel(router.callers);
+  const channel = new CallerChannel(routers);
   for (let count = 0; !isOver; count++) {
     const attemptId = `c${index}n${count}`;
     const result = await channel.send({
@@ -117,12 +116,12 @@
       headers: {host, 'attempt-id': attemptId},
       deadlineMs: timeoutMs + 2,
     });
-    results.push({...result, attemptId, router});
+    results.push({...result, attemptId});
     const arrived = servers
       .filter(({arrivals}) => arrivals.has(attemptId))
       .map(({id}) => id);
     recorder.write(
-      `${attemptId} at ${router.name}: ${result.end} ${result.status} after ` +
+      `${attemptId} at ${result.address}: ${result.end} ${result.status} after ` +
         `${Math.round(result.ms)} ms, at ${arrived.join(' ') || 'no server'}`,
     );
     await delay(result.end === 'answer' ? 100 + Math.random() * 200 : 300);
@@ -148,8 +147,10 @@
 
 // Requests on kept channels that a sound server had, and whose channel ended.
 const lost = results.filter(
-  ({end, isReused, attemptId}) =>
+  ({end, status, ms, isReused, attemptId}) =>
     end === 'closed' &&
+    status === 0 &&
+    ms < timeoutMs &&
     isReused &&
     servers.slice(1).some(({arrivals}) => arrivals.has(attemptId)) &&
     !troubled.arrivals.has(attemptId),
--- a/review/lib-2/testBed.mjs
+++ b/review/lib-2/testBed.mjs
@@ -35,6 +35,7 @@
 process.on('uncaughtException', error => giveUp(error.stack));
 process.on('SIGTERM', () => giveUp('SIGTERM'));
 process.on('SIGINT', () => giveUp('SIGINT'));
+process.on('SIGHUP', () => giveUp('SIGHUP'));
 setTimeout(() => giveUp('it took too long'), maxRunMs).unref();
 
 /** Loopback network of this run, so that runs side by side don't collide. */
@@ -60,9 +61,12 @@
   return `${network}.${number}`;
 }
 
+let recorder;
+
 /** Writes to the console and to the record of the case. */
 export class Recorder {
   constructor(folder) {
+    recorder = this;
     this.file = fs.openSync(path.join(folder, 'record.txt'), 'w');
     this.startedAtMs = performance.now();
   }
@@ -388,7 +392,10 @@
 export class SoundServer {
   /** Requests that arrived, by attempt id. */
   arrivals = new Map();
-  answered = new Set();
+  /** Requests that are running. */
+  active = 0;
+  /** Starts of the requests that wait for a slot. */
+  waiting = [];
 
   static async start(host, options) {
     const server = new SoundServer();
@@ -436,18 +443,36 @@
       }
       const count = (this.arrivals.get(attemptId) ?? 0) + 1;
       this.arrivals.set(attemptId, count);
-      this.onArrival?.(attemptId);
       const body = Buffer.concat(chunks);
-      if (this.work?.({request, response, body, attemptId})) return;
-      void this.answer(request, response, attemptId);
+      const start = () => this.start({request, response, body, attemptId});
+      if (this.active < this.slots) start();
+      else this.waiting.push(start);
     });
   }
 
+  /** Runs a request in a slot, unless its channel has been closed. */
+  start(exchange) {
+    const {request, response, attemptId} = exchange;
+    const startNext = () => this.waiting.shift()?.();
+    if (response.destroyed) {
+      startNext();
+      return;
+    }
+    this.active += 1;
+    response.once('close', () => {
+      this.active -= 1;
+      startNext();
+    });
+    recorder.write(`${this.id} runs ${attemptId}`);
+    if (this.work?.(exchange)) return;
+    void this.answer(request, response, attemptId);
+  }
+
   buildHead(attemptId) {
     return {
       'attempt-id': attemptId,
       'runner-stamp': `stamp.${this.id}.${attemptId}`,
-      'runner-load': `${1},0,${this.slots}`,
+      'runner-load': `${this.active},${this.waiting.length},${this.slots}`,
     };
   }
 
@@ -460,7 +485,7 @@
         'content-type': 'text/plain',
         'content-length': Buffer.byteLength(text),
       });
-      response.end(text, () => this.answered.add(attemptId));
+      response.end(text);
       return;
     }
     await delay(this.workMs);
@@ -473,7 +498,7 @@
       response.write(event);
       await delay(this.gapMs);
     }
-    response.end(() => this.answered.add(attemptId));
+    response.end();
   }
 
   stop() {
@@ -482,21 +507,70 @@
   }
 }
 
-/** One kept channel of a caller; carries one request at a time. */
+/** Number of daemons that a caller asks for addresses, and time for each. */
+const maxLookups = 3;
+const lookupTimeoutMs = 1_000;
+
+/**
+ * A caller with one kept channel, which carries one request at a time. It asks the
+ * directory for addresses as often as these say, takes one at random, keeps to it,
+ * and passes over those that have failed it until it has asked again.
+ */
 export class CallerChannel {
-  constructor(address) {
-    const [host, port] = address.split(':');
+  addresses = [];
+  expiresAtMs = -Infinity;
+  failed = new Set();
+
+  constructor(routers) {
+    this.routers = routers;
+  }
+
+  /** Takes an address; opens a new channel if it is another one. */
+  async chooseAddress() {
+    if (performance.now() >= this.expiresAtMs) await this.lookUp();
+    const {address, addresses, failed} = this;
+    if (addresses.includes(address) && !failed.has(address)) return;
+    const others = addresses.filter(other => !failed.has(other));
+    const list = others.length > 0 ? others : addresses;
+    this.close();
+    this.address = list[Math.floor(Math.random() * list.length)];
+    const [host, port] = this.address.split(':');
     this.target = {host, port: Number(port)};
     this.agent = new http.Agent({keepAlive: true, maxSockets: 1});
   }
 
+  async lookUp() {
+    const order = [...this.routers].sort(() => Math.random() - 0.5);
+    for (const router of order.slice(0, maxLookups)) {
+      const answer = await askDirectory(router.fields.listen.directoryAddr);
+      if (!answer?.addresses?.length) continue;
+      this.addresses = answer.addresses;
+      this.expiresAtMs = performance.now() + answer.ttlS * 1_000;
+      this.failed.clear();
+      return;
+    }
+    if (this.addresses.length === 0) {
+      this.addresses = this.routers.map(({callers}) => callers);
+    }
+  }
+
+  /** Sends a request; see `sendOn`. */
+  async send(request) {
+    await this.chooseAddress();
+    const {address} = this;
+    recorder.write(`${request.headers['attempt-id']} sent to ${address}`);
+    const result = await this.sendOn(request);
+    if (result.end === 'closed') this.failed.add(address);
+    return {...result, address};
+  }
+
   /**
    * Sends a request; resolves with what the caller sees. `end` is `answer`,
    * `closed`, `timeout` or, for a stream that was given up, `left`.
    *
    * @param gapMs - longest time without a piece of a stream that the caller waits
    */
-  send({method = 'POST', path: target, headers, body, deadlineMs, gapMs}) {
+  sendOn({method = 'POST', path: target, headers, body, deadlineMs, gapMs}) {
     const sentAtMs = performance.now();
     return new Promise(resolve => {
       const chunks = [];
@@ -554,10 +628,31 @@
   }
 
   close() {
-    this.agent.destroy();
+    this.agent?.destroy();
   }
 }
 
+function askDirectory(endpoint) {
+  const [host, port] = endpoint.split(':');
+  const query = 'name=shop.example&region=area&zone=zone-a';
+  return new Promise(resolve => {
+    const request = http.get(
+      {host, port, path: `/-/resolve?${query}`, agent: false},
+      response => {
+        const chunks = [];
+        response.on('data', chunk => chunks.push(chunk));
+        response.on('error', () => resolve(undefined));
+        response.on('end', () => {
+          const isFound = response.statusCode === 200;
+          resolve(isFound ? JSON.parse(Buffer.concat(chunks)) : undefined);
+        });
+      },
+    );
+    request.setTimeout(lookupTimeoutMs, () => request.destroy());
+    request.on('error', () => resolve(undefined));
+  });
+}
+
 /** Ends all processes and servers of the run, and the process. */
 export async function finishRun({routers, servers, store}, exitCode) {
   await Promise.all(routers.map(router => router.stop()));
